--- /dev/null
+++ b/crates/admit/src/fifo.rs
@@ -0,0 +1,64 @@
+//! First come, first served: the baseline that other policies are measured against.
+
+use {
+    super::{ClassRule, Queue, Shed, Ticket, TicketId},
+    clock::Stamp,
+    std::{collections::VecDeque, time::Duration},
+    types::{ClassId, OrgId, Reason, Tokens},
+};
+
+/// When a refused caller may try again.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// One queue in order of arrival, bounded by the sum of the classes' depths.
+#[derive(Debug, Default)]
+pub struct Fifo {
+    waiting: VecDeque<Ticket>,
+    depth: usize,
+}
+
+impl Queue for Fifo {
+    fn set_classes(&mut self, rules: &[ClassRule]) {
+        self.depth = rules.iter().map(|r| r.depth).sum();
+    }
+
+    fn set_capacity(&mut self, _slots: u32) {}
+
+    fn offer(&mut self, _now: Stamp, ticket: Ticket) -> Vec<Shed> {
+        if self.waiting.len() < self.depth {
+            self.waiting.push_back(ticket);
+            return Vec::new();
+        }
+        vec![Shed {
+            ticket,
+            reason: Reason::Overloaded,
+            retry: RETRY,
+        }]
+    }
+
+    fn next(&mut self, _now: Stamp, fits: &mut dyn FnMut(&Ticket) -> bool) -> Option<Ticket> {
+        let at = self.waiting.iter().position(fits)?;
+        self.waiting.remove(at)
+    }
+
+    fn cancel(&mut self, id: TicketId) -> Option<Ticket> {
+        let at = self.waiting.iter().position(|t| t.id == id)?;
+        self.waiting.remove(at)
+    }
+
+    fn expire(&mut self, _now: Stamp) -> Vec<Shed> {
+        Vec::new()
+    }
+
+    fn charge(&mut self, _class: &ClassId, _org: &OrgId, _weight: u32, _tokens: Tokens) {}
+
+    fn completed(&mut self, _now: Stamp, _class: &ClassId, _held: Duration) {}
+
+    fn predict(&self, _now: Stamp, _class: &ClassId) -> Duration {
+        Duration::ZERO
+    }
+
+    fn len(&self) -> usize {
+        self.waiting.len()
+    }
+}
--- /dev/null
+++ b/crates/admit/src/queue.rs
@@ -0,0 +1,72 @@
+//! The interface of an admission policy.
+
+use {
+    super::{Ticket, TicketId},
+    clock::Stamp,
+    std::time::Duration,
+    types::{ClassId, OrgId, Reason, Tier, Tokens},
+};
+
+/// What a policy needs to know of a class.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ClassRule {
+    /// Class of work.
+    pub id: ClassId,
+    /// Service tier.
+    pub tier: Tier,
+    /// Requests that may wait at once.
+    pub depth: usize,
+    /// Longest time without a dispatch while a request of the class waits.
+    pub starve: Duration,
+    /// Time from arrival to the first token.
+    pub first: Duration,
+}
+
+/// A request that is refused instead of being dispatched.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Shed {
+    /// The request.
+    pub ticket: Ticket,
+    /// Why.
+    pub reason: Reason,
+    /// When the caller may try again.
+    pub retry: Duration,
+}
+
+/// Holds waiting requests and decides on their order.
+pub trait Queue: Send {
+    /// Replaces the rules of all classes.
+    fn set_classes(&mut self, rules: &[ClassRule]);
+
+    /// Tells how many requests the endpoints can hold at once in all.
+    fn set_capacity(&mut self, slots: u32);
+
+    /// Adds a request; returns those that are refused for it, possibly itself.
+    fn offer(&mut self, now: Stamp, ticket: Ticket) -> Vec<Shed>;
+
+    /// Takes the request to dispatch next among those that `fits` accepts.
+    fn next(&mut self, now: Stamp, fits: &mut dyn FnMut(&Ticket) -> bool) -> Option<Ticket>;
+
+    /// Takes a request whose caller is gone.
+    fn cancel(&mut self, id: TicketId) -> Option<Ticket>;
+
+    /// Takes the requests that can no longer meet their deadline.
+    fn expire(&mut self, now: Stamp) -> Vec<Shed>;
+
+    /// Charges an organisation for generated tokens.
+    fn charge(&mut self, class: &ClassId, org: &OrgId, weight: u32, tokens: Tokens);
+
+    /// Tells that a dispatched request of `class` held its slot for `held`.
+    fn completed(&mut self, now: Stamp, class: &ClassId, held: Duration);
+
+    /// Expected wait of a request of `class` that arrived now.
+    fn predict(&self, now: Stamp, class: &ClassId) -> Duration;
+
+    /// Requests that wait.
+    fn len(&self) -> usize;
+
+    /// Whether none waits.
+    fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- /dev/null
+++ b/crates/admit/src/ticket.rs
@@ -0,0 +1,50 @@
+//! A request that waits for an endpoint.
+
+use {
+    clock::Stamp,
+    serde::{Deserialize, Serialize},
+    std::{fmt, num::ParseIntError, str::FromStr},
+    types::{ClassId, OrgId, Tier, Tokens},
+};
+
+/// Identifies a ticket within one scheduler.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TicketId(pub u64);
+
+impl fmt::Display for TicketId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for TicketId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// A request that waits for an endpoint.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ticket {
+    /// Identifier.
+    pub id: TicketId,
+    /// Organisation that the request runs for.
+    pub org: OrgId,
+    /// The organisation's share relative to others.
+    pub weight: u32,
+    /// Class of work.
+    pub class: ClassId,
+    /// Service tier of the class.
+    pub tier: Tier,
+    /// When the request arrived.
+    pub arrived: Stamp,
+    /// When the first token is due.
+    pub deadline: Stamp,
+    /// Length of the prompt.
+    pub prompt: Tokens,
+    /// Whether the request was dispatched before and waits to resume. It is not refused for lateness.
+    pub resumed: bool,
+}
--- /dev/null
+++ b/crates/clock/src/limit.rs
@@ -0,0 +1,33 @@
+//! Time limits on futures.
+
+use {
+    super::Clock,
+    futures_lite::FutureExt,
+    std::{error::Error, fmt, future::Future, time::Duration},
+};
+
+/// A future did not finish within its time limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Elapsed;
+
+impl fmt::Display for Elapsed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "time limit exceeded")
+    }
+}
+
+impl Error for Elapsed {}
+
+/// Runs `work` for at most `limit`.
+pub async fn within<T>(
+    clock: &dyn Clock,
+    limit: Duration,
+    work: impl Future<Output = T>,
+) -> Result<T, Elapsed> {
+    let sleep = clock.sleep(limit);
+    let timed = async move {
+        sleep.await;
+        Err(Elapsed)
+    };
+    async { Ok(work.await) }.or(timed).await
+}
--- /dev/null
+++ b/crates/clock/src/system.rs
@@ -0,0 +1,42 @@
+//! The machine's clock.
+
+use {
+    super::{Clock, SharedClock, Sleep, Stamp},
+    async_io::Timer,
+    rustix::time::{ClockId, clock_gettime},
+    std::{sync::Arc, time::Duration},
+};
+
+/// The machine's boot-time clock with timers of the async-io reactor.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SystemClock;
+
+impl SystemClock {
+    /// A shared system clock.
+    pub fn shared() -> SharedClock {
+        Arc::new(Self)
+    }
+}
+
+fn read(id: ClockId) -> Duration {
+    let time = clock_gettime(id);
+    let secs = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(secs, nanos)
+}
+
+impl Clock for SystemClock {
+    fn now(&self) -> Stamp {
+        Stamp::default() + read(ClockId::Boottime)
+    }
+
+    fn unix(&self) -> Duration {
+        read(ClockId::Realtime)
+    }
+
+    fn sleep(&self, span: Duration) -> Sleep {
+        Box::pin(async move {
+            Timer::after(span).await;
+        })
+    }
+}
--- /dev/null
+++ b/crates/conf/src/fleet/config.rs
@@ -0,0 +1,252 @@
+//! The folded configuration. Every node that folds the same records has the same configuration.
+
+use {
+    super::{
+        Change, ChangeId, Class, Exception, Item, ItemKey, Key, Limits, Model, Op, Org, Outcome,
+        Refused, Route,
+    },
+    serde::{Deserialize, Serialize},
+    sha2::{Digest, Sha256},
+    std::collections::{BTreeMap, VecDeque},
+    types::{ClassId, KeyDigest, ModelId, OrgId, RouteId, Version},
+};
+
+/// Outcomes that are kept to drop repeats of a change and to answer operators.
+const KEPT_OUTCOMES: usize = 512;
+
+/// An item and the version that last changed it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Version of the change that wrote the item.
+    pub version: Version,
+    /// The item.
+    pub item: Item,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Kept {
+    id: ChangeId,
+    outcome: Outcome,
+}
+
+/// The fleet's configuration at a version.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Config {
+    version: Version,
+    items: BTreeMap<ItemKey, Entry>,
+    kept: VecDeque<Kept>,
+}
+
+impl Config {
+    /// Log offset after the last folded record.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// All items in key order.
+    pub fn items(&self) -> impl Iterator<Item = (&ItemKey, &Entry)> {
+        self.items.iter()
+    }
+
+    /// One item.
+    pub fn get(&self, key: &ItemKey) -> Option<&Entry> {
+        self.items.get(key)
+    }
+
+    /// Outcome of a recent change.
+    pub fn outcome(&self, id: ChangeId) -> Option<&Outcome> {
+        self.kept.iter().find(|k| k.id == id).map(|k| &k.outcome)
+    }
+
+    /// SHA-256 over the folded state, in hexadecimal digits, to compare nodes.
+    pub fn digest(&self) -> KeyDigest {
+        let bytes = serde_json::to_vec(self).unwrap_or_default();
+        KeyDigest::of_key(&Sha256::digest(bytes))
+    }
+
+    /// Folds the record at `offset`; records before the version are skipped. A record that is not a
+    /// change counts as read.
+    pub fn fold(&mut self, offset: u64, record: &str) -> Option<Outcome> {
+        let version = Version::after(offset);
+        if version <= self.version {
+            return None;
+        }
+        self.version = version;
+        let change: Change = serde_json::from_str(record).ok()?;
+        if self.outcome(change.id).is_some() {
+            return None;
+        }
+        let outcome = match self.apply(&change, version) {
+            Ok(items) => {
+                self.items = items;
+                Outcome::Accepted(version)
+            }
+            Err(refused) => Outcome::Refused(refused),
+        };
+        self.kept.push_back(Kept {
+            id: change.id,
+            outcome: outcome.clone(),
+        });
+        if self.kept.len() > KEPT_OUTCOMES {
+            self.kept.pop_front();
+        }
+        Some(outcome)
+    }
+
+    fn apply(
+        &self,
+        change: &Change,
+        version: Version,
+    ) -> Result<BTreeMap<ItemKey, Entry>, Refused> {
+        let mut items = self.items.clone();
+        for op in &change.ops {
+            let key = op.key();
+            let current = self.items.get(&key).map(|e| e.version).unwrap_or_default();
+            if op.base() != current {
+                return Err(Refused::Raced(key, current));
+            }
+            match op {
+                Op::Put { item, .. } => {
+                    self.check_put(item)?;
+                    items.insert(
+                        key,
+                        Entry {
+                            version,
+                            item: item.clone(),
+                        },
+                    );
+                }
+                Op::Remove { .. } => {
+                    items.remove(&key);
+                }
+            }
+        }
+        check_references(&items)?;
+        Ok(items)
+    }
+
+    fn check_put(&self, item: &Item) -> Result<(), Refused> {
+        item.check()
+            .map_err(|what| Refused::Invalid(item.key(), what.into()))?;
+        if let Item::Key(new) = item
+            && self.key(&new.digest).is_some_and(|old| old.withdrawn)
+            && !new.withdrawn
+        {
+            return Err(Refused::Withdrawn(item.key()));
+        }
+        Ok(())
+    }
+
+    /// A class.
+    pub fn class(&self, id: &ClassId) -> Option<&Class> {
+        match &self.get(&ItemKey::Class(id.clone()))?.item {
+            Item::Class(class) => Some(class),
+            _ => None,
+        }
+    }
+
+    /// An organisation.
+    pub fn org(&self, id: &OrgId) -> Option<&Org> {
+        match &self.get(&ItemKey::Org(id.clone()))?.item {
+            Item::Org(org) => Some(org),
+            _ => None,
+        }
+    }
+
+    /// A key.
+    pub fn key(&self, digest: &KeyDigest) -> Option<&Key> {
+        match &self.get(&ItemKey::Key(*digest))?.item {
+            Item::Key(key) => Some(key),
+            _ => None,
+        }
+    }
+
+    /// A model.
+    pub fn model(&self, id: &ModelId) -> Option<&Model> {
+        match &self.get(&ItemKey::Model(id.clone()))?.item {
+            Item::Model(model) => Some(model),
+            _ => None,
+        }
+    }
+
+    /// All models.
+    pub fn models(&self) -> impl Iterator<Item = &Model> {
+        self.items.values().filter_map(|e| match &e.item {
+            Item::Model(model) => Some(model),
+            _ => None,
+        })
+    }
+
+    /// The route with the longest prefix that `path` starts with.
+    pub fn route(&self, path: &str) -> Option<&Route> {
+        let routes = self.items.values().filter_map(|e| match &e.item {
+            Item::Route(route) => Some(route),
+            _ => None,
+        });
+        routes
+            .filter(|r| path.starts_with(r.prefix.as_str()))
+            .max_by_key(|r| r.prefix.len())
+    }
+
+    /// Limits for requests of `org` in `class` on `route`: those of the exception that names most of
+    /// the three, else the defaults.
+    pub fn limits(&self, org: &OrgId, class: &ClassId, route: Option<&RouteId>) -> Limits {
+        let exceptions = self.items.values().filter_map(|e| match &e.item {
+            Item::Exception(exception) => Some(exception),
+            _ => None,
+        });
+        let best = exceptions
+            .filter_map(|e| Some((match_rank(e, org, class, route)?, e)))
+            .max_by_key(|(rank, _)| *rank);
+        if let Some((_, exception)) = best {
+            return exception.limits;
+        }
+        match self.get(&ItemKey::Limits).map(|e| &e.item) {
+            Some(Item::Limits(limits)) => *limits,
+            _ => Limits::default(),
+        }
+    }
+}
+
+/// How many of its conditions an exception names, if all of them hold.
+fn match_rank(e: &Exception, org: &OrgId, class: &ClassId, route: Option<&RouteId>) -> Option<u8> {
+    let holds = e.org.as_ref().is_none_or(|o| o == org)
+        && e.class.as_ref().is_none_or(|c| c == class)
+        && e.route.as_ref().is_none_or(|r| Some(r) == route);
+    let named = [e.org.is_some(), e.class.is_some(), e.route.is_some()];
+    holds.then(|| named.into_iter().map(u8::from).sum())
+}
+
+fn check_references(items: &BTreeMap<ItemKey, Entry>) -> Result<(), Refused> {
+    for entry in items.values() {
+        for named in references(&entry.item) {
+            if !items.contains_key(&named) {
+                return Err(Refused::Dangling(entry.item.key(), named));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn references(item: &Item) -> Vec<ItemKey> {
+    match item {
+        Item::Key(key) => {
+            let mut named = vec![
+                ItemKey::Org(key.org.clone()),
+                ItemKey::Class(key.class.clone()),
+            ];
+            named.extend(key.classes.iter().cloned().map(ItemKey::Class));
+            named
+        }
+        Item::Route(route) => vec![ItemKey::Class(route.class.clone())],
+        Item::Exception(e) => {
+            let org = e.org.iter().cloned().map(ItemKey::Org);
+            let class = e.class.iter().cloned().map(ItemKey::Class);
+            let route = e.route.iter().cloned().map(ItemKey::Route);
+            org.chain(class).chain(route).collect()
+        }
+        Item::Class(_) | Item::Org(_) | Item::Model(_) | Item::Limits(_) | Item::Pool(_) => {
+            Vec::new()
+        }
+    }
+}
--- /dev/null
+++ b/crates/conf/src/fleet/item.rs
@@ -0,0 +1,269 @@
+//! Items of the configuration.
+
+use {
+    super::ItemKey,
+    compact_str::CompactString,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+    types::{ClassId, KeyDigest, ModelId, OrgId, PerSecond, RouteId, Tier, Tokens, ZoneId},
+};
+
+/// Latency targets of a class.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Targets {
+    /// First token, or the whole answer of a plain service, in milliseconds from arrival.
+    pub first_ms: u32,
+    /// Mean time between tokens, in milliseconds.
+    pub between_ms: u32,
+    /// Share of requests that must meet the targets, from 0 to 1.
+    pub objective: f64,
+}
+
+impl Targets {
+    /// Time from arrival to the first token.
+    pub fn first(&self) -> Duration {
+        Duration::from_millis(self.first_ms.into())
+    }
+
+    /// Mean time between tokens.
+    pub fn between(&self) -> Duration {
+        Duration::from_millis(self.between_ms.into())
+    }
+}
+
+/// A class of work.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Name that callers send.
+    pub id: ClassId,
+    /// Service tier.
+    pub tier: Tier,
+    /// Latency targets.
+    pub targets: Targets,
+    /// Requests that may queue at one scheduler.
+    pub queue: u32,
+    /// Longest time without a dispatch while a request of the class waits, in milliseconds.
+    pub starve_ms: u32,
+}
+
+/// An organisation.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Org {
+    /// Identifier.
+    pub id: OrgId,
+    /// Share relative to other organisations of a class.
+    pub weight: u32,
+}
+
+/// A caller's key, by digest.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Key {
+    /// Digest of the key.
+    pub digest: KeyDigest,
+    /// Organisation that it belongs to.
+    pub org: OrgId,
+    /// Class of requests that name none.
+    pub class: ClassId,
+    /// Classes that requests may name besides; empty for all.
+    #[serde(default)]
+    pub classes: Vec<ClassId>,
+    /// Whether the key was withdrawn. A withdrawn key is never given again.
+    #[serde(default)]
+    pub withdrawn: bool,
+}
+
+/// A model that engines serve.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// Name that callers send.
+    pub id: ModelId,
+    /// Most requests held by one endpoint at once.
+    pub slots: u32,
+    /// Most tokens generated for one request.
+    pub longest: Tokens,
+}
+
+/// A route to a plain service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Identifier.
+    pub id: RouteId,
+    /// Path prefix that the route takes; the longest match wins.
+    pub prefix: CompactString,
+    /// Service that endpoints of the route offer.
+    pub service: ModelId,
+    /// Whether requests need no key.
+    #[serde(default)]
+    pub open: bool,
+    /// Class of requests on an open route, and of requests whose key allows it.
+    pub class: ClassId,
+    /// Whether a request other than GET and HEAD may be repeated.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// Most requests held by one endpoint at once.
+    pub slots: u32,
+    /// Longest time to an answer, in milliseconds.
+    pub timeout_ms: u32,
+}
+
+/// Limits of one organisation in one class. A missing limit does not apply.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Requests a second over the fleet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub requests: Option<PerSecond>,
+    /// Generated tokens a second over the fleet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tokens: Option<PerSecond>,
+    /// Requests at once over the fleet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub concurrent: Option<u32>,
+}
+
+/// An exception to the default limits.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Exception {
+    /// Name of the exception.
+    pub id: CompactString,
+    /// Organisation that it is for; all when missing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub org: Option<OrgId>,
+    /// Class that it is for; all when missing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub class: Option<ClassId>,
+    /// Route that it is for; all when missing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub route: Option<RouteId>,
+    /// Limits in place of the defaults.
+    pub limits: Limits,
+    /// Why the exception exists. May not be empty.
+    pub reason: CompactString,
+}
+
+/// Price class of an endpoint.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum EndpointKind {
+    /// Runs until it is released.
+    #[default]
+    Steady,
+    /// Costs less and may be evicted at a few seconds' notice.
+    Cheap,
+}
+
+/// Bounds for the number of endpoints of one model or service in one availability zone.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// Model or service.
+    pub serves: ModelId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Fewest endpoints.
+    pub min: u32,
+    /// Most endpoints.
+    pub max: u32,
+    /// Largest share of endpoints that may be cheap, from 0 to 1.
+    pub cheap: f64,
+    /// Endpoints kept beyond demand, for the loss of another availability zone.
+    pub spare: u32,
+}
+
+/// One item of the configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Item {
+    /// A class of work.
+    Class(Class),
+    /// An organisation.
+    Org(Org),
+    /// A caller's key.
+    Key(Key),
+    /// A model.
+    Model(Model),
+    /// A route.
+    Route(Route),
+    /// Limits for every organisation and class without an exception.
+    Limits(Limits),
+    /// An exception to the default limits.
+    Exception(Exception),
+    /// Bounds for endpoints.
+    Pool(Pool),
+}
+
+impl Item {
+    /// The key under which the item is kept.
+    pub fn key(&self) -> ItemKey {
+        match self {
+            Self::Class(c) => ItemKey::Class(c.id.clone()),
+            Self::Org(o) => ItemKey::Org(o.id.clone()),
+            Self::Key(k) => ItemKey::Key(k.digest),
+            Self::Model(m) => ItemKey::Model(m.id.clone()),
+            Self::Route(r) => ItemKey::Route(r.id.clone()),
+            Self::Limits(_) => ItemKey::Limits,
+            Self::Exception(e) => ItemKey::Exception(e.id.clone()),
+            Self::Pool(p) => ItemKey::Pool(p.serves.clone(), p.zone.clone()),
+        }
+    }
+
+    /// Names the first value that is out of range, and what is accepted.
+    pub fn check(&self) -> Result<(), &'static str> {
+        let bad = match self {
+            Self::Class(c) => c.check(),
+            Self::Org(o) => (o.weight == 0).then_some("weight: accepted is 1 or more"),
+            Self::Model(m) => (m.slots == 0).then_some("slots: accepted is 1 or more"),
+            Self::Route(r) => r.check(),
+            Self::Exception(e) => e
+                .reason
+                .trim()
+                .is_empty()
+                .then_some("reason: an exception needs a reason"),
+            Self::Pool(p) => p.check(),
+            Self::Key(_) | Self::Limits(_) => None,
+        };
+        bad.map_or(Ok(()), Err)
+    }
+}
+
+impl Class {
+    fn check(&self) -> Option<&'static str> {
+        if !(0.0..1.0).contains(&self.targets.objective) {
+            return Some("targets.objective: accepted is 0 up to but not including 1");
+        }
+        if self.targets.first_ms == 0 || self.queue == 0 || self.starve_ms == 0 {
+            return Some("targets.first_ms, queue, starve_ms: accepted is 1 or more");
+        }
+        None
+    }
+}
+
+impl Route {
+    fn check(&self) -> Option<&'static str> {
+        if !self.prefix.starts_with('/') {
+            return Some("prefix: accepted is a path that starts with /");
+        }
+        if self.slots == 0 || self.timeout_ms == 0 {
+            return Some("slots, timeout_ms: accepted is 1 or more");
+        }
+        None
+    }
+}
+
+impl Pool {
+    fn check(&self) -> Option<&'static str> {
+        if self.min > self.max {
+            return Some("min: accepted is at most max");
+        }
+        (!(0.0..=1.0).contains(&self.cheap)).then_some("cheap: accepted is 0 to 1")
+    }
+}
--- /dev/null
+++ b/crates/coord/src/lib.rs
@@ -0,0 +1,6 @@
+//! Coordination through the platform's append-only log, for celerystage's daemons and for others to
+//! embed.
+
+mod follower;
+
+pub use follower::{Batch, Follower};
--- /dev/null
+++ b/crates/ctl/src/command/mod.rs
@@ -0,0 +1,9 @@
+//! Commands, one module each.
+
+mod cli;
+mod key;
+mod publish;
+mod session;
+mod show;
+
+pub use cli::{ExitReason, run_command};
--- /dev/null
+++ b/crates/ctl/src/command/session.rs
@@ -0,0 +1,131 @@
+//! Connection to the platform, the folded configuration, and publishing.
+
+use {
+    super::ExitReason,
+    clock::{SharedClock, SystemClock},
+    conf::{Change, Config, Item, ItemKey, Op, Outcome},
+    eyre::{Result, WrapErr, eyre},
+    pico_args::Arguments,
+    platform::{HttpPlatform, Log, Stream},
+    std::{net::SocketAddr, time::Duration},
+    types::{OperatorId, RequestId},
+    wire::Client,
+};
+
+/// Appends of one change at most, when answers are lost.
+const MAX_APPENDS: u32 = 3;
+/// Reads at most until the change is seen in the log.
+const MAX_READS: u32 = 10;
+const READ_WAIT: Duration = Duration::from_millis(200);
+
+/// One run of the command.
+pub(super) struct Session {
+    platform: HttpPlatform,
+    clock: SharedClock,
+    by: OperatorId,
+    pub(super) json: bool,
+}
+
+impl Session {
+    pub(super) fn take(args: &mut Arguments) -> Result<Self> {
+        let addr: SocketAddr = args
+            .opt_value_from_str("--platform")?
+            .ok_or_else(|| eyre!("--platform ADDR is missing; see --help"))?;
+        let by: Option<OperatorId> = args.opt_value_from_str("--by")?;
+        let by = by.map_or_else(|| "operator".parse(), Ok)?;
+        let json = args.contains("--json");
+        let clock = SystemClock::shared();
+        let platform = HttpPlatform::new(Client::new(clock.clone()), addr);
+        Ok(Self {
+            platform,
+            clock,
+            by,
+            json,
+        })
+    }
+
+    /// Folds the configuration from the log.
+    pub(super) async fn config(&self) -> Result<Config> {
+        let mut config = Config::default();
+        self.catch_up(&mut config).await?;
+        Ok(config)
+    }
+
+    async fn catch_up(&self, config: &mut Config) -> Result<()> {
+        loop {
+            let from = config.version().0;
+            let page = self
+                .platform
+                .read(Stream::Config, from, Duration::ZERO)
+                .await
+                .wrap_err("cannot read the configuration stream")?;
+            for record in &page.records {
+                config.fold(record.offset, &record.data);
+            }
+            if config.version().0 >= page.next {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Publishes items and removals as one change based on `config`.
+    pub(super) async fn publish(
+        &self,
+        mut config: Config,
+        items: Vec<Item>,
+        remove: Vec<ItemKey>,
+    ) -> Result<ExitReason> {
+        let base = |key: &ItemKey| config.get(key).map(|e| e.version).unwrap_or_default();
+        let puts = items.into_iter().map(|item| Op::Put {
+            base: base(&item.key()),
+            item,
+        });
+        let removes = remove.into_iter().map(|key| Op::Remove {
+            base: base(&key),
+            key,
+        });
+        let ops = puts.chain(removes).collect();
+        let change = Change {
+            id: RequestId::from_bits(fastrand::u128(..)),
+            by: self.by.clone(),
+            ops,
+        };
+        let record = serde_json::to_string(&change)?;
+        let appended = self.append(&record).await;
+        for _ in 0..MAX_READS {
+            if self.catch_up(&mut config).await.is_err() {
+                self.clock.sleep(READ_WAIT).await;
+                continue;
+            }
+            match config.outcome(change.id) {
+                Some(Outcome::Accepted(version)) => {
+                    println!("accepted: in force from version {version}");
+                    return Ok(ExitReason::Done);
+                }
+                Some(Outcome::Refused(refused)) => {
+                    eprintln!("refused: {refused}");
+                    return Ok(ExitReason::Refused);
+                }
+                None => self.clock.sleep(READ_WAIT).await,
+            }
+        }
+        if appended {
+            eprintln!("the change may have been taken; look with: celeryctl show");
+            return Ok(ExitReason::Unknown);
+        }
+        eprintln!("the platform did not take the change");
+        Ok(ExitReason::Failed)
+    }
+
+    /// Appends a record; `true` when it may be in the log. The fold drops repeats of a change.
+    async fn append(&self, record: &str) -> bool {
+        let mut taken = false;
+        for _ in 0..MAX_APPENDS {
+            match self.platform.append(Stream::Config, record).await {
+                Ok(_) => return true,
+                Err(e) => taken |= e.verdict() != types::Verdict::NotRun,
+            }
+        }
+        taken
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,5 @@
+//! The operator's command.
+
+mod command;
+
+pub use command::{ExitReason, run_command};
--- /dev/null
+++ b/crates/daemon/src/process.rs
@@ -0,0 +1,154 @@
+//! Runs a process: workers, signals, admin pages, exit code.
+
+use {
+    crate::{Admin, Args, ProcessSettings, Readiness, Settings, Usage, init_logs},
+    async_executor::{Executor, Task},
+    async_io::block_on,
+    async_signal::{Signal, Signals},
+    clock::{SharedClock, SystemClock},
+    conf::load_settings,
+    eyre::{Result, WrapErr},
+    futures_lite::StreamExt,
+    metrics_exporter_prometheus::PrometheusBuilder,
+    pico_args::Arguments,
+    std::{future::Future, net::SocketAddr, process::ExitCode, sync::Arc, thread},
+    wire::{Handler, Server, ServerLimits, Stop},
+};
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_BAD_USE: u8 = 2;
+
+/// A running process.
+#[derive(Clone)]
+pub struct Process {
+    /// Runs all tasks.
+    pub ex: Arc<Executor<'static>>,
+    /// Time.
+    pub clock: SharedClock,
+    /// Set on TERM or INT.
+    pub stop: Stop,
+    /// Shown by `/readyz`.
+    pub ready: Readiness,
+}
+
+impl Process {
+    /// Binds a server and logs its address under `role`.
+    pub fn bind(
+        &self,
+        role: &str,
+        addr: SocketAddr,
+        handler: Arc<dyn Handler>,
+        limits: ServerLimits,
+        stop: Stop,
+    ) -> Result<Server> {
+        let server = Server::bind(addr, handler, limits, self.clock.clone(), stop)
+            .wrap_err_with(|| format!("cannot listen on {addr} for {role}"))?;
+        let bound = server.addr()?;
+        log::info!(role = role, addr:% = bound; "listening");
+        Ok(server)
+    }
+
+    /// Runs a server as a task that ends when its connections have ended.
+    pub fn serve(&self, server: Server) -> Task<()> {
+        let ex = self.ex.clone();
+        self.ex.spawn(async move { server.run(&ex).await })
+    }
+}
+
+/// Runs a daemon with a settings file from the command line.
+pub fn run<S, F, Fut>(usage: Usage, main: F) -> ExitCode
+where
+    S: Settings,
+    F: FnOnce(Process, S) -> Fut,
+    Fut: Future<Output = Result<()>>,
+{
+    let args = match Args::parse(Arguments::from_env()) {
+        Ok(args) => args,
+        Err(e) => return bad_use(usage, &e),
+    };
+    let path = match &args {
+        Args::Help => {
+            print!("{}", usage.help());
+            return ExitCode::SUCCESS;
+        }
+        Args::Version => {
+            println!("{} {}", usage.name, env!("CARGO_PKG_VERSION"));
+            return ExitCode::SUCCESS;
+        }
+        Args::Run(path) | Args::Check(path) => path,
+    };
+    let settings: S = match load_settings(path) {
+        Ok(settings) => settings,
+        Err(e) => return bad_use(usage, &e.into()),
+    };
+    if matches!(args, Args::Check(_)) {
+        println!("{}: valid", path.display());
+        return ExitCode::SUCCESS;
+    }
+    let process = settings.process().clone();
+    run_with(usage, &process, move |p| main(p, settings))
+}
+
+fn bad_use(usage: Usage, error: &eyre::Report) -> ExitCode {
+    eprintln!("{}: {error}", usage.name);
+    ExitCode::from(EXIT_BAD_USE)
+}
+
+/// Runs a process with given settings.
+pub fn run_with<F, Fut>(usage: Usage, settings: &ProcessSettings, main: F) -> ExitCode
+where
+    F: FnOnce(Process) -> Fut,
+    Fut: Future<Output = Result<()>>,
+{
+    match serve(usage, settings, main) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!(error:% = format!("{e:#}"); "failed");
+            eprintln!("{}: {e:#}", usage.name);
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn serve<F, Fut>(usage: Usage, settings: &ProcessSettings, main: F) -> Result<()>
+where
+    F: FnOnce(Process) -> Fut,
+    Fut: Future<Output = Result<()>>,
+{
+    let clock = SystemClock::shared();
+    init_logs(usage.name, settings.log.into(), clock.clone())?;
+    let process = Process {
+        ex: Arc::default(),
+        clock,
+        stop: Stop::default(),
+        ready: Readiness::default(),
+    };
+    let metrics = PrometheusBuilder::new().install_recorder()?;
+    let quit = Stop::default();
+    for _ in 0..settings.threads {
+        let (ex, quit) = (process.ex.clone(), quit.clone());
+        thread::spawn(move || block_on(ex.run(quit.wait())));
+    }
+    let signals = Signals::new([Signal::Term, Signal::Int])?;
+    process
+        .ex
+        .spawn(watch_signals(signals, process.stop.clone()))
+        .detach();
+    let admin = Arc::new(Admin::new(metrics, process.ready.clone()));
+    let limits = ServerLimits::default();
+    let server = process.bind("admin", settings.admin, admin, limits, quit.clone())?;
+    let admin_task = process.serve(server);
+    let ended = block_on(main(process.clone()));
+    process.ready.set(false);
+    log::info!("stopped");
+    drop(admin_task);
+    quit.trigger();
+    ended
+}
+
+async fn watch_signals(mut signals: Signals, stop: Stop) {
+    while let Some(Ok(signal)) = signals.next().await {
+        log::info!(signal:? = signal; "stopping");
+        stop.trigger();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,78 @@
+//! Settings that every process has.
+
+use {
+    compact_str::CompactString,
+    conf::Check,
+    serde::{Deserialize, de::DeserializeOwned},
+    std::net::SocketAddr,
+};
+
+/// Least severe log lines that are written.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Errors only.
+    Error,
+    /// Warnings too.
+    Warn,
+    /// One line for each change of state too.
+    #[default]
+    Info,
+    /// One line for each request too.
+    Debug,
+}
+
+impl From<LogLevel> for log::LevelFilter {
+    fn from(level: LogLevel) -> Self {
+        match level {
+            LogLevel::Error => Self::Error,
+            LogLevel::Warn => Self::Warn,
+            LogLevel::Info => Self::Info,
+            LogLevel::Debug => Self::Debug,
+        }
+    }
+}
+
+fn default_threads() -> usize {
+    2
+}
+
+/// Settings that every process has.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProcessSettings {
+    /// Address of the metrics and health pages.
+    pub admin: SocketAddr,
+    /// Worker threads.
+    #[serde(default = "default_threads")]
+    pub threads: usize,
+    /// Least severe log lines that are written.
+    #[serde(default)]
+    pub log: LogLevel,
+}
+
+impl ProcessSettings {
+    /// Settings without a file, for stand-ins and tools.
+    pub fn plain(admin: SocketAddr, threads: usize, log: LogLevel) -> Self {
+        Self {
+            admin,
+            threads,
+            log,
+        }
+    }
+}
+
+impl Check for ProcessSettings {
+    fn check(&self) -> Result<(), CompactString> {
+        if (1..=256).contains(&self.threads) {
+            return Ok(());
+        }
+        Err("process.threads: accepted is 1 to 256".into())
+    }
+}
+
+/// Settings file of a daemon.
+pub trait Settings: Check + DeserializeOwned + Send + 'static {
+    /// The part that every process has.
+    fn process(&self) -> &ProcessSettings;
+}
--- /dev/null
+++ b/crates/entry/src/process/app.rs
@@ -0,0 +1,139 @@
+//! The process: its shared tables, servers and tasks.
+
+use {
+    super::{EntrySettings, KeyWatches, links::MeshHandler},
+    crate::{
+        request::Front,
+        sched::{Dispatch, Scheduler},
+        version::View,
+    },
+    async_executor::Executor,
+    clock::SharedClock,
+    daemon::Process,
+    eyre::Result,
+    mesh::{Authenticator, Node},
+    parking_lot::RwLock,
+    std::{sync::Arc, time::Duration},
+    types::Incarnation,
+    wire::{Client, ServerLimits, Stop},
+};
+
+/// Time between looks at the queues for requests that became too late.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Shared tables of the process.
+///
+/// Lock order: the node's store, then `view`, then the scheduler's groups, then key watches. A lock is
+/// never held across an await.
+pub(crate) struct App {
+    pub(crate) settings: EntrySettings,
+    pub(crate) clock: SharedClock,
+    pub(crate) ex: Arc<Executor<'static>>,
+    pub(crate) client: Client,
+    pub(crate) node: Arc<Node>,
+    pub(crate) scheduler: Arc<Scheduler>,
+    pub(crate) dispatch: Arc<dyn Dispatch>,
+    pub(crate) keys: Arc<KeyWatches>,
+    view: RwLock<Arc<View>>,
+}
+
+impl App {
+    fn new(process: &Process, settings: EntrySettings) -> Arc<Self> {
+        let clock = process.clock.clone();
+        let client = Client::new(clock.clone());
+        let started = clock.unix().as_nanos();
+        let incarnation = Incarnation(u64::try_from(started).unwrap_or(u64::MAX));
+        let auth = Authenticator::new(settings.secrets.clone());
+        let vm = settings.vm.clone();
+        let node = Node::new(vm, incarnation, auth, client.clone(), clock.clone());
+        let scheduler = Scheduler::new(clock.clone(), settings.policy);
+        Arc::new(Self {
+            settings,
+            clock,
+            ex: process.ex.clone(),
+            client,
+            node,
+            dispatch: scheduler.clone(),
+            scheduler,
+            keys: Arc::default(),
+            view: RwLock::default(),
+        })
+    }
+
+    /// The current view.
+    pub(crate) fn view(&self) -> Arc<View> {
+        self.view.read().clone()
+    }
+
+    /// Makes a new view whenever the store changes.
+    async fn follow(self: Arc<Self>, process: Process) {
+        loop {
+            let changed = self.node.changed().listen();
+            self.refresh();
+            if self.view().config.version().0 > 0 {
+                process.ready.set(!process.stop.is_set());
+            }
+            changed.await;
+        }
+    }
+
+    fn refresh(&self) {
+        let view = {
+            let store = self.node.store();
+            self.keys.sweep(&store);
+            Arc::new(View::of(&store, &self.settings.zone))
+        };
+        let last = std::mem::replace(&mut *self.view.write(), view.clone());
+        if last.config.version() != view.config.version() {
+            log::info!(version = view.config.version().0; "configuration in force");
+            metrics::gauge!("celerystage_config_version").set(view.config.version().0 as f64);
+        }
+        let endpoints: usize = view.local.values().map(Vec::len).sum();
+        metrics::gauge!("celerystage_endpoints").set(endpoints as f64);
+        self.scheduler.update(&view);
+    }
+
+    async fn tick(self: Arc<Self>) {
+        loop {
+            self.clock.sleep(TICK).await;
+            self.scheduler.tick();
+            for (serves, waiting) in self.scheduler.waiting() {
+                let label = serves.to_string();
+                metrics::gauge!("celerystage_waiting", "serves" => label).set(waiting as f64);
+            }
+        }
+    }
+}
+
+/// Runs the entry daemon until it is told to stop and the last request has ended.
+pub async fn run_entry(process: Process, settings: EntrySettings) -> Result<()> {
+    let app = App::new(&process, settings);
+    let limits = ServerLimits::default();
+    let (callers_end, mesh_end) = (Stop::default(), Stop::default());
+    let front = Arc::new(Front::new(app.clone()));
+    let mesh = Arc::new(MeshHandler::new(&app));
+    let callers = process.bind(
+        "callers",
+        app.settings.callers,
+        front,
+        limits,
+        callers_end.clone(),
+    )?;
+    let mesh = process.bind("mesh", app.settings.mesh, mesh, limits, mesh_end.clone())?;
+    let mesh_task = process.serve(mesh);
+    let tasks = [
+        process.ex.spawn(app.clone().follow(process.clone())),
+        process.ex.spawn(app.clone().gossip()),
+        process.ex.spawn(app.clone().tick()),
+    ];
+    let serving = process.serve(callers);
+    process.stop.wait().await;
+    process.ready.set(false);
+    app.clock.sleep(app.settings.drain()).await;
+    callers_end.trigger();
+    serving.await;
+    mesh_end.trigger();
+    mesh_task.await;
+    drop(tasks);
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/process/settings.rs
@@ -0,0 +1,90 @@
+//! Settings of the entry daemon.
+
+use {
+    crate::sched::PolicySettings,
+    compact_str::CompactString,
+    conf::Check,
+    daemon::{ProcessSettings, Settings},
+    serde::Deserialize,
+    std::{net::SocketAddr, time::Duration},
+    types::{Bytes, VmId, ZoneId},
+};
+
+fn default_body() -> Bytes {
+    Bytes(8 * 1024 * 1024)
+}
+
+fn default_gossip_ms() -> u64 {
+    1000
+}
+
+fn default_drain_ms() -> u64 {
+    1000
+}
+
+/// Settings of the entry daemon.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// The part that every process has.
+    pub process: ProcessSettings,
+    /// This VM.
+    pub vm: VmId,
+    /// This VM's availability zone.
+    pub zone: ZoneId,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for the system's other processes.
+    pub mesh: SocketAddr,
+    /// Entries to exchange with until the VM list is known.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Shared secrets between the system's processes: the first is sent, all are accepted.
+    pub secrets: Vec<CompactString>,
+    /// Largest accepted request body, in bytes.
+    #[serde(default = "default_body")]
+    pub body: Bytes,
+    /// Time between exchanges with a peer, in milliseconds.
+    #[serde(default = "default_gossip_ms")]
+    pub gossip_ms: u64,
+    /// Time between the report of unreadiness and the end of listening, in milliseconds.
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: u64,
+    /// Scheduling policies.
+    #[serde(default)]
+    pub policy: PolicySettings,
+}
+
+impl EntrySettings {
+    /// Time between exchanges with a peer.
+    pub fn gossip(&self) -> Duration {
+        Duration::from_millis(self.gossip_ms)
+    }
+
+    /// Time between the report of unreadiness and the end of listening.
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+}
+
+impl Check for EntrySettings {
+    fn check(&self) -> Result<(), CompactString> {
+        self.process.check()?;
+        if self.secrets.is_empty() || self.secrets.iter().any(|s| s.len() < 16) {
+            return Err("secrets: accepted is one or more, each of 16 characters or more".into());
+        }
+        if !(50..=60_000).contains(&self.gossip_ms) {
+            return Err("gossip_ms: accepted is 50 to 60000".into());
+        }
+        if self.drain_ms > 600_000 {
+            return Err("drain_ms: accepted is 0 to 600000".into());
+        }
+        Ok(())
+    }
+}
+
+impl Settings for EntrySettings {
+    fn process(&self) -> &ProcessSettings {
+        &self.process
+    }
+}
--- /dev/null
+++ b/crates/entry/src/request/headers.rs
@@ -0,0 +1,71 @@
+//! Which headers pass between callers and endpoints.
+
+use {
+    http_types::{
+        Request, Response,
+        headers::{CONNECTION, Headers},
+    },
+    types::{OrgId, RequestId},
+};
+
+/// Header that carries the request's id to the endpoint and back.
+pub(super) const ID_HEADER: &str = "x-request-id";
+const ORG_HEADER: &str = "x-celerystage-org";
+/// Headers of one connection, which never pass; and the caller's key.
+const DROPPED: [&str; 13] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+/// Prefix of headers that only this system sets.
+const OWN_PREFIX: &str = "x-celerystage-";
+
+/// Copies a caller's headers to an endpoint's request, and adds the request's id and organisation.
+pub(super) fn to_endpoint(from: &Request, to: &mut Request, id: RequestId, org: &OrgId) {
+    let named = connection_named(from.as_ref());
+    for (name, values) in from.iter() {
+        let name = name.as_str();
+        if passes(name, &named) && name != ID_HEADER {
+            for value in values.iter() {
+                to.append_header(name, value.as_str());
+            }
+        }
+    }
+    to.insert_header(ID_HEADER, id.to_string());
+    to.insert_header(ORG_HEADER, org.as_str());
+}
+
+/// Copies an endpoint's headers to the caller's response.
+pub(super) fn to_caller(from: &Response, to: &mut Response) {
+    let named = connection_named(from.as_ref());
+    for (name, values) in from.iter() {
+        let name = name.as_str();
+        if passes(name, &named) {
+            for value in values.iter() {
+                to.append_header(name, value.as_str());
+            }
+        }
+    }
+}
+
+fn passes(name: &str, named: &[String]) -> bool {
+    !DROPPED.contains(&name) && !name.starts_with(OWN_PREFIX) && !named.iter().any(|n| n == name)
+}
+
+fn connection_named(headers: &Headers) -> Vec<String> {
+    let values = headers.get(CONNECTION).into_iter().flat_map(|v| v.iter());
+    values
+        .flat_map(|v| v.as_str().split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect()
+}
--- /dev/null
+++ b/crates/entry/src/request/mod.rs
@@ -0,0 +1,12 @@
+//! What lives for a request: its caller, its target, its attempts and its answer.
+
+mod caller;
+mod front;
+mod headers;
+mod model;
+mod plain;
+mod prompt;
+mod stream;
+mod work;
+
+pub(crate) use front::Front;
--- /dev/null
+++ b/crates/entry/src/request/stream.rs
@@ -0,0 +1,331 @@
+//! Streamed answers: token by token, resumed elsewhere when an engine is cut off.
+
+use {
+    super::{
+        caller::withdrawn,
+        headers::ID_HEADER,
+        model::{Answer, MAX_ATTEMPTS, STREAM_LIMITS, endpoint_failed},
+        prompt::Prompt,
+        work::Work,
+    },
+    crate::sched::Lease,
+    clock::Stamp,
+    futures_lite::FutureExt,
+    http_types::{Mime, Request, Response, StatusCode},
+    route::Ending,
+    serde_json::json,
+    std::str::FromStr,
+    types::{Reason, Refusal, Tokens, Verdict},
+    wire::{BodySender, Event, EventSplitter, Fault, Reply, SendError, body_channel},
+};
+
+/// One streamed answer.
+pub(super) struct Streaming {
+    work: Work,
+    request: Request,
+    prompt: Prompt,
+    /// Tokens passed to the caller.
+    delivered: u64,
+    last: Stamp,
+}
+
+/// An engine's stream that has given its first events.
+struct Source {
+    lease: Lease,
+    reply: Reply,
+    splitter: EventSplitter,
+    ready: Vec<Event>,
+}
+
+/// How a stream goes on after some events.
+enum Step {
+    More,
+    Done,
+}
+
+/// Why a stream ended early.
+enum Broken {
+    /// The caller is gone.
+    Caller,
+    /// The engine failed.
+    Engine(SendError),
+    /// The request is refused.
+    Refused(Refusal),
+}
+
+impl Streaming {
+    /// Waits for the first event, then answers; the rest follows in a task.
+    pub(super) async fn start(
+        work: Work,
+        request: Request,
+        prompt: Prompt,
+    ) -> Result<Response, Refusal> {
+        let last = work.arrived;
+        let mut this = Self {
+            work,
+            request,
+            prompt,
+            delivered: 0,
+            last,
+        };
+        let source = match this.open().await {
+            Ok(Ok(source)) => source,
+            Ok(Err(response)) => return Ok(response),
+            Err(refusal) => return Ok(this.work.refuse(refusal)),
+        };
+        let mut response = Response::new(StatusCode::Ok);
+        let (sender, body) = body_channel();
+        response.set_body(body);
+        if let Ok(mime) = Mime::from_str("text/event-stream") {
+            response.set_content_type(mime);
+        }
+        response.insert_header(ID_HEADER, this.work.id.to_string());
+        response.insert_header("cache-control", "no-cache");
+        let ex = this.work.app.ex.clone();
+        ex.spawn(this.run(source, sender)).detach();
+        Ok(response)
+    }
+
+    /// Opens a stream at some endpoint: retries until one gives events, or refuses.
+    async fn open(&mut self) -> Result<Result<Source, Response>, Refusal> {
+        loop {
+            let lease = self.work.acquire().await?;
+            self.work.caller.check()?;
+            let failed = match self.first_events(lease).await {
+                Ok(opened) => return Ok(opened),
+                Err(failed) => failed,
+            };
+            if self.work.attempts.made() >= MAX_ATTEMPTS {
+                return Err(endpoint_failed(failed));
+            }
+        }
+    }
+
+    async fn first_events(&mut self, lease: Lease) -> Result<Result<Source, Response>, SendError> {
+        let sent = self.work.app.clock.now();
+        match self.try_open(&lease).await {
+            Ok(Ok((reply, splitter, ready))) => {
+                let now = self.work.app.clock.now();
+                lease.first_token(now.since(sent));
+                self.last = now;
+                Ok(Ok(Source {
+                    lease,
+                    reply,
+                    splitter,
+                    ready,
+                }))
+            }
+            Ok(Err(response)) => {
+                lease.end(Ending::Whole);
+                Ok(Err(response))
+            }
+            Err(failed) => {
+                let endpoint = lease.endpoint.clone();
+                lease.end(Ending::Failed);
+                self.work.failed(endpoint, failed.verdict);
+                Err(failed)
+            }
+        }
+    }
+
+    async fn try_open(
+        &self,
+        lease: &Lease,
+    ) -> Result<Result<(Reply, EventSplitter, Vec<Event>), Response>, SendError> {
+        let work = &self.work;
+        let answer = work.ask_engine(
+            lease,
+            &self.request,
+            &self.prompt,
+            self.delivered,
+            STREAM_LIMITS,
+        );
+        let mut reply = match answer.await? {
+            Answer::Refused(response) => return Ok(Err(*response)),
+            Answer::Given(reply) => *reply,
+        };
+        let mut splitter = EventSplitter::default();
+        loop {
+            let events = next_events(&mut reply, &mut splitter).await?;
+            if !events.is_empty() {
+                return Ok(Ok((reply, splitter, events)));
+            }
+        }
+    }
+
+    /// Passes events on until the stream ends; resumes elsewhere after a failure.
+    async fn run(mut self, mut source: Source, sender: BodySender) {
+        loop {
+            let broken = match self.pass(&mut source, &sender).await {
+                Ok(()) => {
+                    source.lease.end(Ending::Whole);
+                    self.work.count_served(Tokens(self.delivered));
+                    sender.finish().await;
+                    return;
+                }
+                Err(broken) => broken,
+            };
+            let refusal = match broken {
+                Broken::Caller => return,
+                Broken::Refused(refusal) => refusal,
+                Broken::Engine(failed) => {
+                    let endpoint = source.lease.endpoint.clone();
+                    source.lease.end(Ending::Failed);
+                    self.work.failed(endpoint, failed.verdict);
+                    match self.resume().await {
+                        Ok(next) => {
+                            source = next;
+                            continue;
+                        }
+                        Err(refusal) => refusal,
+                    }
+                }
+            };
+            let _ = sender.send(error_event(&self.work.refusal(refusal))).await;
+            return;
+        }
+    }
+
+    async fn resume(&mut self) -> Result<Source, Refusal> {
+        metrics::counter!("celerystage_resumes_total").increment(1);
+        if self.work.attempts.made() >= MAX_ATTEMPTS {
+            let message = "the endpoint was cut off, and so were those that took over";
+            return Err(Refusal::after(
+                Verdict::Ran,
+                Reason::EndpointFailed,
+                message,
+            ));
+        }
+        match self.open().await? {
+            Ok(source) => Ok(source),
+            Err(_) => {
+                let message = "no endpoint could resume the answer";
+                Err(Refusal::after(
+                    Verdict::Ran,
+                    Reason::EndpointFailed,
+                    message,
+                ))
+            }
+        }
+    }
+
+    async fn pass(&mut self, source: &mut Source, sender: &BodySender) -> Result<(), Broken> {
+        loop {
+            for event in std::mem::take(&mut source.ready) {
+                match self.deliver(&source.lease, event, sender).await? {
+                    Step::More => {}
+                    Step::Done => return Ok(()),
+                }
+            }
+            let revoked = async {
+                self.work.caller.withdrawn().await;
+                Err(Broken::Refused(withdrawn()))
+            };
+            let events = async {
+                let events = next_events(&mut source.reply, &mut source.splitter).await;
+                events.map_err(Broken::Engine)
+            };
+            source.ready = events.or(revoked).await?;
+        }
+    }
+
+    async fn deliver(
+        &mut self,
+        lease: &Lease,
+        event: Event,
+        sender: &BodySender,
+    ) -> Result<Step, Broken> {
+        let done = event.is_done();
+        if !done && !self.is_own(&event) {
+            metrics::counter!("celerystage_crossed_answers_total").increment(1);
+            let failed = SendError {
+                fault: Fault::BadResponse,
+                verdict: Verdict::Ran,
+            };
+            return Err(Broken::Engine(failed));
+        }
+        let token = !done && carries_token(&event);
+        if !sender.send(event.raw).await {
+            return Err(Broken::Caller);
+        }
+        if token {
+            self.delivered += 1;
+            let now = self.work.app.clock.now();
+            lease.progress(Tokens(1), now.since(self.last));
+            self.last = now;
+        }
+        Ok(if done { Step::Done } else { Step::More })
+    }
+
+    /// Whether an event names this request, or no request.
+    fn is_own(&self, event: &Event) -> bool {
+        #[derive(serde::Deserialize)]
+        struct Named {
+            id: Option<compact_str::CompactString>,
+        }
+        let Some(data) = event.data() else {
+            return true;
+        };
+        let Ok(named) = serde_json::from_slice::<Named>(data) else {
+            return false;
+        };
+        let own = self.work.id.to_string();
+        named.id.is_none_or(|id| id.ends_with(own.as_str()))
+    }
+}
+
+async fn next_events(
+    reply: &mut Reply,
+    splitter: &mut EventSplitter,
+) -> Result<Vec<Event>, SendError> {
+    let failed = |fault| SendError {
+        fault,
+        verdict: Verdict::Ran,
+    };
+    match reply.piece().await {
+        Ok(Some(bytes)) => splitter
+            .push(&bytes)
+            .map_err(|_| failed(Fault::BadResponse)),
+        Ok(None) => Err(failed(Fault::BodyCut)),
+        Err(e) => Err(failed(e.fault)),
+    }
+}
+
+/// Whether an event carries a token: a choice with a text that is not empty.
+fn carries_token(event: &Event) -> bool {
+    #[derive(serde::Deserialize)]
+    struct Chunk {
+        #[serde(default)]
+        choices: Vec<Choice>,
+    }
+    #[derive(serde::Deserialize)]
+    struct Choice {
+        #[serde(default)]
+        delta: Delta,
+        #[serde(default)]
+        text: Option<compact_str::CompactString>,
+    }
+    #[derive(Default, serde::Deserialize)]
+    struct Delta {
+        #[serde(default)]
+        content: Option<compact_str::CompactString>,
+    }
+    let chunk: Option<Chunk> = event.data().and_then(|d| serde_json::from_slice(d).ok());
+    chunk.is_some_and(|c| {
+        c.choices.iter().any(|choice| {
+            let text = choice.delta.content.as_ref().or(choice.text.as_ref());
+            text.is_some_and(|t| !t.is_empty())
+        })
+    })
+}
+
+/// The event that ends an answer early.
+fn error_event(refusal: &Refusal) -> Vec<u8> {
+    let error = json!({
+        "type": refusal.reason.kind(),
+        "code": refusal.reason.as_str(),
+        "message": refusal.message.as_str(),
+        "verdict": refusal.verdict.as_str(),
+    });
+    format!("event: error\ndata: {}\n\n", json!({ "error": error })).into_bytes()
+}
--- /dev/null
+++ b/crates/entry/src/request/work.rs
@@ -0,0 +1,83 @@
+//! One request on its way: what its attempts share.
+
+use {
+    super::caller::Caller,
+    crate::{process::App, sched::Ask},
+    clock::Stamp,
+    http_types::Response,
+    route::Need,
+    std::sync::Arc,
+    types::{Attempt, EndpointId, ModelId, Refusal, RequestId, Tokens, Verdict},
+    wire::refusal_response,
+};
+
+/// One request on its way.
+pub(super) struct Work {
+    pub(super) app: Arc<App>,
+    pub(super) caller: Caller,
+    pub(super) id: RequestId,
+    pub(super) arrived: Stamp,
+    pub(super) serves: ModelId,
+    pub(super) prompt: Tokens,
+    pub(super) prefix: u64,
+    pub(super) idempotent: bool,
+    pub(super) attempts: Attempt,
+    pub(super) avoid: Vec<EndpointId>,
+}
+
+impl Work {
+    /// What the request asks of the scheduler.
+    pub(super) fn ask(&self, resumed: bool) -> Ask {
+        let class = &self.caller.class;
+        Ask {
+            serves: self.serves.clone(),
+            org: self.caller.org.clone(),
+            weight: self.caller.weight,
+            class: class.id.clone(),
+            tier: class.tier,
+            arrived: self.arrived,
+            deadline: self.arrived + class.targets.first(),
+            prompt: self.prompt,
+            need: Need {
+                tier: class.tier,
+                idempotent: self.idempotent,
+                prefix: self.prefix,
+                between: class.targets.between(),
+                avoid: self.avoid.clone(),
+            },
+            resumed,
+        }
+    }
+
+    /// Records a failed attempt.
+    pub(super) fn failed(&mut self, endpoint: EndpointId, verdict: Verdict) {
+        self.attempts.record(verdict);
+        self.avoid.push(endpoint);
+        metrics::counter!("celerystage_attempts_failed_total").increment(1);
+    }
+
+    /// A refusal with the verdict of all attempts.
+    pub(super) fn refusal(&self, mut refusal: Refusal) -> Refusal {
+        refusal.verdict = refusal.verdict.then(self.attempts.verdict());
+        refusal
+    }
+
+    /// Counts and answers a refusal.
+    pub(super) fn refuse(&self, refusal: Refusal) -> Response {
+        let refusal = self.refusal(refusal);
+        count_refusal(&refusal);
+        let mut response = refusal_response(&refusal);
+        response.insert_header(super::headers::ID_HEADER, self.id.to_string());
+        response
+    }
+}
+
+/// Counts a refusal by reason and verdict.
+pub(super) fn count_refusal(refusal: &Refusal) {
+    metrics::counter!(
+        "celerystage_refusals_total",
+        "reason" => refusal.reason.as_str(),
+        "verdict" => refusal.verdict.as_str(),
+    )
+    .increment(1);
+}
--- /dev/null
+++ b/crates/entry/src/sched/group.rs
@@ -0,0 +1,255 @@
+//! The endpoints that serve one model or service, and the requests that wait for them.
+
+use {
+    super::{Ask, Lease, Slot},
+    admit::{ClassRule, Queue, Shed, Ticket, TicketId},
+    async_channel::Sender,
+    clock::{SharedClock, Stamp},
+    parking_lot::Mutex,
+    route::{Ending, Need, Picker, Target},
+    std::{collections::HashMap, sync::Arc, time::Duration},
+    types::{ClassId, OrgId, Refusal, Tokens},
+};
+
+/// The scheduler's answer to a waiting request. A lease that is never taken out of the channel gives
+/// its slot back when the channel is dropped.
+pub(super) type Decision = Result<Lease, Refusal>;
+
+/// What is kept of a request that waits.
+#[derive(Clone)]
+struct Waiter {
+    need: Need,
+    class: ClassId,
+    org: OrgId,
+    weight: u32,
+    answer: Sender<Decision>,
+}
+
+/// Decisions made under the lock and sent after it is released.
+#[derive(Default)]
+struct Decided {
+    grants: Vec<(Waiter, Target)>,
+    refusals: Vec<(Waiter, Refusal)>,
+}
+
+struct Inner {
+    queue: Box<dyn Queue>,
+    picker: Box<dyn Picker>,
+    waiters: HashMap<TicketId, Waiter>,
+    last_id: u64,
+}
+
+/// Endpoints of one model or service with their queue. One lock; it is never held across an await or
+/// while a lease is dropped, and no other lock is taken under it.
+pub(super) struct Group {
+    clock: SharedClock,
+    inner: Mutex<Inner>,
+}
+
+impl Group {
+    pub(super) fn new(
+        clock: SharedClock,
+        queue: Box<dyn Queue>,
+        picker: Box<dyn Picker>,
+    ) -> Arc<Self> {
+        let inner = Inner {
+            queue,
+            picker,
+            waiters: HashMap::new(),
+            last_id: 0,
+        };
+        Arc::new(Self {
+            clock,
+            inner: Mutex::new(inner),
+        })
+    }
+
+    /// Takes over the classes and endpoints of a new version.
+    pub(super) fn update(self: &Arc<Self>, rules: &[ClassRule], targets: &[Target]) {
+        let now = self.clock.now();
+        let mut decided = Decided::default();
+        {
+            let mut inner = self.inner.lock();
+            inner.queue.set_classes(rules);
+            inner.picker.set_targets(now, targets);
+            let slots = inner.picker.slots();
+            inner.queue.set_capacity(slots);
+            inner.pump(now, &mut decided);
+        }
+        self.send(now, decided);
+    }
+
+    /// Adds a request; its decision comes through `answer`.
+    pub(super) fn offer(self: &Arc<Self>, ask: Ask, answer: Sender<Decision>) -> TicketId {
+        let now = self.clock.now();
+        let mut decided = Decided::default();
+        let id = {
+            let mut inner = self.inner.lock();
+            let id = inner.add(ask, answer, now, &mut decided);
+            inner.pump(now, &mut decided);
+            id
+        };
+        self.send(now, decided);
+        id
+    }
+
+    /// Withdraws a request whose caller is gone.
+    pub(super) fn cancel(&self, id: TicketId) {
+        let mut inner = self.inner.lock();
+        inner.waiters.remove(&id);
+        inner.queue.cancel(id);
+    }
+
+    /// Refuses what has become too late, and dispatches what can run.
+    pub(super) fn tick(self: &Arc<Self>) {
+        let now = self.clock.now();
+        let mut decided = Decided::default();
+        {
+            let mut inner = self.inner.lock();
+            let late = inner.queue.expire(now);
+            inner.refuse(late, &mut decided);
+            inner.pump(now, &mut decided);
+        }
+        self.send(now, decided);
+    }
+
+    fn done(self: &Arc<Self>, held: &Held, ending: Ending) {
+        let now = self.clock.now();
+        let mut decided = Decided::default();
+        {
+            let mut inner = self.inner.lock();
+            inner.picker.done(now, &held.target.id, ending);
+            inner
+                .queue
+                .completed(now, &held.waiter.class, now.since(held.since));
+            inner.pump(now, &mut decided);
+        }
+        self.send(now, decided);
+    }
+
+    fn send(self: &Arc<Self>, now: Stamp, decided: Decided) {
+        for (waiter, refusal) in decided.refusals {
+            let _ = waiter.answer.try_send(Err(refusal));
+        }
+        for (waiter, target) in decided.grants {
+            let answer = waiter.answer.clone();
+            let (endpoint, addr) = (target.id.clone(), target.addr);
+            let held = Held {
+                group: self.clone(),
+                waiter,
+                target,
+                since: now,
+            };
+            let _ = answer.try_send(Ok(Lease::new(endpoint, addr, Box::new(held))));
+        }
+    }
+
+    /// Requests that wait.
+    pub(super) fn waiting(&self) -> usize {
+        self.inner.lock().queue.len()
+    }
+}
+
+impl Inner {
+    fn add(
+        &mut self,
+        ask: Ask,
+        answer: Sender<Decision>,
+        now: Stamp,
+        decided: &mut Decided,
+    ) -> TicketId {
+        self.last_id += 1;
+        let id = TicketId(self.last_id);
+        let waiter = Waiter {
+            need: ask.need.clone(),
+            class: ask.class.clone(),
+            org: ask.org.clone(),
+            weight: ask.weight,
+            answer,
+        };
+        self.waiters.insert(id, waiter);
+        let shed = self.queue.offer(now, ticket(id, ask));
+        self.refuse(shed, decided);
+        id
+    }
+
+    /// Dispatches waiting requests while there is room.
+    fn pump(&mut self, now: Stamp, decided: &mut Decided) {
+        loop {
+            let (picker, waiters) = (&self.picker, &self.waiters);
+            let mut fits = |t: &Ticket| {
+                waiters
+                    .get(&t.id)
+                    .is_some_and(|w| picker.fits(now, &w.need))
+            };
+            let Some(ticket) = self.queue.next(now, &mut fits) else {
+                return;
+            };
+            let Some(waiter) = self.waiters.remove(&ticket.id) else {
+                continue;
+            };
+            let Some(target) = self.picker.pick(now, &waiter.need) else {
+                continue;
+            };
+            decided.grants.push((waiter, target));
+        }
+    }
+
+    fn refuse(&mut self, shed: Vec<Shed>, decided: &mut Decided) {
+        for s in shed {
+            let Some(waiter) = self.waiters.remove(&s.ticket.id) else {
+                continue;
+            };
+            let message = "the request cannot be served in time";
+            let refusal = Refusal::not_run(s.reason, message).retry_in(s.retry);
+            decided.refusals.push((waiter, refusal));
+        }
+    }
+}
+
+/// The group's side of a lease.
+struct Held {
+    group: Arc<Group>,
+    waiter: Waiter,
+    target: Target,
+    since: Stamp,
+}
+
+impl Slot for Held {
+    fn first_token(&self, after: Duration) {
+        let now = self.group.clock.now();
+        self.group
+            .inner
+            .lock()
+            .picker
+            .first_token(now, &self.target.id, after);
+    }
+
+    fn progress(&self, tokens: Tokens, span: Duration) {
+        let now = self.group.clock.now();
+        let waiter = &self.waiter;
+        let mut inner = self.group.inner.lock();
+        inner.picker.progress(now, &self.target.id, tokens, span);
+        inner
+            .queue
+            .charge(&waiter.class, &waiter.org, waiter.weight, tokens);
+    }
+
+    fn done(&self, ending: Ending) {
+        self.group.done(self, ending);
+    }
+}
+
+fn ticket(id: TicketId, ask: Ask) -> Ticket {
+    Ticket {
+        id,
+        org: ask.org,
+        weight: ask.weight,
+        class: ask.class,
+        tier: ask.tier,
+        arrived: ask.arrived,
+        deadline: ask.deadline,
+        prompt: ask.prompt,
+        resumed: ask.resumed,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/sched/local.rs
@@ -0,0 +1,131 @@
+//! The scheduler of this process.
+
+use {
+    super::{Acquiring, Ask, Dispatch, Lease, PolicySettings, group::Group},
+    crate::version::View,
+    admit::{ClassRule, TicketId},
+    async_channel::bounded,
+    clock::SharedClock,
+    conf::{Class, Item},
+    parking_lot::Mutex,
+    platform::Endpoint,
+    route::Target,
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    types::{ModelId, Reason, Refusal},
+};
+
+/// When a caller may try again that found no endpoint.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// Queues and endpoints of this process. Lock order: `groups` before a group's own lock.
+pub(crate) struct Scheduler {
+    clock: SharedClock,
+    policy: PolicySettings,
+    groups: Mutex<BTreeMap<ModelId, Arc<Group>>>,
+}
+
+impl Scheduler {
+    pub(crate) fn new(clock: SharedClock, policy: PolicySettings) -> Arc<Self> {
+        Arc::new(Self {
+            clock,
+            policy,
+            groups: Mutex::default(),
+        })
+    }
+
+    /// Takes over a new version.
+    pub(crate) fn update(&self, view: &View) {
+        let rules = class_rules(view);
+        let mut groups = self.groups.lock();
+        for serves in view.local.keys() {
+            let new = || {
+                Group::new(
+                    self.clock.clone(),
+                    self.policy.queue(),
+                    self.policy.picker(),
+                )
+            };
+            groups.entry(serves.clone()).or_insert_with(new);
+        }
+        for (serves, group) in groups.iter() {
+            group.update(&rules, &targets(view, serves));
+        }
+    }
+
+    /// Refuses late requests and dispatches those that can run.
+    pub(crate) fn tick(&self) {
+        let groups: Vec<_> = self.groups.lock().values().cloned().collect();
+        for group in groups {
+            group.tick();
+        }
+    }
+
+    /// Requests that wait, by what they wait for.
+    pub(crate) fn waiting(&self) -> Vec<(ModelId, usize)> {
+        self.groups
+            .lock()
+            .iter()
+            .map(|(id, g)| (id.clone(), g.waiting()))
+            .collect()
+    }
+
+    async fn wait(&self, ask: Ask) -> Result<Lease, Refusal> {
+        let group = self.groups.lock().get(&ask.serves).cloned();
+        let group = group.ok_or_else(unavailable)?;
+        let (sender, receiver) = bounded(1);
+        let id = group.offer(ask, sender);
+        let withdraw = Withdraw { group, id };
+        let decision = receiver.recv().await;
+        drop(withdraw);
+        decision.map_err(|_| unavailable())?
+    }
+}
+
+fn unavailable() -> Refusal {
+    Refusal::not_run(Reason::Unavailable, "no endpoint serves this").retry_in(RETRY)
+}
+
+impl Dispatch for Scheduler {
+    fn acquire(&self, ask: Ask) -> Acquiring<'_> {
+        Box::pin(self.wait(ask))
+    }
+}
+
+/// Withdraws a request from its queue when it is decided or its caller goes away.
+struct Withdraw {
+    group: Arc<Group>,
+    id: TicketId,
+}
+
+impl Drop for Withdraw {
+    fn drop(&mut self) {
+        self.group.cancel(self.id);
+    }
+}
+
+fn class_rules(view: &View) -> Vec<ClassRule> {
+    let classes = view.config.items().filter_map(|(_, e)| match &e.item {
+        Item::Class(class) => Some(class),
+        _ => None,
+    });
+    let rule = |c: &Class| ClassRule {
+        id: c.id.clone(),
+        tier: c.tier,
+        depth: c.queue as usize,
+        starve: Duration::from_millis(c.starve_ms.into()),
+        first: c.targets.first(),
+    };
+    classes.map(rule).collect()
+}
+
+fn targets(view: &View, serves: &ModelId) -> Vec<Target> {
+    let slots = view.slots(serves);
+    let endpoints = view.local.get(serves).into_iter().flatten();
+    let target = |e: &Endpoint| Target {
+        id: e.id.clone(),
+        addr: e.addr,
+        cheap: e.cheap,
+        slots,
+    };
+    endpoints.map(target).collect()
+}
--- /dev/null
+++ b/crates/entry/src/sched/policy.rs
@@ -0,0 +1,52 @@
+//! Policies by name.
+
+use {
+    admit::{Fifo, Queue},
+    route::{LeastOutstanding, Picker, RoundRobin},
+    serde::Deserialize,
+};
+
+/// Which waiting request runs next.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum QueuePolicy {
+    /// First come, first served.
+    #[default]
+    Fifo,
+}
+
+/// Which endpoint takes a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PickerPolicy {
+    /// One after the other.
+    RoundRobin,
+    /// Fewest requests in flight.
+    #[default]
+    LeastOutstanding,
+}
+
+/// Policies of a scheduler.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PolicySettings {
+    /// Which waiting request runs next.
+    pub queue: QueuePolicy,
+    /// Which endpoint takes a request.
+    pub picker: PickerPolicy,
+}
+
+impl PolicySettings {
+    pub(crate) fn queue(&self) -> Box<dyn Queue> {
+        match self.queue {
+            QueuePolicy::Fifo => Box::new(Fifo::default()),
+        }
+    }
+
+    pub(crate) fn picker(&self) -> Box<dyn Picker> {
+        match self.picker {
+            PickerPolicy::RoundRobin => Box::new(RoundRobin::default()),
+            PickerPolicy::LeastOutstanding => Box::new(LeastOutstanding::default()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/harness/src/cluster/mod.rs
@@ -0,0 +1,11 @@
+//! A whole system as processes on loopback.
+
+mod shape;
+mod start;
+mod vm;
+
+pub use {
+    shape::{Shape, ZoneShape},
+    start::Cluster,
+    vm::Vm,
+};
--- /dev/null
+++ b/crates/harness/src/cluster/start.rs
@@ -0,0 +1,226 @@
+//! Starts a cluster and stops it.
+
+use {
+    super::{Shape, Vm, ZoneShape},
+    crate::process::{Http, Proc, wait_until},
+    conf::{Change, Item, Op},
+    eyre::{Result, ensure},
+    platform::{AppendBody, Endpoint, EndpointState, Vm as ListedVm, VmState},
+    serde::Serialize,
+    standin::platform::Control,
+    std::{env, fs, net::SocketAddr, path::PathBuf, process},
+    types::{EndpointId, ModelId, RequestId, Version, ZoneId},
+};
+
+/// A whole system as processes on loopback.
+pub struct Cluster {
+    /// The platform.
+    pub platform: Proc,
+    /// Where it listens.
+    pub platform_addr: SocketAddr,
+    /// Processes of engines and services.
+    pub backends: Vec<Proc>,
+    /// All endpoints with their zones.
+    pub endpoints: Vec<(ZoneId, Endpoint)>,
+    /// All VMs.
+    pub vms: Vec<Vm>,
+    /// For calls to the processes.
+    pub http: Http,
+    shape: Shape,
+    folder: PathBuf,
+}
+
+impl Cluster {
+    /// Starts all processes and waits until every entry is ready.
+    pub fn start(shape: Shape) -> Result<Self> {
+        let nonce = fastrand::u64(..);
+        let folder = env::temp_dir().join(format!("celerystage-{}-{nonce:x}", process::id()));
+        fs::create_dir_all(&folder)?;
+        let platform = Proc::start("standin-platform", &["--threads", "2"])?;
+        let platform_addr = platform.wait_addr("platform")?;
+        let mut cluster = Self {
+            platform,
+            platform_addr,
+            backends: Vec::new(),
+            endpoints: Vec::new(),
+            vms: Vec::new(),
+            http: Http::default(),
+            shape: shape.clone(),
+            folder,
+        };
+        for zone in &shape.zones {
+            cluster.start_backends(zone)?;
+            cluster.start_vms(zone)?;
+        }
+        cluster.list_vms()?;
+        cluster.publish(shape.items)?;
+        for vm in &mut cluster.vms {
+            vm.start_steward(platform_addr, &shape.steward)?;
+        }
+        for vm in &cluster.vms {
+            vm.wait_ready(&cluster.http)?;
+        }
+        cluster.wait_endpoints()?;
+        Ok(cluster)
+    }
+
+    fn start_backends(&mut self, zone: &ZoneShape) -> Result<()> {
+        let mut endpoints = Vec::new();
+        if zone.engines > 0 {
+            let count = zone.engines.to_string();
+            let mut args = vec!["--threads", "2", "--count", &count];
+            args.extend(self.shape.engine.iter().map(String::as_str));
+            let proc = Proc::start("standin-engine", &args)?;
+            let addrs = proc.wait_addrs("engine", zone.engines)?;
+            let model = self.shape.model.clone();
+            for (i, addr) in addrs.into_iter().enumerate() {
+                endpoints.push(endpoint(&zone.zone, &model, i, addr, i < zone.cheap)?);
+            }
+            self.backends.push(proc);
+        }
+        for i in 0..zone.services {
+            let proc = Proc::start("standin-service", &[])?;
+            let addr = proc.wait_addr("service")?;
+            endpoints.push(endpoint(&zone.zone, &self.shape.service, i, addr, false)?);
+            self.backends.push(proc);
+        }
+        let listed = endpoints.iter().cloned().map(|e| (zone.zone.clone(), e));
+        self.endpoints.extend(listed);
+        self.control(&Control::Endpoints(zone.zone.clone(), endpoints))
+    }
+
+    fn start_vms(&mut self, zone: &ZoneShape) -> Result<()> {
+        for i in 0..zone.vms {
+            let vm = format!("vm-{}-{}", zone.zone, i + 1).parse()?;
+            let extra = self.shape.entry.clone();
+            self.vms.push(Vm::start(
+                self.folder.clone(),
+                vm,
+                zone.zone.clone(),
+                &extra,
+            )?);
+        }
+        Ok(())
+    }
+
+    /// Puts all VMs on the platform's list as live.
+    pub fn list_vms(&self) -> Result<()> {
+        let listed = |v: &Vm| ListedVm {
+            vm: v.vm.clone(),
+            zone: v.zone.clone(),
+            state: VmState::Live,
+            addr: v.mesh,
+        };
+        self.control(&Control::Vms(self.vms.iter().map(listed).collect()))
+    }
+
+    /// Publishes items that are new to the configuration.
+    pub fn publish(&self, items: Vec<Item>) -> Result<()> {
+        let put = |item| Op::Put {
+            base: Version(0),
+            item,
+        };
+        let ops = items.into_iter().map(put).collect();
+        self.append_change(&Change {
+            id: new_change_id(),
+            by: "harness".parse()?,
+            ops,
+        })
+    }
+
+    /// Appends a change to the configuration's stream.
+    pub fn append_change(&self, change: &Change) -> Result<()> {
+        let body = AppendBody {
+            data: serde_json::to_string(change)?.into(),
+        };
+        self.http.post(self.platform_addr, "/log/config", &body)?;
+        Ok(())
+    }
+
+    /// Sends a control call to the platform.
+    pub fn control(&self, control: &Control) -> Result<()> {
+        self.http.post(self.platform_addr, "/control", control)?;
+        Ok(())
+    }
+
+    /// Sends a control call to an endpoint.
+    pub fn control_endpoint(&self, addr: SocketAddr, control: &impl Serialize) -> Result<()> {
+        self.http.post(addr, "/control", control)?;
+        Ok(())
+    }
+
+    /// Endpoints that offer `serves`.
+    pub fn serving(&self, serves: &ModelId) -> Vec<Endpoint> {
+        let all = self.endpoints.iter().filter(|(_, e)| e.serves == *serves);
+        all.map(|(_, e)| e.clone()).collect()
+    }
+
+    /// Addresses for callers.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.vms.iter().map(|v| v.callers).collect()
+    }
+
+    fn wait_endpoints(&self) -> Result<()> {
+        wait_until("every entry knows its endpoints", || {
+            self.vms.iter().all(|v| {
+                let known = self.http.metric(v.admin, "celerystage_endpoints");
+                let own = self
+                    .endpoints
+                    .iter()
+                    .filter(|(zone, _)| *zone == v.zone)
+                    .count();
+                known.is_ok_and(|n| n as usize >= own)
+            })
+        })
+    }
+
+    /// Stops all of the system's processes gracefully, then the stand-ins.
+    pub fn stop(mut self) -> Result<()> {
+        for vm in &mut self.vms {
+            ensure!(vm.entry.stop()?.success(), "{} did not stop cleanly", vm.vm);
+            if let Some(steward) = &mut vm.steward {
+                ensure!(
+                    steward.stop()?.success(),
+                    "steward of {} did not stop cleanly",
+                    vm.vm
+                );
+            }
+        }
+        for backend in &mut self.backends {
+            ensure!(backend.stop()?.success(), "a stand-in did not stop cleanly");
+        }
+        ensure!(
+            self.platform.stop()?.success(),
+            "the platform did not stop cleanly"
+        );
+        Ok(())
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A fresh id for a change.
+fn new_change_id() -> RequestId {
+    RequestId::from_bits(u128::from(fastrand::u64(..)) << 64 | u128::from(fastrand::u64(..)))
+}
+
+fn endpoint(
+    zone: &ZoneId,
+    serves: &ModelId,
+    index: usize,
+    addr: SocketAddr,
+    cheap: bool,
+) -> Result<Endpoint> {
+    let id: EndpointId = format!("{serves}-{zone}-{}", index + 1).parse()?;
+    Ok(Endpoint {
+        id,
+        serves: serves.clone(),
+        cheap,
+        addr,
+        state: EndpointState::Live,
+    })
+}
--- /dev/null
+++ b/crates/harness/src/demo/run.rs
@@ -0,0 +1,58 @@
+//! Runs the demo.
+
+use {
+    super::config::{MODEL, SERVICE, demo_config, demo_flows},
+    crate::cluster::{Cluster, Shape, ZoneShape},
+    async_executor::Executor,
+    async_io::block_on,
+    clock::SystemClock,
+    eyre::{Result, ensure},
+    load::{Driver, Plan, Report},
+    std::sync::Arc,
+};
+
+const SEED: u64 = 7;
+
+/// Brings up two availability zones, sends mixed traffic, prints what was served, and stops all.
+pub fn run_demo(seconds: f64) -> Result<()> {
+    let zone = |name: &str| -> Result<ZoneShape> {
+        Ok(ZoneShape {
+            zone: name.parse()?,
+            vms: 2,
+            engines: 3,
+            cheap: 1,
+            services: 2,
+        })
+    };
+    let shape = Shape {
+        zones: vec![zone("ernakulam")?, zone("calicut")?],
+        model: MODEL.parse()?,
+        service: SERVICE.parse()?,
+        items: demo_config()?,
+        engine: Vec::new(),
+        entry: String::new(),
+        steward: String::new(),
+    };
+    println!("starting 2 availability zones, 4 VMs, 6 engines, 4 service replicas");
+    let cluster = Cluster::start(shape)?;
+    let plan = Plan {
+        entries: cluster.entries(),
+        seconds,
+        seed: SEED,
+        flows: demo_flows()?,
+    };
+    println!("sending mixed traffic for {seconds} s");
+    let ex = Arc::new(Executor::new());
+    let driver = Driver::new(SystemClock::shared(), ex.clone());
+    let samples = block_on(ex.run(driver.run(&plan)));
+    let report = Report::of(&plan, &samples);
+    println!("\n{report}");
+    cluster.stop()?;
+    println!("all processes stopped gracefully");
+    ensure!(
+        report.broken() == 0,
+        "{} answers were cut, wrong or missing",
+        report.broken()
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/harness/src/process/mod.rs
@@ -0,0 +1,7 @@
+//! One child process, and calls to it.
+
+mod child;
+mod http;
+mod wait;
+
+pub use {child::Proc, http::Http, wait::wait_until};
--- /dev/null
+++ b/crates/load/src/drive/driver.rs
@@ -0,0 +1,70 @@
+//! Sends the arrivals of a plan at their times, whatever becomes of earlier ones.
+
+use {
+    super::{Sample, send::send},
+    crate::plan::{Arrival, Plan},
+    async_executor::Executor,
+    clock::{SharedClock, Stamp},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    wire::Client,
+};
+
+/// Interval of progress lines on long runs.
+const PROGRESS: Duration = Duration::from_secs(10);
+
+/// Drives one load.
+pub struct Driver {
+    clock: SharedClock,
+    ex: Arc<Executor<'static>>,
+    client: Client,
+}
+
+impl Driver {
+    /// A driver whose requests run on `ex`.
+    pub fn new(clock: SharedClock, ex: Arc<Executor<'static>>) -> Self {
+        let client = Client::new(clock.clone());
+        Self { clock, ex, client }
+    }
+
+    /// Sends all arrivals and waits for their outcomes.
+    pub async fn run(&self, plan: &Plan) -> Vec<Sample> {
+        let start = self.clock.now();
+        let plan = Arc::new(plan.clone());
+        let mut tasks = Vec::new();
+        let mut shown = start;
+        for (turn, arrival) in plan.arrivals().into_iter().enumerate() {
+            let due = start + arrival.at;
+            let now = self.clock.now();
+            if now < due {
+                self.clock.sleep(due.since(now)).await;
+            }
+            if now.since(shown) >= PROGRESS {
+                shown = now;
+                eprintln!(
+                    "{:>6.0} s of {:.0}: {} sent",
+                    now.since(start).as_secs_f64(),
+                    plan.seconds,
+                    turn
+                );
+            }
+            let entry = plan.entries[turn % plan.entries.len()];
+            tasks.push(self.ex.spawn(self.one(plan.clone(), arrival, entry, due)));
+        }
+        let mut samples = Vec::with_capacity(tasks.len());
+        for task in tasks {
+            samples.push(task.await);
+        }
+        samples
+    }
+
+    fn one(
+        &self,
+        plan: Arc<Plan>,
+        arrival: Arrival,
+        entry: SocketAddr,
+        due: Stamp,
+    ) -> impl Future<Output = Sample> + Send + 'static {
+        let (client, clock) = (self.client.clone(), self.clock.clone());
+        async move { send(&client, &clock, &plan, &arrival, entry, due).await }
+    }
+}
--- /dev/null
+++ b/crates/load/src/drive/sample.rs
@@ -0,0 +1,52 @@
+//! What became of one request, as its caller saw it.
+
+use {
+    compact_str::CompactString,
+    std::time::Duration,
+    types::{RequestId, Verdict},
+};
+
+/// What a caller saw.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    /// A whole answer that is the request's own.
+    Whole,
+    /// A refusal.
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// The verdict that the refusal states.
+        verdict: Option<Verdict>,
+        /// Machine-readable reason.
+        code: CompactString,
+        /// Whether it says when to come back.
+        retry: bool,
+    },
+    /// An answer that was cut with an error event or a closed connection.
+    Cut,
+    /// An answer that looks whole and is wrong.
+    Wrong(CompactString),
+    /// No answer.
+    NoAnswer,
+}
+
+/// One request and its outcome.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sample {
+    /// Index of the request's flow.
+    pub flow: usize,
+    /// The arrival's number.
+    pub serial: u64,
+    /// The id that the system gave the request.
+    pub id: Option<RequestId>,
+    /// What the caller saw.
+    pub outcome: Outcome,
+    /// Time from planned arrival to the first token, or to the whole answer of a plain service.
+    pub first: Option<Duration>,
+    /// Mean time between tokens.
+    pub between: Option<Duration>,
+    /// Time from planned arrival to the end.
+    pub total: Duration,
+    /// Tokens received.
+    pub tokens: u64,
+}
--- /dev/null
+++ b/crates/load/src/drive/send.rs
@@ -0,0 +1,218 @@
+//! Sends one request and checks its answer, token by token.
+
+use {
+    super::{Outcome, Sample},
+    crate::plan::{Arrival, Flow, Plan, Work},
+    clock::{SharedClock, Stamp},
+    compact_str::CompactString,
+    http_types::Method,
+    serde::Deserialize,
+    serde_json::json,
+    standin::engine::token_text,
+    std::{net::SocketAddr, time::Duration},
+    types::{Bytes, RequestId},
+    wire::{Call, CallLimits, Client, Event, EventSplitter, Reply, VERDICT_HEADER},
+};
+
+const LIMITS: CallLimits = CallLimits {
+    connect: Duration::from_secs(2),
+    head: Duration::from_secs(120),
+    gap: Duration::from_secs(60),
+};
+const MAX_ANSWER: Bytes = Bytes(16 * 1024 * 1024);
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: ErrorDetail,
+}
+
+#[derive(Deserialize)]
+struct ErrorDetail {
+    code: CompactString,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    delta: Delta,
+}
+
+#[derive(Default, Deserialize)]
+struct Delta {
+    content: Option<String>,
+}
+
+pub(super) async fn send(
+    client: &Client,
+    clock: &SharedClock,
+    plan: &Plan,
+    arrival: &Arrival,
+    entry: SocketAddr,
+    due: Stamp,
+) -> Sample {
+    let flow = &plan.flows[arrival.flow];
+    let mut sample = Sample {
+        flow: arrival.flow,
+        serial: arrival.serial,
+        id: None,
+        outcome: Outcome::NoAnswer,
+        first: None,
+        between: None,
+        total: Duration::ZERO,
+        tokens: 0,
+    };
+    if let Ok(mut reply) = client.send(call(flow, arrival, entry)).await {
+        sample.id = reply.header("x-request-id").and_then(|v| v.parse().ok());
+        let mut reading = Reading {
+            clock,
+            due,
+            sample: &mut sample,
+        };
+        let outcome = match (reply.status(), &flow.work) {
+            (200..=299, Work::Chat { .. }) => reading.stream(&mut reply, arrival.tokens).await,
+            (200..=299, Work::Get { .. } | Work::Post { .. }) => {
+                reading.plain(&mut reply, arrival.serial).await
+            }
+            _ => refused(&mut reply).await,
+        };
+        sample.outcome = outcome;
+    }
+    sample.total = clock.now().since(due);
+    sample
+}
+
+fn call(flow: &Flow, arrival: &Arrival, entry: SocketAddr) -> Call {
+    let serial = format!("{:016x}", arrival.serial);
+    let mut call = match &flow.work {
+        Work::Chat { model, prompt, .. } => {
+            let start = format!("shared start {} ", arrival.prefix).repeat(32);
+            let mut text: String = start.chars().take((*prompt).max(64)).collect();
+            text.push_str(&format!(" case {serial} len={}", arrival.tokens));
+            let message = json!({ "role": "user", "content": text });
+            let body = json!({ "model": model, "stream": true, "messages": [message] });
+            Call::new(entry, Method::Post, "/v1/chat/completions")
+                .body(body.to_string().into_bytes())
+        }
+        Work::Get { path } => Call::new(entry, Method::Get, path),
+        Work::Post { path, keyed } => {
+            let mut call = Call::new(entry, Method::Post, path).body(serial.clone().into_bytes());
+            if *keyed {
+                call.request.insert_header("idempotency-key", serial);
+            }
+            call
+        }
+    };
+    call.request
+        .insert_header("authorization", format!("Bearer {}", flow.key));
+    call.request
+        .insert_header("x-celerystage-class", flow.class.as_str());
+    call.request
+        .insert_header("content-type", "application/json");
+    call.reuse = false;
+    call.limits(LIMITS)
+}
+
+async fn refused(reply: &mut Reply) -> Outcome {
+    let status = reply.status();
+    let verdict = reply.header(VERDICT_HEADER).and_then(|v| v.parse().ok());
+    let retry = reply.header("retry-after").is_some();
+    let body: Option<ErrorBody> = reply.json(MAX_ANSWER).await.ok();
+    let code = body.map(|b| b.error.code).unwrap_or_default();
+    Outcome::Refused {
+        status,
+        verdict,
+        code,
+        retry,
+    }
+}
+
+struct Reading<'a> {
+    clock: &'a SharedClock,
+    due: Stamp,
+    sample: &'a mut Sample,
+}
+
+impl Reading<'_> {
+    async fn plain(&mut self, reply: &mut Reply, serial: u64) -> Outcome {
+        let Ok(bytes) = reply.bytes(MAX_ANSWER).await else {
+            return Outcome::Cut;
+        };
+        self.sample.first = Some(self.clock.now().since(self.due));
+        let text = String::from_utf8_lossy(&bytes);
+        let posted = text.contains(&format!("{serial:016x}")) || text.contains("\"echo\":\"\"");
+        if posted {
+            Outcome::Whole
+        } else {
+            Outcome::Wrong("another request's answer".into())
+        }
+    }
+
+    async fn stream(&mut self, reply: &mut Reply, wanted: u64) -> Outcome {
+        let Some(id) = self.sample.id else {
+            return Outcome::Wrong("no request id".into());
+        };
+        let mut splitter = EventSplitter::default();
+        let mut first_at = None;
+        let mut done = false;
+        loop {
+            let piece = match reply.piece().await {
+                Ok(Some(piece)) => piece,
+                Ok(None) => break,
+                Err(_) => return Outcome::Cut,
+            };
+            let Ok(events) = splitter.push(&piece) else {
+                return Outcome::Cut;
+            };
+            for event in events {
+                match self.event(&event, id) {
+                    Ok(is_done) => done |= is_done,
+                    Err(outcome) => return outcome,
+                }
+            }
+            if first_at.is_none() && self.sample.tokens > 0 {
+                let now = self.clock.now();
+                first_at = Some(now);
+                self.sample.first = Some(now.since(self.due));
+            }
+        }
+        if let (Some(at), 2..) = (first_at, self.sample.tokens) {
+            let gaps = u32::try_from(self.sample.tokens - 1).unwrap_or(u32::MAX);
+            self.sample.between = Some(self.clock.now().since(at) / gaps);
+        }
+        match (done, self.sample.tokens == wanted) {
+            (true, true) => Outcome::Whole,
+            (true, false) => {
+                Outcome::Wrong(format!("{} of {wanted} tokens", self.sample.tokens).into())
+            }
+            (false, _) => Outcome::Wrong("ended without [DONE]".into()),
+        }
+    }
+
+    /// Checks one event; `true` at the end mark.
+    fn event(&mut self, event: &Event, id: RequestId) -> Result<bool, Outcome> {
+        if event.is_done() {
+            return Ok(true);
+        }
+        if event.raw.starts_with(b"event: error") {
+            return Err(Outcome::Cut);
+        }
+        let wrong = |what: &str| Err(Outcome::Wrong(what.into()));
+        let Some(data) = event.data() else {
+            return Ok(false);
+        };
+        let Ok(chunk) = serde_json::from_slice::<Chunk>(data) else {
+            return wrong("bad event");
+        };
+        for text in chunk.choices.into_iter().filter_map(|c| c.delta.content) {
+            if text != token_text(id, self.sample.tokens) {
+                return wrong("a token of another answer, or twice, or missing");
+            }
+            self.sample.tokens += 1;
+        }
+        Ok(false)
+    }
+}
--- /dev/null
+++ b/crates/load/src/report/mod.rs
@@ -0,0 +1,6 @@
+//! Figures by class and organisation.
+
+mod figures;
+mod table;
+
+pub use figures::{ClassRow, OrgRow, Report};
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,118 @@
+//! The platform over HTTP.
+
+use {
+    crate::{
+        AppendBody, Appended, Asked, Directory, Log, Order, Ordering, Page, PlatformError, Reports,
+        Stream, UsageReport, VmList, ZoneEndpoints,
+    },
+    http_types::Method,
+    serde::{Serialize, de::DeserializeOwned},
+    std::{net::SocketAddr, time::Duration},
+    types::{Bytes, Verdict},
+    wire::{Call, CallLimits, Client},
+};
+
+/// Largest accepted answer.
+const MAX_ANSWER: Bytes = Bytes(16 * 1024 * 1024);
+/// Time for an answer beyond the time that the call asks the platform to wait.
+const ANSWER_LIMIT: Duration = Duration::from_secs(2);
+
+/// The platform behind an HTTP address.
+#[derive(Clone)]
+pub struct HttpPlatform {
+    client: Client,
+    addr: SocketAddr,
+}
+
+impl HttpPlatform {
+    /// A platform at `addr`.
+    pub fn new(client: Client, addr: SocketAddr) -> Self {
+        Self { client, addr }
+    }
+
+    async fn get<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        wait: Duration,
+    ) -> Result<T, PlatformError> {
+        self.ask(Call::new(self.addr, Method::Get, path), wait)
+            .await
+    }
+
+    async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, PlatformError> {
+        let bytes = serde_json::to_vec(body).map_err(|_| PlatformError::Refused(400))?;
+        let call = Call::new(self.addr, Method::Post, path).body(bytes);
+        self.ask(call, Duration::ZERO).await
+    }
+
+    async fn ask<T: DeserializeOwned>(
+        &self,
+        call: Call,
+        wait: Duration,
+    ) -> Result<T, PlatformError> {
+        let limits = CallLimits {
+            head: wait + ANSWER_LIMIT,
+            gap: ANSWER_LIMIT,
+            ..call.limits
+        };
+        let sent = self.client.send(call.limits(limits)).await;
+        let mut reply = sent.map_err(|e| PlatformError::Unreachable(e.verdict))?;
+        match reply.status() {
+            200..=299 => {}
+            status @ 400..=499 => return Err(PlatformError::Refused(status)),
+            _ => return Err(PlatformError::Unreachable(Verdict::MayHaveRun)),
+        }
+        reply
+            .json(MAX_ANSWER)
+            .await
+            .map_err(|_| PlatformError::BadAnswer)
+    }
+}
+
+impl Log for HttpPlatform {
+    fn append<'a>(&'a self, stream: Stream, record: &'a str) -> Asked<'a, Appended> {
+        Box::pin(async move {
+            let body = AppendBody {
+                data: record.into(),
+            };
+            self.post(&format!("/log/{stream}"), &body).await
+        })
+    }
+
+    fn read(&self, stream: Stream, from: u64, wait: Duration) -> Asked<'_, Page> {
+        Box::pin(async move {
+            let wait_ms = wait.as_millis();
+            self.get(
+                &format!("/log/{stream}?from={from}&wait_ms={wait_ms}"),
+                wait,
+            )
+            .await
+        })
+    }
+}
+
+impl Directory for HttpPlatform {
+    fn vms(&self) -> Asked<'_, VmList> {
+        Box::pin(self.get("/vms", Duration::ZERO))
+    }
+
+    fn endpoints(&self) -> Asked<'_, Vec<ZoneEndpoints>> {
+        Box::pin(self.get("/endpoints", Duration::ZERO))
+    }
+}
+
+impl Ordering for HttpPlatform {
+    fn order<'a>(&'a self, order: &'a Order) -> Asked<'a, ()> {
+        Box::pin(self.post("/orders", order))
+    }
+}
+
+impl Reports for HttpPlatform {
+    fn report<'a>(&'a self, report: &'a UsageReport) -> Asked<'a, ()> {
+        Box::pin(self.post("/usage", report))
+    }
+}
--- /dev/null
+++ b/crates/platform/src/usage.rs
@@ -0,0 +1,29 @@
+//! Usage reports.
+
+use {
+    compact_str::CompactString,
+    serde::{Deserialize, Serialize},
+    types::{OrgId, Tokens, VmId},
+};
+
+/// Usage of one organisation in a window.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageLine {
+    /// Organisation.
+    pub org: OrgId,
+    /// Requests answered.
+    pub requests: u64,
+    /// Tokens generated.
+    pub tokens: Tokens,
+}
+
+/// Usage of one window. A window is reported with the same figures, however often.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageReport {
+    /// Identifies the window.
+    pub window: CompactString,
+    /// Who sends it.
+    pub sender: VmId,
+    /// Usage by organisation.
+    pub lines: Vec<UsageLine>,
+}
--- /dev/null
+++ b/crates/route/src/least.rs
@@ -0,0 +1,48 @@
+//! Least outstanding requests: a baseline.
+
+use {
+    super::{Ending, LoadReport, Need, Picker, Target, table::Table},
+    clock::Stamp,
+    std::time::Duration,
+    types::{EndpointId, Tokens},
+};
+
+/// Chooses the endpoint with the fewest requests in flight.
+#[derive(Debug, Default)]
+pub struct LeastOutstanding {
+    table: Table,
+}
+
+impl Picker for LeastOutstanding {
+    fn set_targets(&mut self, _now: Stamp, targets: &[Target]) {
+        self.table.set(targets);
+    }
+
+    fn fits(&self, _now: Stamp, need: &Need) -> bool {
+        self.table.rows.values().any(|r| r.has_room(need))
+    }
+
+    fn pick(&mut self, _now: Stamp, need: &Need) -> Option<Target> {
+        let rows = self.table.rows.values().filter(|r| r.has_room(need));
+        let id = rows.min_by_key(|r| r.flying)?.target.id.clone();
+        self.table.start(&id)
+    }
+
+    fn first_token(&mut self, _now: Stamp, _id: &EndpointId, _after: Duration) {}
+
+    fn progress(&mut self, _now: Stamp, _id: &EndpointId, _tokens: Tokens, _span: Duration) {}
+
+    fn done(&mut self, _now: Stamp, id: &EndpointId, _ending: Ending) {
+        self.table.finish(id);
+    }
+
+    fn report(&mut self, _now: Stamp, _id: &EndpointId, _report: LoadReport) {}
+
+    fn free(&self, _now: Stamp) -> u32 {
+        self.table.free()
+    }
+
+    fn slots(&self) -> u32 {
+        self.table.slots()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/bin/standin-engine.rs
@@ -0,0 +1,74 @@
+//! Stand-in engines as a process: one or more endpoints, each on its own port.
+
+use {
+    daemon::{Usage, run_with},
+    eyre::Result,
+    pico_args::Arguments,
+    standin::{
+        Options,
+        engine::{Engine, Profile},
+    },
+    std::{process::ExitCode, sync::Arc},
+    wire::ServerLimits,
+};
+
+const USAGE: Usage = Usage {
+    name: "standin-engine",
+    about: "stand-in of model engines",
+};
+
+struct EngineOptions {
+    common: Options,
+    profile: Profile,
+    count: usize,
+}
+
+fn options() -> Result<EngineOptions> {
+    let mut args = Arguments::from_env();
+    let common = Options::take(&mut args)?;
+    let mut profile = Profile::default();
+    if let Some(slots) = args.opt_value_from_str("--slots")? {
+        profile.slots = slots;
+    }
+    if let Some(step) = args.opt_value_from_str("--step-us")? {
+        profile.step_us = step;
+    }
+    if let Some(crowd) = args.opt_value_from_str("--crowd-us")? {
+        profile.crowd_us = crowd;
+    }
+    if let Some(prefill) = args.opt_value_from_str("--prefill-us")? {
+        profile.prefill_us = prefill;
+    }
+    let count = args.opt_value_from_str("--count")?.unwrap_or(1);
+    Options::finish(args)?;
+    Ok(EngineOptions {
+        common,
+        profile,
+        count,
+    })
+}
+
+fn main() -> ExitCode {
+    let options = match options() {
+        Ok(options) => options,
+        Err(e) => {
+            eprintln!("{}: {e:#}", USAGE.name);
+            return ExitCode::from(2);
+        }
+    };
+    run_with(USAGE, &options.common.process, move |p| async move {
+        let mut tasks = Vec::new();
+        for _ in 0..options.count {
+            let engine = Engine::new(p.clock.clone(), p.ex.clone(), options.profile);
+            let listen = options.common.listen;
+            let limits = ServerLimits::default();
+            let server = p.bind("engine", listen, Arc::new(engine), limits, p.stop.clone())?;
+            tasks.push(p.serve(server));
+        }
+        p.ready.set(true);
+        for task in tasks {
+            task.await;
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/standin/src/platform/mod.rs
@@ -0,0 +1,10 @@
+//! Stand-in of the platform: log, VM list, endpoint list, ordering and usage reports, with faults.
+
+mod control;
+mod handler;
+mod state;
+
+pub use {
+    control::{Control, Fault, Record, SeenOrder, SeenReport},
+    handler::Platform,
+};
--- /dev/null
+++ b/crates/standin/src/service/handler.rs
@@ -0,0 +1,114 @@
+//! The service's HTTP interface.
+
+use {
+    super::control::{Control, Executed},
+    crate::reply::{body, empty, header},
+    clock::SharedClock,
+    http_types::{Request, Response},
+    parking_lot::Mutex,
+    serde_json::json,
+    std::{future::pending, time::Duration},
+    types::RequestId,
+    wire::{Handled, Handler, json_response},
+};
+
+const ID_HEADER: &str = "x-request-id";
+const DEFAULT_DELAY: Duration = Duration::from_millis(10);
+
+#[derive(Debug)]
+struct State {
+    delay: Duration,
+    lose: u32,
+    cross: bool,
+    executed: Vec<Executed>,
+}
+
+/// The stand-in service.
+pub struct Service {
+    clock: SharedClock,
+    state: Mutex<State>,
+}
+
+impl Service {
+    /// A service that has executed nothing.
+    pub fn new(clock: SharedClock) -> Self {
+        let state = State {
+            delay: DEFAULT_DELAY,
+            lose: 0,
+            cross: false,
+            executed: Vec::new(),
+        };
+        Self {
+            clock,
+            state: Mutex::new(state),
+        }
+    }
+
+    async fn answer(&self, mut request: Request) -> Response {
+        match request.url().path() {
+            "/control" => match body(&mut request).await {
+                Some(control) => self.control(&control),
+                None => empty(400),
+            },
+            "/record" => json_response(200, &self.state.lock().executed),
+            _ => self.execute(request).await,
+        }
+    }
+
+    fn control(&self, control: &Control) -> Response {
+        let mut state = self.state.lock();
+        match *control {
+            Control::Delay(ms) => state.delay = Duration::from_millis(ms),
+            Control::LoseAnswers(count) => state.lose = count,
+            Control::Cross(on) => state.cross = on,
+        }
+        empty(200)
+    }
+
+    async fn execute(&self, mut request: Request) -> Response {
+        let Ok(bytes) = request.body_bytes().await else {
+            return empty(400);
+        };
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let id: Option<RequestId> = header(&request, ID_HEADER).and_then(|v| v.parse().ok());
+        let headers = request
+            .iter()
+            .map(|(n, v)| (n.as_str().into(), v.as_str().into()));
+        let executed = Executed {
+            id,
+            method: request.method().as_ref().into(),
+            path: request.url().path().into(),
+            body: text.as_str().into(),
+            headers: headers.collect(),
+        };
+        let (delay, lost, cross) = self.record(executed);
+        self.clock.sleep(delay).await;
+        if lost {
+            return pending().await;
+        }
+        let mut response = json_response(200, &json!({ "done": true, "echo": text }));
+        if let Some(id) = id {
+            let shown = if cross {
+                RequestId::from_bits(!id.bits())
+            } else {
+                id
+            };
+            response.insert_header(ID_HEADER, shown.to_string());
+        }
+        response
+    }
+
+    fn record(&self, executed: Executed) -> (Duration, bool, bool) {
+        let mut state = self.state.lock();
+        state.executed.push(executed);
+        let lost = state.lose > 0;
+        state.lose = state.lose.saturating_sub(1);
+        (state.delay, lost, state.cross)
+    }
+}
+
+impl Handler for Service {
+    fn call(&self, request: Request) -> Handled<'_> {
+        Box::pin(self.answer(request))
+    }
+}
--- /dev/null
+++ b/crates/steward/src/process/mod.rs
@@ -0,0 +1,6 @@
+//! What lives for the process: settings and tasks.
+
+mod app;
+mod settings;
+
+pub use {app::run_steward, settings::StewardSettings};
--- /dev/null
+++ b/crates/types/tests/verdict.rs
@@ -0,0 +1,53 @@
+//! Properties of verdict composition.
+
+use {
+    quickcheck::QuickCheck,
+    types::{Attempt, Verdict},
+};
+
+fn verdict(n: u8) -> Verdict {
+    match n % 3 {
+        0 => Verdict::NotRun,
+        1 => Verdict::MayHaveRun,
+        _ => Verdict::Ran,
+    }
+}
+
+/// Over any attempts, `not_run` is stated only if every attempt was `not_run`.
+#[test]
+fn not_run_needs_every_attempt_not_run() {
+    fn holds(attempts: Vec<u8>) -> bool {
+        let mut sum = Attempt::default();
+        for n in &attempts {
+            sum.record(verdict(*n));
+        }
+        let all = attempts.iter().all(|n| verdict(*n) == Verdict::NotRun);
+        (sum.verdict() == Verdict::NotRun) == all
+    }
+    QuickCheck::new()
+        .tests(500)
+        .quickcheck(holds as fn(Vec<u8>) -> bool);
+}
+
+/// Composition is associative and never loses knowledge that something may have run.
+#[test]
+fn composition_is_associative_and_monotonic() {
+    fn holds(a: u8, b: u8, c: u8) -> bool {
+        let (a, b, c) = (verdict(a), verdict(b), verdict(c));
+        let same = a.then(b).then(c) == a.then(b.then(c));
+        same && a.then(b) >= a && a.then(b) >= b
+    }
+    QuickCheck::new()
+        .tests(200)
+        .quickcheck(holds as fn(u8, u8, u8) -> bool);
+}
+
+/// A request that may not be repeated is retried only when nothing has run.
+#[test]
+fn retries_of_non_idempotent_requests_need_not_run() {
+    for n in 0..3 {
+        let v = verdict(n);
+        assert_eq!(v.allows_retry(false), v == Verdict::NotRun);
+        assert!(v.allows_retry(true));
+    }
+}
--- /dev/null
+++ b/crates/wire/src/client/reply.rs
@@ -0,0 +1,149 @@
+//! A response whose body is read piece by piece.
+
+use {
+    super::error::{Fault, SendError},
+    crate::{conn::Framing, rmp::from_rmp},
+    clock::{SharedClock, within},
+    futures_lite::io::AsyncReadExt,
+    http_types::{Body, Response},
+    serde::de::DeserializeOwned,
+    std::time::Duration,
+    types::{Bytes, Verdict},
+};
+
+const READ_BYTES: usize = 16 * 1024;
+
+type WholeHook = Box<dyn FnOnce() + Send + Sync>;
+
+/// A response: its head, and its body still to be read.
+pub struct Reply {
+    head: Response,
+    body: Body,
+    left: Option<u64>,
+    whole: bool,
+    gap: Duration,
+    clock: SharedClock,
+    hook: Option<WholeHook>,
+}
+
+impl Reply {
+    pub(super) fn new(
+        mut head: Response,
+        framing: Framing,
+        gap: Duration,
+        clock: SharedClock,
+    ) -> Self {
+        let left = match framing {
+            Framing::None => Some(0),
+            Framing::Length(n) => Some(n),
+            Framing::Chunked => None,
+        };
+        let body = head.take_body();
+        Self {
+            head,
+            body,
+            left,
+            whole: false,
+            gap,
+            clock,
+            hook: None,
+        }
+    }
+
+    pub(super) fn on_whole(&mut self, hook: WholeHook) {
+        self.hook = Some(hook);
+    }
+
+    pub(super) fn mark_whole(&mut self) {
+        self.whole = true;
+        if let Some(hook) = self.hook.take() {
+            hook();
+        }
+    }
+
+    /// HTTP status.
+    pub fn status(&self) -> u16 {
+        u16::from(self.head.status())
+    }
+
+    /// The response's head.
+    pub fn head(&self) -> &Response {
+        &self.head
+    }
+
+    /// First value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.header(name).map(|v| v.as_str())
+    }
+
+    /// Announced length of the body, where there is one.
+    pub fn length(&self) -> Option<u64> {
+        self.left
+    }
+
+    /// Sets the longest accepted pause between two pieces.
+    pub fn set_gap(&mut self, gap: Duration) {
+        self.gap = gap;
+    }
+
+    /// Next piece of the body; `None` at its announced end.
+    pub async fn piece(&mut self) -> Result<Option<Vec<u8>>, SendError> {
+        if self.whole {
+            return Ok(None);
+        }
+        let failed = |fault| SendError {
+            fault,
+            verdict: Verdict::MayHaveRun,
+        };
+        let mut buf = vec![0; READ_BYTES];
+        let n = within(&*self.clock, self.gap, self.body.read(&mut buf))
+            .await
+            .map_err(|_| failed(Fault::BodyTimeout))?
+            .map_err(|_| failed(Fault::BodyCut))?;
+        if n > 0 {
+            if let Some(left) = &mut self.left {
+                *left = left.saturating_sub(n as u64);
+            }
+            buf.truncate(n);
+            return Ok(Some(buf));
+        }
+        if self.left.is_some_and(|left| left > 0) {
+            return Err(failed(Fault::BodyCut));
+        }
+        self.mark_whole();
+        Ok(None)
+    }
+
+    /// The whole body, at most `limit` bytes.
+    pub async fn bytes(&mut self, limit: Bytes) -> Result<Vec<u8>, SendError> {
+        let mut bytes = Vec::new();
+        while let Some(piece) = self.piece().await? {
+            bytes.extend_from_slice(&piece);
+            if bytes.len() as u64 > limit.0 {
+                return Err(SendError {
+                    fault: Fault::BadResponse,
+                    verdict: Verdict::MayHaveRun,
+                });
+            }
+        }
+        Ok(bytes)
+    }
+
+    /// The whole body as JSON.
+    pub async fn json<T: DeserializeOwned>(&mut self, limit: Bytes) -> Result<T, SendError> {
+        let bytes = self.bytes(limit).await?;
+        serde_json::from_slice(&bytes).map_err(|_| SendError {
+            fault: Fault::BadResponse,
+            verdict: Verdict::MayHaveRun,
+        })
+    }
+
+    /// The whole body as MessagePack.
+    pub async fn rmp<T: DeserializeOwned>(&mut self, limit: Bytes) -> Result<T, SendError> {
+        let bytes = self.bytes(limit).await?;
+        from_rmp(&bytes).map_err(|_| SendError {
+            fault: Fault::BadResponse,
+            verdict: Verdict::MayHaveRun,
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/conn/head.rs
@@ -0,0 +1,214 @@
+//! Reads and checks a message head before the codec sees it.
+//!
+//! The codec panics on header values outside ASCII, starts a second executor on
+//! `Expect: 100-continue`, and loses bytes that follow a head in the same packet.
+
+use {
+    super::Conn,
+    futures_lite::io::AsyncReadExt,
+    std::{error::Error, fmt, io},
+};
+
+/// Longest head that the codec accepts.
+const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
+const HEAD_END: &[u8] = b"\r\n\r\n";
+const READ_BYTES: usize = 4096;
+
+/// Which side's head is read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HeadKind {
+    /// A request's head.
+    Request,
+    /// A response's head.
+    Response,
+}
+
+/// How the body behind a head is delimited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// No length is given.
+    None,
+    /// A body of this many bytes.
+    Length(u64),
+    /// Chunks.
+    Chunked,
+}
+
+/// A checked head.
+#[derive(Debug)]
+pub(crate) struct Head {
+    /// The head's bytes, blank line included, without an `Expect` header.
+    pub(crate) bytes: Vec<u8>,
+    /// How the body is delimited.
+    pub(crate) framing: Framing,
+    /// Whether the sender waits for `100 Continue`.
+    pub(crate) expects: bool,
+}
+
+/// Why a head was refused.
+#[derive(Debug)]
+pub(crate) enum HeadError {
+    /// The stream closed before the first byte.
+    Closed,
+    /// The stream closed or failed inside the head.
+    Cut(io::Error),
+    /// The head is longer than [`MAX_HEAD_BYTES`].
+    TooLong,
+    /// The head is not valid.
+    Malformed(&'static str),
+}
+
+impl fmt::Display for HeadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Closed => write!(f, "connection closed"),
+            Self::Cut(e) => write!(f, "connection cut inside the head: {e}"),
+            Self::TooLong => write!(f, "head longer than {MAX_HEAD_BYTES} bytes"),
+            Self::Malformed(what) => write!(f, "malformed head: {what}"),
+        }
+    }
+}
+
+impl Error for HeadError {}
+
+impl Head {
+    /// Reads one head. Bytes read past it stay in `spare`, which also may start with bytes that an
+    /// earlier call left there.
+    pub(crate) async fn read(
+        conn: &mut Conn,
+        spare: &mut Vec<u8>,
+        kind: HeadKind,
+    ) -> Result<Self, HeadError> {
+        let mut searched = 0;
+        loop {
+            if let Some(end) = find_end(spare, searched) {
+                let rest = spare.split_off(end);
+                let bytes = std::mem::replace(spare, rest);
+                return Self::check(&bytes, kind);
+            }
+            if spare.len() > MAX_HEAD_BYTES {
+                return Err(HeadError::TooLong);
+            }
+            searched = spare.len().saturating_sub(HEAD_END.len());
+            let mut buf = [0; READ_BYTES];
+            let n = conn.read(&mut buf).await.map_err(HeadError::Cut)?;
+            if n == 0 {
+                return Err(closed(spare));
+            }
+            spare.extend_from_slice(&buf[..n]);
+        }
+    }
+
+    fn check(bytes: &[u8], kind: HeadKind) -> Result<Self, HeadError> {
+        if bytes.len() > MAX_HEAD_BYTES {
+            return Err(HeadError::TooLong);
+        }
+        let text = std::str::from_utf8(bytes).map_err(|_| HeadError::Malformed("not UTF-8"))?;
+        if !text.is_ascii() {
+            return Err(HeadError::Malformed("characters outside ASCII"));
+        }
+        let mut scan = Scan::default();
+        let mut kept = Vec::with_capacity(bytes.len());
+        for (i, line) in text.split_inclusive("\r\n").enumerate() {
+            if i > 0 && scan.header(line)? == Keep::No {
+                continue;
+            }
+            kept.extend_from_slice(line.as_bytes());
+        }
+        let framing = scan.framing(kind)?;
+        Ok(Self {
+            bytes: kept,
+            framing,
+            expects: scan.expects,
+        })
+    }
+}
+
+fn closed(spare: &[u8]) -> HeadError {
+    if spare.is_empty() {
+        return HeadError::Closed;
+    }
+    HeadError::Cut(io::ErrorKind::UnexpectedEof.into())
+}
+
+fn find_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let found = bytes[from..]
+        .windows(HEAD_END.len())
+        .position(|w| w == HEAD_END)?;
+    Some(from + found + HEAD_END.len())
+}
+
+#[derive(PartialEq, Eq)]
+enum Keep {
+    Yes,
+    No,
+}
+
+/// Headers that decide how a body is delimited.
+#[derive(Default)]
+struct Scan {
+    length: Option<u64>,
+    chunked: bool,
+    expects: bool,
+}
+
+impl Scan {
+    fn header(&mut self, line: &str) -> Result<Keep, HeadError> {
+        let line = line.trim_end_matches("\r\n");
+        if line.is_empty() {
+            return Ok(Keep::Yes);
+        }
+        if line.bytes().any(|b| b.is_ascii_control() && b != b'\t') {
+            return Err(HeadError::Malformed("control character"));
+        }
+        let (name, value) = line
+            .split_once(':')
+            .ok_or(HeadError::Malformed("header line without a colon"))?;
+        if name.is_empty() || name.contains([' ', '\t']) {
+            return Err(HeadError::Malformed("white space in a header name"));
+        }
+        let value = value.trim();
+        if name.eq_ignore_ascii_case("content-length") {
+            self.length(value)?;
+        } else if name.eq_ignore_ascii_case("transfer-encoding") {
+            self.encoding(value)?;
+        } else if name.eq_ignore_ascii_case("expect") {
+            self.expects = value.eq_ignore_ascii_case("100-continue");
+            return Ok(Keep::No);
+        }
+        Ok(Keep::Yes)
+    }
+
+    fn length(&mut self, value: &str) -> Result<(), HeadError> {
+        if value.is_empty() || !value.bytes().all(|b| b.is_ascii_digit()) {
+            return Err(HeadError::Malformed("Content-Length is not a number"));
+        }
+        let length = value
+            .parse()
+            .map_err(|_| HeadError::Malformed("Content-Length too large"))?;
+        if self.length.replace(length).is_some() {
+            return Err(HeadError::Malformed("more than one Content-Length"));
+        }
+        Ok(())
+    }
+
+    fn encoding(&mut self, value: &str) -> Result<(), HeadError> {
+        if !value.eq_ignore_ascii_case("chunked") || self.chunked {
+            return Err(HeadError::Malformed("Transfer-Encoding other than chunked"));
+        }
+        self.chunked = true;
+        Ok(())
+    }
+
+    fn framing(&self, kind: HeadKind) -> Result<Framing, HeadError> {
+        match (self.length, self.chunked, kind) {
+            (Some(_), true, _) => Err(HeadError::Malformed(
+                "both Content-Length and Transfer-Encoding",
+            )),
+            (Some(n), false, _) => Ok(Framing::Length(n)),
+            (None, true, _) => Ok(Framing::Chunked),
+            (None, false, HeadKind::Request) => Ok(Framing::Length(0)),
+            (None, false, HeadKind::Response) => Ok(Framing::None),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,22 @@
+//! HTTP/1.1 between callers, celerystage processes, endpoints and the platform, on async-h1.
+//!
+//! async-h1 brings no time limits, no size limits, no detection of a caller that hangs up, and it
+//! takes an answer that ends early for a whole one. This crate adds these around its codec.
+
+mod body;
+mod client;
+mod conn;
+mod rmp;
+mod server;
+mod sse;
+
+pub use {
+    body::{BodyError, BodySender, body_channel, read_body},
+    client::{Call, CallLimits, Client, Fault, Reply, SendError},
+    conn::Stop,
+    rmp::{RMP_TYPE, RmpError, from_rmp, to_rmp},
+    server::{
+        Handled, Handler, Server, ServerLimits, VERDICT_HEADER, json_response, refusal_response,
+    },
+    sse::{Event, EventSplitter, SseError},
+};
--- /dev/null
+++ b/crates/wire/src/rmp.rs
@@ -0,0 +1,42 @@
+//! MessagePack bodies between celerystage processes.
+//!
+//! Structs are written with field names, so that a reader one version older or newer skips or
+//! defaults the fields it does not know.
+
+use {
+    serde::{Serialize, de::DeserializeOwned},
+    std::{error::Error, fmt},
+};
+
+/// Content type of MessagePack bodies.
+pub const RMP_TYPE: &str = "application/msgpack";
+
+/// A message that could not be encoded or decoded.
+#[derive(Debug)]
+pub enum RmpError {
+    /// Encoding failed.
+    Encode(rmp_serde::encode::Error),
+    /// Decoding failed.
+    Decode(rmp_serde::decode::Error),
+}
+
+impl fmt::Display for RmpError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Encode(e) => write!(f, "cannot encode message: {e}"),
+            Self::Decode(e) => write!(f, "cannot decode message: {e}"),
+        }
+    }
+}
+
+impl Error for RmpError {}
+
+/// Encodes a message.
+pub fn to_rmp(message: &impl Serialize) -> Result<Vec<u8>, RmpError> {
+    rmp_serde::to_vec_named(message).map_err(RmpError::Encode)
+}
+
+/// Decodes a message.
+pub fn from_rmp<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, RmpError> {
+    rmp_serde::from_slice(bytes).map_err(RmpError::Decode)
+}
--- /dev/null
+++ b/crates/wire/src/sse.rs
@@ -0,0 +1,85 @@
+//! Server-sent events: splits a byte stream into events.
+
+use std::{error::Error, fmt};
+
+/// Longest accepted event, in bytes.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// One event as received, its terminating blank line included.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// The event's bytes.
+    pub raw: Vec<u8>,
+}
+
+impl Event {
+    /// The event's first `data` line, without its prefix.
+    pub fn data(&self) -> Option<&[u8]> {
+        self.raw
+            .split(|b| *b == b'\n')
+            .find_map(|line| line.strip_prefix(b"data:"))
+            .map(|line| line.trim_ascii())
+    }
+
+    /// Whether this event ends the stream.
+    pub fn is_done(&self) -> bool {
+        self.data() == Some(b"[DONE]")
+    }
+}
+
+/// A stream that is not valid.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SseError {
+    /// An event is longer than [`MAX_EVENT_BYTES`].
+    TooLong,
+}
+
+impl fmt::Display for SseError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLong => write!(f, "event longer than {MAX_EVENT_BYTES} bytes"),
+        }
+    }
+}
+
+impl Error for SseError {}
+
+/// Splits bytes into events, in any cut.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buf: Vec<u8>,
+}
+
+impl EventSplitter {
+    /// Adds bytes and returns the events that they complete.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<Event>, SseError> {
+        self.buf.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        while let Some(end) = find_end(&self.buf) {
+            let rest = self.buf.split_off(end);
+            let raw = std::mem::replace(&mut self.buf, rest);
+            events.push(Event { raw });
+        }
+        if self.buf.len() > MAX_EVENT_BYTES {
+            return Err(SseError::TooLong);
+        }
+        Ok(events)
+    }
+
+    /// Whether no part of an event is held back.
+    pub fn is_empty(&self) -> bool {
+        self.buf.is_empty()
+    }
+}
+
+fn find_end(bytes: &[u8]) -> Option<usize> {
+    let lf = bytes.windows(2).position(|w| w == b"\n\n").map(|at| at + 2);
+    let crlf = bytes
+        .windows(4)
+        .position(|w| w == b"\r\n\r\n")
+        .map(|at| at + 4);
+    match (lf, crlf) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
