--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -2,5 +2,9 @@
 //! embed.
 
 mod follower;
+mod tenure;
 
-pub use follower::{Batch, Follower};
+pub use {
+    follower::{Batch, Follower},
+    tenure::Tenure,
+};
