Slots of requests that run already can be taken over

Cause: when the scheduler of a model moves to another VM, requests that run at endpoints must count there. Conclusion: the border is in place before the policies are written behind it.

--- a/crates/route/src/least.rs
+++ b/crates/route/src/least.rs
@@ -28,6 +28,10 @@
         self.table.start(&id)
     }
 
+    fn occupy(&mut self, _now: Stamp, id: &EndpointId) -> Option<Target> {
+        self.table.start(id)
+    }
+
     fn first_token(&mut self, _now: Stamp, _id: &EndpointId, _after: Duration) {}
 
     fn progress(&mut self, _now: Stamp, _id: &EndpointId, _tokens: Tokens, _span: Duration) {}
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -67,6 +67,9 @@
     /// Chooses an endpoint and takes one of its slots.
     fn pick(&mut self, now: Stamp, need: &Need) -> Option<Target>;
 
+    /// Takes a slot of a given endpoint for a request that already runs there, even beyond its limit.
+    fn occupy(&mut self, now: Stamp, id: &EndpointId) -> Option<Target>;
+
     /// Tells that the first token came `after` the request was sent.
     fn first_token(&mut self, now: Stamp, id: &EndpointId, after: Duration);
 
