Group::adopt: count requests that run already

Cause: when the scheduler of a model moves to another VM, requests that run at endpoints must count there. Change: Group::adopt takes a slot through Picker::occupy; a lease keeps only what is charged.

--- a/crates/entry/src/sched/group.rs
+++ b/crates/entry/src/sched/group.rs
@@ -8,20 +8,29 @@
     parking_lot::Mutex,
     route::{Ending, Need, Picker, Target},
     std::{collections::HashMap, sync::Arc, time::Duration},
-    types::{ClassId, OrgId, Refusal, Tokens},
+    types::{ClassId, EndpointId, OrgId, Refusal, Tokens},
 };
 
 /// The scheduler's answer to a waiting request. A lease that is never taken out of the channel gives
 /// its slot back when the channel is dropped.
 pub(super) type Decision = Result<Lease, Refusal>;
 
+/// What is charged for a running request.
+#[derive(Debug, Clone)]
+pub(crate) struct Running {
+    /// Class of work.
+    pub(crate) class: ClassId,
+    /// Organisation that the request runs for.
+    pub(crate) org: OrgId,
+    /// The organisation's share relative to others.
+    pub(crate) weight: u32,
+}
+
 /// What is kept of a request that waits.
 #[derive(Clone)]
 struct Waiter {
     need: Need,
-    class: ClassId,
-    org: OrgId,
-    weight: u32,
+    running: Running,
     answer: Sender<Decision>,
 }
 
@@ -93,6 +102,24 @@
         id
     }
 
+    /// A lease for a request that already runs at an endpoint, given by another scheduler.
+    pub(super) fn adopt(self: &Arc<Self>, id: &EndpointId, running: Running) -> Option<Lease> {
+        let now = self.clock.now();
+        let target = self.inner.lock().picker.occupy(now, id)?;
+        Some(self.lease(now, target, running))
+    }
+
+    fn lease(self: &Arc<Self>, now: Stamp, target: Target, running: Running) -> Lease {
+        let (endpoint, addr) = (target.id.clone(), target.addr);
+        let held = Held {
+            group: self.clone(),
+            running,
+            target,
+            since: now,
+        };
+        Lease::new(endpoint, addr, Box::new(held))
+    }
+
     /// Withdraws a request whose caller is gone.
     pub(super) fn cancel(&self, id: TicketId) {
         let mut inner = self.inner.lock();
@@ -121,7 +148,7 @@
             inner.picker.done(now, &held.target.id, ending);
             inner
                 .queue
-                .completed(now, &held.waiter.class, now.since(held.since));
+                .completed(now, &held.running.class, now.since(held.since));
             inner.pump(now, &mut decided);
         }
         self.send(now, decided);
@@ -132,15 +159,8 @@
             let _ = waiter.answer.try_send(Err(refusal));
         }
         for (waiter, target) in decided.grants {
-            let answer = waiter.answer.clone();
-            let (endpoint, addr) = (target.id.clone(), target.addr);
-            let held = Held {
-                group: self.clone(),
-                waiter,
-                target,
-                since: now,
-            };
-            let _ = answer.try_send(Ok(Lease::new(endpoint, addr, Box::new(held))));
+            let lease = self.lease(now, target, waiter.running);
+            let _ = waiter.answer.try_send(Ok(lease));
         }
     }
 
@@ -160,14 +180,20 @@
     ) -> TicketId {
         self.last_id += 1;
         let id = TicketId(self.last_id);
-        let waiter = Waiter {
-            need: ask.need.clone(),
+        let running = Running {
             class: ask.class.clone(),
             org: ask.org.clone(),
             weight: ask.weight,
-            answer,
         };
-        self.waiters.insert(id, waiter);
+        let need = ask.need.clone();
+        self.waiters.insert(
+            id,
+            Waiter {
+                need,
+                running,
+                answer,
+            },
+        );
         let shed = self.queue.offer(now, ticket(id, ask));
         self.refuse(shed, decided);
         id
@@ -210,7 +236,7 @@
 /// The group's side of a lease.
 struct Held {
     group: Arc<Group>,
-    waiter: Waiter,
+    running: Running,
     target: Target,
     since: Stamp,
 }
@@ -227,12 +253,12 @@
 
     fn progress(&self, tokens: Tokens, span: Duration) {
         let now = self.group.clock.now();
-        let waiter = &self.waiter;
+        let running = &self.running;
         let mut inner = self.group.inner.lock();
         inner.picker.progress(now, &self.target.id, tokens, span);
         inner
             .queue
-            .charge(&waiter.class, &waiter.org, waiter.weight, tokens);
+            .charge(&running.class, &running.org, running.weight, tokens);
     }
 
     fn done(&self, ending: Ending) {
