Entries of a zone share its endpoints through one home scheduler for each model

Cause: eight entries that each schedule all endpoints hold up to eight times the slots, and no queue, tier order or fair share is exact.

Change: rendezvous hashing names the VM that schedules a model in its availability zone. Other entries ask it for slots (asks, grants, progress, endings in batches over /mesh/link) and send the request to the endpoint themselves, so that tokens take no extra hop and a lost home cuts no stream. When the home is dead, frozen or stopping, waiting asks move to the next in rank, and running requests are listed there each second and counted. An ask is never passed on, so no loop can form. `sharing: alone` keeps the baseline. Members tracks reachability: only an answered call ends suspicion, as the way back alone proves nothing.

Ruled out: passing the request itself to the home (each token would cross one more process, and the home's death would cut its streams); slots leased in bulk (tier order and fair share are exact only inside one entry's share).

--- a/crates/entry/src/process/app.rs
+++ b/crates/entry/src/process/app.rs
@@ -4,7 +4,7 @@
     super::{EntrySettings, KeyWatches, links::MeshHandler},
     crate::{
         request::Front,
-        sched::{Dispatch, Scheduler},
+        sched::{Dispatch, Scheduler, Share},
         version::View,
     },
     async_executor::Executor,
@@ -18,6 +18,8 @@
     wire::{Client, ServerLimits, Stop},
 };
 
+/// Time between lists of running requests to the VMs that schedule them.
+const BEAT: Duration = Duration::from_secs(1);
 /// Time between looks at the queues for requests that became too late.
 const TICK: Duration = Duration::from_millis(25);
 
@@ -32,6 +34,7 @@
     pub(crate) client: Client,
     pub(crate) node: Arc<Node>,
     pub(crate) scheduler: Arc<Scheduler>,
+    pub(crate) share: Share,
     pub(crate) dispatch: Arc<dyn Dispatch>,
     pub(crate) keys: Arc<KeyWatches>,
     view: RwLock<Arc<View>>,
@@ -47,13 +50,16 @@
         let vm = settings.vm.clone();
         let node = Node::new(vm, incarnation, auth, client.clone(), clock.clone());
         let scheduler = Scheduler::new(clock.clone(), settings.policy);
+        let ex = process.ex.clone();
+        let share = Share::new(node.clone(), scheduler.clone(), ex.clone(), clock.clone());
         Arc::new(Self {
+            dispatch: share.dispatch(settings.sharing),
             settings,
             clock,
-            ex: process.ex.clone(),
+            ex,
             client,
             node,
-            dispatch: scheduler.clone(),
+            share,
             scheduler,
             keys: Arc::default(),
             view: RwLock::default(),
@@ -91,6 +97,14 @@
         let endpoints: usize = view.local.values().map(Vec::len).sum();
         metrics::gauge!("celerystage_endpoints").set(endpoints as f64);
         self.scheduler.update(&view);
+        self.share.update(&view);
+    }
+
+    async fn beat(self: Arc<Self>) {
+        loop {
+            self.clock.sleep(BEAT).await;
+            self.share.beat();
+        }
     }
 
     async fn tick(self: Arc<Self>) {
@@ -125,10 +139,13 @@
         process.ex.spawn(app.clone().follow(process.clone())),
         process.ex.spawn(app.clone().gossip()),
         process.ex.spawn(app.clone().tick()),
+        process.ex.spawn(app.clone().beat()),
     ];
     let serving = process.serve(callers);
     process.stop.wait().await;
     process.ready.set(false);
+    app.node.leave();
+    app.share.move_out();
     app.clock.sleep(app.settings.drain()).await;
     callers_end.trigger();
     serving.await;
--- a/crates/entry/src/process/links.rs
+++ b/crates/entry/src/process/links.rs
@@ -4,10 +4,10 @@
     super::App,
     clock::SharedClock,
     http_types::{Request, Response, StatusCode},
-    mesh::{Node, SYNC_PATH},
+    mesh::{LINK_PATH, LinkBatch, Node, SYNC_PATH},
     std::{sync::Arc, time::Duration},
     types::Bytes,
-    wire::{Handled, Handler, read_body},
+    wire::{Handled, Handler, from_rmp, read_body, to_rmp},
 };
 
 const MAX_MESSAGE: Bytes = Bytes(16 * 1024 * 1024);
@@ -15,13 +15,15 @@
 
 /// Handles messages from the system's other processes.
 pub(super) struct MeshHandler {
+    app: Arc<App>,
     node: Arc<Node>,
     clock: SharedClock,
 }
 
 impl MeshHandler {
-    pub(super) fn new(app: &App) -> Self {
+    pub(super) fn new(app: &Arc<App>) -> Self {
         Self {
+            app: app.clone(),
             node: app.node.clone(),
             clock: app.clock.clone(),
         }
@@ -38,6 +40,7 @@
         };
         let answer = match path.as_str() {
             SYNC_PATH => self.node.answer_bytes(&bytes),
+            LINK_PATH => self.link(&bytes),
             _ => return Response::new(StatusCode::NotFound),
         };
         let Some(answer) = answer else {
@@ -49,6 +52,19 @@
     }
 }
 
+impl MeshHandler {
+    /// Takes in a batch of messages from another entry.
+    fn link(&self, bytes: &[u8]) -> Option<Vec<u8>> {
+        let batch: LinkBatch = from_rmp(bytes).ok()?;
+        let msgs = self.node.open_batch(&batch)?;
+        let skipped = batch.msgs.len() - msgs.len();
+        for msg in msgs {
+            self.app.share.take(&batch.from, msg);
+        }
+        to_rmp(&self.node.link_answer(skipped)).ok()
+    }
+}
+
 impl Handler for MeshHandler {
     fn call(&self, request: Request) -> Handled<'_> {
         Box::pin(self.answer(request))
--- a/crates/entry/src/process/settings.rs
+++ b/crates/entry/src/process/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of the entry daemon.
 
 use {
-    crate::sched::PolicySettings,
+    crate::sched::{PolicySettings, Sharing},
     compact_str::CompactString,
     conf::Check,
     daemon::{ProcessSettings, Settings},
@@ -50,6 +50,9 @@
     /// Time between the report of unreadiness and the end of listening, in milliseconds.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
+    /// How the entries of an availability zone share its endpoints.
+    #[serde(default)]
+    pub sharing: Sharing,
     /// Scheduling policies.
     #[serde(default)]
     pub policy: PolicySettings,
--- a/crates/entry/src/sched/local.rs
+++ b/crates/entry/src/sched/local.rs
@@ -1,7 +1,7 @@
 //! The scheduler of this process.
 
 use {
-    super::{Acquiring, Ask, Dispatch, Lease, PolicySettings, group::Group},
+    super::{Acquiring, Ask, Dispatch, Lease, PolicySettings, Running, group::Group},
     crate::version::View,
     admit::{ClassRule, TicketId},
     async_channel::bounded,
@@ -11,7 +11,7 @@
     platform::Endpoint,
     route::Target,
     std::{collections::BTreeMap, sync::Arc, time::Duration},
-    types::{ModelId, Reason, Refusal},
+    types::{EndpointId, ModelId, Reason, Refusal},
 };
 
 /// When a caller may try again that found no endpoint.
@@ -69,7 +69,19 @@
             .collect()
     }
 
-    async fn wait(&self, ask: Ask) -> Result<Lease, Refusal> {
+    /// A lease for a request that already runs at an endpoint.
+    pub(crate) fn adopt(
+        &self,
+        serves: &ModelId,
+        endpoint: &EndpointId,
+        running: Running,
+    ) -> Option<Lease> {
+        let group = self.groups.lock().get(serves).cloned();
+        group?.adopt(endpoint, running)
+    }
+
+    /// Waits for a slot of this VM's scheduler, or for the decision that the request is refused.
+    pub(crate) async fn decide(&self, ask: Ask) -> Result<Lease, Refusal> {
         let group = self.groups.lock().get(&ask.serves).cloned();
         let group = group.ok_or_else(unavailable)?;
         let (sender, receiver) = bounded(1);
@@ -87,7 +99,7 @@
 
 impl Dispatch for Scheduler {
     fn acquire(&self, ask: Ask) -> Acquiring<'_> {
-        Box::pin(self.wait(ask))
+        Box::pin(self.decide(ask))
     }
 }
 
--- /dev/null
+++ b/crates/entry/src/sched/remote.rs
@@ -0,0 +1,381 @@
+//! The side that asks: gets slots from the scheduler that is home to a model.
+
+use {
+    super::{Acquiring, Ask, Dispatch, Home, Lease, Post, Scheduler, Slot, links::Watch},
+    async_channel::{Receiver, Sender, bounded},
+    clock::{SharedClock, Stamp},
+    mesh::{AdoptMsg, AskMsg, LinkMsg, Node, ProgressMsg, TicketNo},
+    parking_lot::{Mutex, RwLock},
+    route::Ending,
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    types::{EndpointId, ModelId, Reason, Refusal, Tokens, VmId},
+};
+
+/// Schedulers that one request asks at most, besides the own one.
+const MAX_HOMES: u32 = 4;
+/// Time between two messages about the tokens of one request.
+const PROGRESS_GAP: Duration = Duration::from_millis(500);
+
+/// VMs in the order in which they are home to each model of this availability zone.
+pub(crate) type Homes = BTreeMap<ModelId, Vec<VmId>>;
+
+/// What a scheduler answers.
+enum Answer {
+    Grant(EndpointId, SocketAddr),
+    Refuse(Refusal),
+    /// The scheduler is gone or leaving.
+    Lost,
+}
+
+struct Pending {
+    home: VmId,
+    answer: Sender<Answer>,
+}
+
+/// A running request whose slot another VM gave.
+struct Running {
+    ask: Ask,
+    endpoint: EndpointId,
+}
+
+/// Gets slots from other entries. Lock order: `homes`, then `pending`, then `running`; each is released
+/// before messages are sent.
+pub(crate) struct Remote {
+    node: Arc<Node>,
+    scheduler: Arc<Scheduler>,
+    home: Arc<Home>,
+    post: Arc<dyn Post>,
+    clock: SharedClock,
+    homes: RwLock<Homes>,
+    pending: Mutex<HashMap<TicketNo, Pending>>,
+    running: Mutex<HashMap<TicketNo, Running>>,
+    last: AtomicU64,
+}
+
+impl Remote {
+    pub(crate) fn new(
+        node: Arc<Node>,
+        scheduler: Arc<Scheduler>,
+        home: Arc<Home>,
+        post: Arc<dyn Post>,
+        clock: SharedClock,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            node,
+            scheduler,
+            home,
+            post,
+            clock,
+            homes: RwLock::default(),
+            pending: Mutex::default(),
+            running: Mutex::default(),
+            last: AtomicU64::new(0),
+        })
+    }
+
+    /// Takes over the homes of a new version.
+    pub(crate) fn set_homes(&self, homes: Homes) {
+        *self.homes.write() = homes;
+    }
+
+    /// The VM that schedules a model now; this one when no other can be reached.
+    fn home_of(&self, serves: &ModelId) -> VmId {
+        let homes = self.homes.read();
+        let ranked = homes.get(serves).into_iter().flatten();
+        let mut usable = ranked.filter(|vm| self.node.is_usable(vm));
+        usable.next().unwrap_or(self.node.vm()).clone()
+    }
+
+    async fn get(self: &Arc<Self>, ask: Ask) -> Result<Lease, Refusal> {
+        for _ in 0..MAX_HOMES {
+            let home = self.home_of(&ask.serves);
+            if home == *self.node.vm() {
+                return self.scheduler.decide(ask).await;
+            }
+            let (ticket, receiver) = self.register(&home);
+            let withdraw = Withdraw {
+                remote: self.clone(),
+                ticket,
+                home: home.clone(),
+            };
+            self.post
+                .post(&home, LinkMsg::Ask(self.ask_msg(ticket, &ask)));
+            let answer = receiver.recv().await.unwrap_or(Answer::Lost);
+            match answer {
+                Answer::Grant(endpoint, addr) => {
+                    return Ok(self.lease(withdraw, &ask, endpoint, addr));
+                }
+                Answer::Refuse(refusal) if refusal.reason == Reason::Unavailable => {
+                    return self.scheduler.decide(ask).await;
+                }
+                Answer::Refuse(refusal) => return Err(refusal),
+                Answer::Lost => metrics::counter!("celerystage_homes_lost_total").increment(1),
+            }
+        }
+        self.scheduler.decide(ask).await
+    }
+
+    fn register(&self, home: &VmId) -> (TicketNo, Receiver<Answer>) {
+        let ticket = self.last.fetch_add(1, Ordering::Relaxed) + 1;
+        let (answer, receiver) = bounded(1);
+        let pending = Pending {
+            home: home.clone(),
+            answer,
+        };
+        self.pending.lock().insert(ticket, pending);
+        (ticket, receiver)
+    }
+
+    fn ask_msg(&self, ticket: TicketNo, ask: &Ask) -> AskMsg {
+        let now = self.clock.now();
+        AskMsg {
+            ticket,
+            serves: ask.serves.clone(),
+            org: ask.org.clone(),
+            weight: ask.weight,
+            class: ask.class.clone(),
+            tier: ask.tier,
+            waited: now.since(ask.arrived),
+            remaining: ask.deadline.since(now),
+            prompt: ask.prompt,
+            need: ask.need.clone(),
+            resumed: ask.resumed,
+        }
+    }
+
+    fn lease(
+        self: &Arc<Self>,
+        withdraw: Withdraw,
+        ask: &Ask,
+        endpoint: EndpointId,
+        addr: SocketAddr,
+    ) -> Lease {
+        let running = Running {
+            ask: ask.clone(),
+            endpoint: endpoint.clone(),
+        };
+        self.running.lock().insert(withdraw.ticket, running);
+        let flow = Flow {
+            at: self.clock.now(),
+            first: None,
+            tokens: 0,
+            span: Duration::ZERO,
+        };
+        let slot = RemoteSlot {
+            granted: withdraw,
+            serves: ask.serves.clone(),
+            flow: Mutex::new(flow),
+        };
+        Lease::new(endpoint, addr, Box::new(slot))
+    }
+
+    /// Takes in a message from a scheduler.
+    pub(crate) fn take(&self, from: &VmId, msg: LinkMsg) {
+        match msg {
+            LinkMsg::Grant(ticket, endpoint, addr) => self.granted(from, ticket, endpoint, addr),
+            LinkMsg::Refuse(ticket, refusal) => {
+                self.answer(ticket, Answer::Refuse(refusal));
+            }
+            LinkMsg::Moved(ticket) => {
+                self.answer(ticket, Answer::Lost);
+            }
+            LinkMsg::Unknown(tickets) => self.tell(from, &tickets),
+            LinkMsg::Ask(_)
+            | LinkMsg::Cancel(_)
+            | LinkMsg::Progress(_)
+            | LinkMsg::Done(..)
+            | LinkMsg::Held(_)
+            | LinkMsg::Adopt(_) => {}
+        }
+    }
+
+    fn granted(&self, from: &VmId, ticket: TicketNo, endpoint: EndpointId, addr: SocketAddr) {
+        let wanted = self.answer(ticket, Answer::Grant(endpoint, addr));
+        if !wanted && !self.running.lock().contains_key(&ticket) {
+            self.post
+                .post(from, LinkMsg::Done(ticket, Ending::Cancelled));
+        }
+    }
+
+    /// Passes an answer to its request; `false` when none waits for it.
+    fn answer(&self, ticket: TicketNo, answer: Answer) -> bool {
+        let pending = self.pending.lock().remove(&ticket);
+        pending.is_some_and(|p| p.answer.try_send(answer).is_ok())
+    }
+
+    /// Tells a scheduler of running requests that it does not know.
+    fn tell(&self, to: &VmId, tickets: &[TicketNo]) {
+        let running = self.running.lock();
+        let known = tickets.iter().filter_map(|t| Some((*t, running.get(t)?)));
+        let msgs: Vec<LinkMsg> = known.map(|(t, r)| LinkMsg::Adopt(r.adopt_msg(t))).collect();
+        drop(running);
+        for msg in msgs {
+            self.send(to, msg);
+        }
+    }
+
+    /// Sends to another VM, or to this VM's own scheduler.
+    fn send(&self, to: &VmId, msg: LinkMsg) {
+        if to == self.node.vm() {
+            self.home.take(to, msg);
+        } else {
+            self.post.post(to, msg);
+        }
+    }
+
+    /// Lists the running requests to the VMs that schedule their models now, and shows the VMs at which
+    /// requests wait that this one is alive.
+    pub(crate) fn beat(&self) {
+        let mut lists: BTreeMap<VmId, Vec<TicketNo>> = BTreeMap::new();
+        for pending in self.pending.lock().values() {
+            lists.entry(pending.home.clone()).or_default();
+        }
+        let serves: Vec<(TicketNo, ModelId)> = self
+            .running
+            .lock()
+            .iter()
+            .map(|(t, r)| (*t, r.ask.serves.clone()))
+            .collect();
+        for (ticket, serves) in serves {
+            lists.entry(self.home_of(&serves)).or_default().push(ticket);
+        }
+        for (home, tickets) in lists {
+            self.send(&home, LinkMsg::Held(tickets));
+        }
+    }
+
+    /// Sends the requests that wait at a VM elsewhere.
+    fn lose(&self, home: &VmId) {
+        let mut pending = self.pending.lock();
+        let lost: Vec<TicketNo> = pending
+            .iter()
+            .filter(|(_, p)| p.home == *home)
+            .map(|(t, _)| *t)
+            .collect();
+        let lost: Vec<Pending> = lost.iter().filter_map(|t| pending.remove(t)).collect();
+        drop(pending);
+        for p in lost {
+            let _ = p.answer.try_send(Answer::Lost);
+        }
+    }
+}
+
+impl Running {
+    fn adopt_msg(&self, ticket: TicketNo) -> AdoptMsg {
+        AdoptMsg {
+            ticket,
+            serves: self.ask.serves.clone(),
+            endpoint: self.endpoint.clone(),
+            org: self.ask.org.clone(),
+            weight: self.ask.weight,
+            class: self.ask.class.clone(),
+        }
+    }
+}
+
+impl Watch for Remote {
+    fn undelivered(&self, to: &VmId, msgs: &[LinkMsg]) {
+        self.lose(to);
+        self.home.undelivered(to, msgs);
+    }
+
+    fn restarted(&self, vm: &VmId) {
+        self.lose(vm);
+        self.home.forget(vm);
+    }
+}
+
+impl Dispatch for Arc<Remote> {
+    fn acquire(&self, ask: Ask) -> Acquiring<'_> {
+        Box::pin(self.get(ask))
+    }
+}
+
+/// Withdraws an ask whose request is gone, or gives its slot back.
+struct Withdraw {
+    remote: Arc<Remote>,
+    ticket: TicketNo,
+    home: VmId,
+}
+
+impl Drop for Withdraw {
+    fn drop(&mut self) {
+        let waited = self.remote.pending.lock().remove(&self.ticket).is_some();
+        if waited {
+            self.remote
+                .post
+                .post(&self.home, LinkMsg::Cancel(self.ticket));
+        }
+    }
+}
+
+/// Tokens of a request since its last message.
+struct Flow {
+    at: Stamp,
+    first: Option<Duration>,
+    tokens: u64,
+    span: Duration,
+}
+
+struct RemoteSlot {
+    granted: Withdraw,
+    serves: ModelId,
+    flow: Mutex<Flow>,
+}
+
+impl RemoteSlot {
+    fn flush(&self, flow: &mut Flow) {
+        if flow.tokens == 0 && flow.first.is_none() {
+            return;
+        }
+        let msg = ProgressMsg {
+            ticket: self.granted.ticket,
+            first: flow.first.take(),
+            tokens: Tokens(std::mem::take(&mut flow.tokens)),
+            span: std::mem::take(&mut flow.span),
+        };
+        flow.at = self.granted.remote.clock.now();
+        self.send(LinkMsg::Progress(msg));
+    }
+
+    /// Sends to the VM that schedules the model now, and to the one that gave the slot.
+    fn send(&self, msg: LinkMsg) {
+        let remote = &self.granted.remote;
+        let home = remote.home_of(&self.serves);
+        if home != self.granted.home {
+            remote.send(&self.granted.home, msg.clone());
+        }
+        remote.send(&home, msg);
+    }
+}
+
+impl Slot for RemoteSlot {
+    fn first_token(&self, after: Duration) {
+        self.flow.lock().first = Some(after);
+    }
+
+    fn progress(&self, tokens: Tokens, span: Duration) {
+        let now = self.granted.remote.clock.now();
+        let mut flow = self.flow.lock();
+        flow.tokens += tokens.0;
+        flow.span += span;
+        if now.since(flow.at) >= PROGRESS_GAP {
+            self.flush(&mut flow);
+        }
+    }
+
+    fn done(&self, ending: Ending) {
+        self.flush(&mut self.flow.lock());
+        let ticket = self.granted.ticket;
+        self.granted.remote.running.lock().remove(&ticket);
+        self.send(LinkMsg::Done(ticket, ending));
+    }
+}
--- a/crates/entry/src/version/view.rs
+++ b/crates/entry/src/version/view.rs
@@ -1,11 +1,12 @@
 //! The shared state as requests see it: one immutable view for each change.
 
 use {
+    crate::sched::Homes,
     conf::{Config, Item},
-    mesh::Store,
-    platform::{Endpoint, EndpointState},
+    mesh::{Store, rank_homes},
+    platform::{Endpoint, EndpointState, VmState},
     std::{collections::BTreeMap, sync::Arc},
-    types::{ModelId, ZoneId},
+    types::{ModelId, VmId, ZoneId},
 };
 
 /// One version of the shared state.
@@ -15,6 +16,8 @@
     pub(crate) config: Arc<Config>,
     /// Endpoints of this availability zone that take work, by what they serve.
     pub(crate) local: BTreeMap<ModelId, Vec<Endpoint>>,
+    /// VMs of this availability zone in the order in which they schedule what is served here.
+    pub(crate) homes: Homes,
 }
 
 impl View {
@@ -31,9 +34,11 @@
                 .or_default()
                 .push(endpoint.clone());
         }
+        let homes = homes(store, zone, local.keys());
         Self {
             config: store.config().clone(),
             local,
+            homes,
         }
     }
 
@@ -49,3 +54,12 @@
         by_model.or_else(by_route).unwrap_or(1)
     }
 }
+
+/// Ranks the live VMs of `zone` for each of `serves`.
+fn homes<'a>(store: &Store, zone: &ZoneId, serves: impl Iterator<Item = &'a ModelId>) -> Homes {
+    let all = store.vms().vms.iter();
+    let live = all.filter(|v| v.zone == *zone && v.state == VmState::Live);
+    let vms: Vec<VmId> = live.map(|v| v.vm.clone()).collect();
+    let rank = |s: &ModelId| rank_homes(&format!("{zone}/{s}"), vms.iter().cloned());
+    serves.map(|s| (s.clone(), rank(s))).collect()
+}
--- /dev/null
+++ b/crates/entry/tests/common/mod.rs
@@ -0,0 +1,85 @@
+//! One availability zone with four VMs under load, for tests of failing entries.
+
+use {
+    async_executor::Executor,
+    async_io::block_on,
+    clock::SystemClock,
+    eyre::Result,
+    harness::{Cluster, Shape, ZoneShape, demo_config},
+    load::{Driver, Flow, Lengths, Outcome, Plan, Sample, Work},
+    std::{net::SocketAddr, sync::Arc, thread},
+};
+
+pub(crate) const MODEL: &str = "surveyor-llm";
+
+/// One availability zone; `vms` entries share `engines` engines.
+pub(crate) fn start(vms: usize, engines: usize) -> Result<Cluster> {
+    let zone = ZoneShape {
+        zone: "ernakulam".parse()?,
+        vms,
+        engines,
+        cheap: 0,
+        services: 1,
+    };
+    Cluster::start(Shape {
+        zones: vec![zone],
+        model: MODEL.parse()?,
+        service: "permit-desk".parse()?,
+        items: demo_config()?,
+        engine: Vec::new(),
+        entry: String::new(),
+        steward: String::new(),
+    })
+}
+
+/// Streams of about half a second for one organisation.
+pub(crate) fn streams(entries: Vec<SocketAddr>, rate: f64, seconds: f64) -> Result<Plan> {
+    let lengths = Lengths {
+        median: 50.0,
+        spread: 0.3,
+        longest: 100,
+    };
+    let work = Work::Chat {
+        model: MODEL.parse()?,
+        lengths,
+        prompt: 200,
+        prefixes: 2,
+    };
+    let flow = Flow {
+        org: "rice-mill".parse()?,
+        key: "ck-demo-rice-mill".into(),
+        class: "batch".parse()?,
+        first_ms: 10_000,
+        between_ms: 100,
+        rate,
+        from_s: 0.0,
+        until_s: None,
+        work,
+    };
+    Ok(Plan {
+        entries,
+        seconds,
+        seed: 11,
+        flows: vec![flow],
+    })
+}
+
+/// Runs a load while `fault` runs beside it.
+pub(crate) fn run_with(plan: &Plan, fault: impl FnOnce() -> Result<()>) -> Result<Vec<Sample>> {
+    let ex = Arc::new(Executor::new());
+    let driver = Driver::new(SystemClock::shared(), ex.clone());
+    thread::scope(|scope| {
+        let load = scope.spawn(|| block_on(ex.run(driver.run(plan))));
+        fault()?;
+        load.join().map_err(|_| eyre::eyre!("the load failed"))
+    })
+}
+
+/// Outcomes that are not whole answers.
+pub(crate) fn not_whole(samples: &[Sample]) -> Vec<&Outcome> {
+    samples
+        .iter()
+        .map(|s| &s.outcome)
+        .filter(|o| **o != Outcome::Whole)
+        .collect()
+}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -1,12 +1,21 @@
 //! What the VMs of the system share: configuration, endpoint and VM lists, withdrawn keys; and how it
 //! spreads between them.
 
+mod link;
+mod members;
 mod node;
+mod rank;
 mod store;
 mod sync;
 
 pub use {
+    link::{
+        AdoptMsg, AskMsg, Headroom, LINK_PATH, LinkAnswer, LinkBatch, LinkMsg, Packed, ProgressMsg,
+        TicketNo,
+    },
+    members::{Heard, Members},
     node::{AUTH_HEADER, Authenticator, Node, PeerList},
+    rank::rank_homes,
     store::{Changed, ConfigRecord, Delta, Store, Summary},
     sync::{SYNC_PATH, SyncAnswer, SyncRequest},
 };
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -1,13 +1,25 @@
 //! The process's side of the exchange: the shared store, its peers, and the tasks that keep them even.
 
 use {
-    super::{Changed, SYNC_PATH, Store, SyncAnswer, SyncRequest},
+    super::{
+        Changed, Heard, LINK_PATH, LinkAnswer, LinkBatch, LinkMsg, Members, Packed, SYNC_PATH,
+        Store, SyncAnswer, SyncRequest,
+    },
     clock::SharedClock,
     compact_str::CompactString,
     event_listener::Event,
     http_types::{Method, Request, headers::HeaderName},
     parking_lot::{Mutex, MutexGuard},
-    std::{collections::BTreeMap, net::SocketAddr, str::FromStr, sync::Arc, time::Duration},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        str::FromStr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     subtle::ConstantTimeEq,
     types::{Bytes, Incarnation, VmId},
     wire::{Call, CallLimits, Client, from_rmp, to_rmp},
@@ -22,6 +34,13 @@
     gap: Duration::from_secs(1),
 };
 
+/// Limits of a message batch: a VM that takes longer is suspected.
+const LINK_LIMITS: CallLimits = CallLimits {
+    connect: Duration::from_millis(300),
+    head: Duration::from_millis(400),
+    gap: Duration::from_millis(400),
+};
+
 /// Checks and adds the shared secret. Two secrets are valid at once, so that they can be rotated.
 #[derive(Debug, Clone)]
 pub struct Authenticator {
@@ -56,7 +75,7 @@
 
 /// One process's part in the exchange.
 ///
-/// Lock order: `store` before `lacks`; neither is held across an await.
+/// Lock order: `store`, then `lacks`, then `members`; none is held across an await.
 pub struct Node {
     vm: VmId,
     incarnation: Incarnation,
@@ -66,6 +85,8 @@
     store: Mutex<Store>,
     /// What each peer had when it last answered.
     lacks: Mutex<BTreeMap<SocketAddr, super::Summary>>,
+    members: Mutex<Members>,
+    leaving: AtomicBool,
     changed: Event,
 }
 
@@ -86,6 +107,8 @@
             clock,
             store: Mutex::default(),
             lacks: Mutex::default(),
+            members: Mutex::default(),
+            leaving: AtomicBool::new(false),
             changed: Event::new(),
         })
     }
@@ -125,6 +148,30 @@
         &self.changed
     }
 
+    /// Marks this VM as stopping; other VMs learn it with the next answer.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether this VM is stopping.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Whether a VM can be given work.
+    pub fn is_usable(&self, vm: &VmId) -> bool {
+        if *vm == self.vm {
+            return !self.is_leaving();
+        }
+        self.members.lock().is_usable(self.clock.now(), vm)
+    }
+
+    /// Address of a listed VM.
+    pub fn addr_of(&self, vm: &VmId) -> Option<SocketAddr> {
+        let store = self.store.lock();
+        store.vms().vms.iter().find(|v| v.vm == *vm).map(|v| v.addr)
+    }
+
     /// Takes in new state and wakes whoever waits for changes.
     pub fn apply(&self, delta: super::Delta) -> Changed {
         let changed = self.store.lock().apply(delta);
@@ -152,6 +199,71 @@
         to_rmp(&self.answer(request)).ok()
     }
 
+    /// Sends messages to a VM; tells whether its process was started anew since the last contact.
+    pub async fn send_batch(&self, to: &VmId, msgs: &[LinkMsg]) -> Option<Heard> {
+        let sent = self.try_batch(to, msgs).await;
+        let mut members = self.members.lock();
+        match sent {
+            Some(answer) => Some(members.answered(to, answer.incarnation, answer.leaving)),
+            None => {
+                if members.failed(self.clock.now(), to) {
+                    log::warn!(vm:% = to; "VM suspected");
+                }
+                None
+            }
+        }
+    }
+
+    async fn try_batch(&self, to: &VmId, msgs: &[LinkMsg]) -> Option<LinkAnswer> {
+        let addr = self.addr_of(to)?;
+        let packed = msgs
+            .iter()
+            .filter_map(|m| to_rmp(m).ok().map(Packed))
+            .collect();
+        let batch = LinkBatch {
+            from: self.vm.clone(),
+            incarnation: self.incarnation,
+            msgs: packed,
+        };
+        let mut call = Call::new(addr, Method::Post, LINK_PATH)
+            .body(to_rmp(&batch).ok()?)
+            .limits(LINK_LIMITS);
+        self.auth.sign(&mut call.request);
+        let mut reply = self.client.send(call).await.ok()?;
+        if reply.status() != 200 {
+            return None;
+        }
+        let answer: LinkAnswer = reply.rmp(MAX_MESSAGE).await.ok()?;
+        (answer.from == *to).then_some(answer)
+    }
+
+    /// Takes in a batch: the messages that are understood, or `None` when it comes from an earlier
+    /// start of the sender's process.
+    pub fn open_batch(&self, batch: &LinkBatch) -> Option<Vec<LinkMsg>> {
+        let heard = self.members.lock().heard(&batch.from, batch.incarnation);
+        if heard == Heard::Stale {
+            return None;
+        }
+        Some(
+            batch
+                .msgs
+                .iter()
+                .filter_map(|m| from_rmp(&m.0).ok())
+                .collect(),
+        )
+    }
+
+    /// The answer to a batch of which `skipped` messages were not understood.
+    pub fn link_answer(&self, skipped: usize) -> LinkAnswer {
+        let note = (skipped > 0).then(|| format!("{skipped} messages not understood").into());
+        LinkAnswer {
+            from: self.vm.clone(),
+            incarnation: self.incarnation,
+            leaving: self.is_leaving(),
+            skipped: note,
+        }
+    }
+
     /// Exchanges with one peer; the answer's state has been taken in.
     pub async fn exchange(&self, peer: SocketAddr) -> Option<SyncAnswer> {
         let request = self.request(peer);
--- /dev/null
+++ b/crates/mesh/src/rank.rs
@@ -0,0 +1,18 @@
+//! Rendezvous hashing: the order in which VMs are home to a key.
+
+use types::{KeyDigest, VmId};
+
+/// Orders VMs by their weight for `key`, highest first. Each VM ranks alike wherever it is computed,
+/// and a VM that comes or goes moves only its own keys.
+pub fn rank_homes(key: &str, vms: impl Iterator<Item = VmId>) -> Vec<VmId> {
+    let mut weighed: Vec<(u64, VmId)> = vms.map(|vm| (weight(key, &vm), vm)).collect();
+    weighed.sort_by(|a, b| b.cmp(a));
+    weighed.into_iter().map(|(_, vm)| vm).collect()
+}
+
+fn weight(key: &str, vm: &VmId) -> u64 {
+    let digest = KeyDigest::of_key(format!("{key}\n{vm}").as_bytes());
+    let mut word = [0; 8];
+    word.copy_from_slice(&digest.bytes()[..8]);
+    u64::from_le_bytes(word)
+}
