Leases on the platform's log: records, fold, contender, driver

Cause: endpoint orders and usage windows need one process in charge for each role and zone. Change: coord::Keeper drives coord::Contender (pure) over platform::Log; coord::Tenure checks the clock at each call. A record names the record that it follows on from, so that repeats and late claims are void; after loss of old records the fold keeps every state that is possible. Conclusion: users of a lease can build on Keeper::tenure.

--- a/crates/coord/src/follower.rs
+++ b/crates/coord/src/follower.rs
@@ -28,6 +28,7 @@
     stream: Stream,
     next: u64,
     pause: Duration,
+    max_pause: Duration,
 }
 
 impl Follower {
@@ -39,9 +40,16 @@
             stream,
             next,
             pause: FIRST_PAUSE,
+            max_pause: MAX_PAUSE,
         }
     }
 
+    /// Sets the longest pause after a failed read.
+    pub fn pause_at_most(mut self, pause: Duration) -> Self {
+        self.max_pause = pause;
+        self
+    }
+
     /// Offset of the record to be read next.
     pub fn next_offset(&self) -> u64 {
         self.next
@@ -63,7 +71,7 @@
             Err(e) => {
                 let jitter = 0.5 + fastrand::f64();
                 self.clock.sleep(self.pause.mul_f64(jitter)).await;
-                self.pause = (self.pause * 2).min(MAX_PAUSE);
+                self.pause = (self.pause * 2).min(self.max_pause);
                 Err(e)
             }
         }
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -1,10 +1,15 @@
 //! Coordination through the platform's append-only log, for celerystage's daemons and for others to
-//! embed.
+//! embed: following a stream, leases with fencing numbers.
 
 mod follower;
+mod lease;
 mod tenure;
 
 pub use {
     follower::{Batch, Follower},
+    lease::{
+        Base, Contender, Decision, Holder, Keeper, LeaseId, LeaseMark, LeaseRecord, LeaseState,
+        LeaseStep, LeaseTable, LeaseTimes,
+    },
     tenure::Tenure,
 };
