--- /dev/null
+++ b/crates/fleet/src/ledger/fold.rs
@@ -0,0 +1,88 @@
+//! Orders that were intended and have no result yet.
+
+use {
+    super::OrderRecord,
+    platform::{Order, OrderId},
+    std::collections::{BTreeMap, VecDeque},
+    types::{Epoch, ZoneId},
+};
+
+/// Ended orders that are remembered to drop repeats of their intents.
+const KEPT_ENDED: usize = 4_096;
+
+/// An intended order without a result.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OpenOrder {
+    /// The order.
+    pub order: Order,
+    /// When the platform's log took the intent, in milliseconds since the Unix epoch.
+    pub since: u64,
+}
+
+/// The folded order stream of all availability zones.
+#[derive(Debug, Clone, Default)]
+pub struct Ledger {
+    open: BTreeMap<OrderId, OpenOrder>,
+    ended: VecDeque<OrderId>,
+    epochs: BTreeMap<ZoneId, Epoch>,
+}
+
+impl Ledger {
+    /// Folds a record; text that is not an order record is left out.
+    pub fn fold(&mut self, at_ms: u64, data: &str) {
+        match serde_json::from_str(data) {
+            Ok(OrderRecord::Takeover { zone, epoch, .. }) => {
+                let last = self.epochs.entry(zone).or_default();
+                *last = epoch.max(*last);
+            }
+            Ok(OrderRecord::Intent(order)) => self.intend(order, at_ms),
+            Ok(OrderRecord::Result { id, .. }) => self.end(id),
+            Err(_) => {}
+        }
+    }
+
+    /// An intent that landed after a newer holder took over is void: its sender's lease had lapsed
+    /// before it could send the order.
+    fn intend(&mut self, order: Order, at_ms: u64) {
+        let current = self.epochs.get(&order.zone);
+        let void = current.is_some_and(|epoch| order.epoch < *epoch);
+        if void || self.ended.contains(&order.id) {
+            return;
+        }
+        let open = OpenOrder {
+            order,
+            since: at_ms,
+        };
+        self.open.entry(open.order.id).or_insert(open);
+    }
+
+    fn end(&mut self, id: OrderId) {
+        if self.open.remove(&id).is_none() {
+            return;
+        }
+        self.ended.push_back(id);
+        if self.ended.len() > KEPT_ENDED {
+            self.ended.pop_front();
+        }
+    }
+
+    /// Fencing number of the last holder that took over the zone.
+    pub fn epoch(&self, zone: &ZoneId) -> Option<Epoch> {
+        self.epochs.get(zone).copied()
+    }
+
+    /// Orders without a result.
+    pub fn open(&self) -> impl Iterator<Item = &OpenOrder> {
+        self.open.values()
+    }
+
+    /// Whether the intent of an order was read, and its result was not.
+    pub fn is_open(&self, id: OrderId) -> bool {
+        self.open.contains_key(&id)
+    }
+
+    /// Whether the result of an order was read.
+    pub fn is_ended(&self, id: OrderId) -> bool {
+        self.ended.contains(&id)
+    }
+}
