Demand at an entry, for whoever sizes the zone

Cause: the steward that orders endpoints needs the demand of its zone's entries. Change: POST /mesh/demand on the entry's mesh address answers waiting and held requests by model or service; Scheduler::demand, Group::held.

--- a/crates/entry/src/process/links.rs
+++ b/crates/entry/src/process/links.rs
@@ -2,12 +2,13 @@
 
 use {
     super::App,
+    crate::sched::Scheduler,
     clock::SharedClock,
     http_types::{Request, Response, StatusCode},
-    mesh::{Node, SYNC_PATH},
+    mesh::{DEMAND_PATH, Node, SYNC_PATH},
     std::{sync::Arc, time::Duration},
     types::Bytes,
-    wire::{Handled, Handler, read_body},
+    wire::{Handled, Handler, read_body, to_rmp},
 };
 
 const MAX_MESSAGE: Bytes = Bytes(16 * 1024 * 1024);
@@ -16,6 +17,7 @@
 /// Handles messages from the system's other processes.
 pub(super) struct MeshHandler {
     node: Arc<Node>,
+    scheduler: Arc<Scheduler>,
     clock: SharedClock,
 }
 
@@ -23,6 +25,7 @@
     pub(super) fn new(app: &App) -> Self {
         Self {
             node: app.node.clone(),
+            scheduler: app.scheduler.clone(),
             clock: app.clock.clone(),
         }
     }
@@ -38,6 +41,7 @@
         };
         let answer = match path.as_str() {
             SYNC_PATH => self.node.answer_bytes(&bytes),
+            DEMAND_PATH => to_rmp(&self.scheduler.demand()).ok(),
             _ => return Response::new(StatusCode::NotFound),
         };
         let Some(answer) = answer else {
--- a/crates/entry/src/sched/group.rs
+++ b/crates/entry/src/sched/group.rs
@@ -164,6 +164,12 @@
         }
     }
 
+    /// Requests that hold a slot.
+    pub(super) fn held(&self) -> u32 {
+        let picker = &self.inner.lock().picker;
+        picker.slots().saturating_sub(picker.free(self.clock.now()))
+    }
+
     /// Requests that wait.
     pub(super) fn waiting(&self) -> usize {
         self.inner.lock().queue.len()
--- a/crates/entry/src/sched/local.rs
+++ b/crates/entry/src/sched/local.rs
@@ -7,6 +7,7 @@
     async_channel::bounded,
     clock::SharedClock,
     conf::{Class, Item},
+    mesh::{DemandAnswer, DemandLine},
     parking_lot::Mutex,
     platform::Endpoint,
     route::Target,
@@ -60,6 +61,19 @@
         }
     }
 
+    /// Requests that wait and requests that hold a slot, by what they are for.
+    pub(crate) fn demand(&self) -> DemandAnswer {
+        let groups = self.groups.lock();
+        let line = |(serves, group): (&ModelId, &Arc<Group>)| DemandLine {
+            serves: serves.clone(),
+            waiting: u32::try_from(group.waiting()).unwrap_or(u32::MAX),
+            held: group.held(),
+        };
+        DemandAnswer {
+            lines: groups.iter().map(line).collect(),
+        }
+    }
+
     /// Requests that wait, by what they wait for.
     pub(crate) fn waiting(&self) -> Vec<(ModelId, usize)> {
         self.groups
