--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod follower;
 mod lease;
+mod newest;
 mod tenure;
 
 pub use {
@@ -11,5 +12,6 @@
         Base, Contender, Decision, Holder, Keeper, LeaseId, LeaseMark, LeaseRecord, LeaseState,
         LeaseStep, LeaseTable, LeaseTimes,
     },
+    newest::newest_records,
     tenure::Tenure,
 };
--- /dev/null
+++ b/crates/steward/src/orders/mod.rs
@@ -0,0 +1,7 @@
+//! Orders endpoints for this VM's availability zone while its lease is held.
+
+mod demand;
+mod desk;
+mod govern;
+
+pub(crate) use desk::Orders;
--- a/crates/steward/src/process/app.rs
+++ b/crates/steward/src/process/app.rs
@@ -1,11 +1,18 @@
 //! The process: follows the platform and keeps its VM's entry in date.
 
 use {
-    super::StewardSettings,
+    super::{
+        StewardSettings,
+        lease::{contended, orders_lease, snapshots_lease},
+    },
+    crate::{
+        orders::Orders,
+        snapshot::{Snapshots, newest_snapshot},
+    },
     clock::SharedClock,
-    coord::{Batch, Follower},
+    coord::{Batch, Follower, Holder, Keeper},
     daemon::Process,
-    eyre::Result,
+    eyre::{Result, eyre},
     futures_lite::FutureExt,
     mesh::{Authenticator, ConfigRecord, Delta, Node},
     platform::{Directory, HttpPlatform, Stream},
@@ -43,6 +50,7 @@
     async fn follow_config(self: Arc<Self>) {
         let log = self.platform.clone();
         let mut follower = Follower::new(log, self.clock.clone(), Stream::Config, 0);
+        self.heal().await;
         loop {
             follower.seek(self.node.store().config().version().0);
             match follower.batch().await {
@@ -59,13 +67,78 @@
                 }
                 Ok(Batch::Lost(first)) => {
                     log::warn!(first = first; "configuration records lost to retention");
-                    self.clock.sleep(self.settings.poll()).await;
+                    if !self.heal().await {
+                        self.clock.sleep(self.settings.poll()).await;
+                    }
                 }
                 Err(e) => log::warn!(error:% = e; "cannot read the configuration stream"),
             }
         }
     }
 
+    /// Takes the newest snapshot, if it is newer than what is known.
+    async fn heal(&self) -> bool {
+        match newest_snapshot(&*self.platform).await {
+            Ok(Some(config)) => {
+                let version = config.version().0;
+                let delta = Delta {
+                    config: Some(config),
+                    ..Delta::default()
+                };
+                let newer = self.node.apply(delta).config;
+                if newer {
+                    log::info!(version = version; "configuration taken from a snapshot");
+                }
+                newer
+            }
+            Ok(None) => false,
+            Err(e) => {
+                log::warn!(error:% = e; "cannot read snapshots");
+                false
+            }
+        }
+    }
+
+    /// The process that contends for this steward's leases.
+    fn keeper(&self) -> Keeper {
+        let holder = Holder {
+            vm: self.settings.vm.clone(),
+            incarnation: self.node.incarnation(),
+        };
+        let times = self.settings.leases.times();
+        let leases = contended(&self.settings);
+        Keeper::new(
+            self.platform.clone(),
+            self.clock.clone(),
+            &holder,
+            times,
+            leases,
+        )
+    }
+
+    /// What acts under leases.
+    fn guarded(&self, process: &Process, keeper: &Keeper) -> Result<(Arc<Orders>, Snapshots)> {
+        let tenure = |lease| {
+            let tenure = keeper.tenure(&lease);
+            tenure.ok_or_else(|| eyre!("no contender for the lease {lease}"))
+        };
+        let orders = Orders::new(
+            self.settings.clone(),
+            self.node.clone(),
+            tenure(orders_lease(&self.settings.zone))?,
+            self.platform.clone(),
+            process.stop.clone(),
+        );
+        let snapshots = Snapshots::new(
+            self.node.clone(),
+            self.platform.clone(),
+            tenure(snapshots_lease())?,
+            self.settings.snapshot(),
+            process.stop.clone(),
+        );
+        Ok((orders, snapshots))
+    }
+
     /// Takes the platform's lists.
     async fn poll_lists(self: Arc<Self>) {
         loop {
@@ -90,16 +163,30 @@
     }
 }
 
-/// Runs the steward daemon until it is told to stop.
+/// Runs the steward daemon until it is told to stop. Writes under leases end before the leases are
+/// released, and these before the process.
 pub async fn run_steward(process: Process, settings: StewardSettings) -> Result<()> {
     let steward = Steward::new(&process, settings);
+    let keeper = Arc::new(steward.keeper());
+    let (orders, snapshots) = steward.guarded(&process, &keeper)?;
+    let running = keeper.clone();
     let tasks = [
+        process.ex.spawn(async move { running.run().await }),
         process.ex.spawn(steward.clone().follow_config()),
         process.ex.spawn(steward.clone().poll_lists()),
         process.ex.spawn(steward.clone().exchange()),
+        process.ex.spawn(orders.clone().follow()),
+    ];
+    let guarded = [
+        process.ex.spawn(orders.govern()),
+        process.ex.spawn(snapshots.run()),
     ];
     process.ready.set(true);
     process.stop.wait().await;
+    for task in guarded {
+        task.await;
+    }
+    keeper.release().await;
     drop(tasks);
     Ok(())
 }
--- /dev/null
+++ b/crates/steward/src/process/lease.rs
@@ -0,0 +1,23 @@
+//! Leases that a steward contends for.
+
+use {super::StewardSettings, coord::LeaseId, types::ZoneId};
+
+/// Role of the process that orders endpoints for a zone.
+const ORDERS_ROLE: &str = "orders";
+/// Role of the process that writes snapshots of the configuration.
+const SNAPSHOTS_ROLE: &str = "snapshots";
+
+/// The lease to order endpoints for `zone`.
+pub(crate) fn orders_lease(zone: &ZoneId) -> LeaseId {
+    LeaseId::zonal(ORDERS_ROLE, zone.clone())
+}
+
+/// The lease to write snapshots of the configuration.
+pub(crate) fn snapshots_lease() -> LeaseId {
+    LeaseId::global(SNAPSHOTS_ROLE)
+}
+
+/// All leases that a steward with these settings contends for.
+pub(crate) fn contended(settings: &StewardSettings) -> Vec<LeaseId> {
+    vec![orders_lease(&settings.zone), snapshots_lease()]
+}
--- a/crates/steward/src/process/mod.rs
+++ b/crates/steward/src/process/mod.rs
@@ -1,6 +1,12 @@
 //! What lives for the process: settings and tasks.
 
 mod app;
+mod lease;
+mod rules;
 mod settings;
 
-pub use {app::run_steward, settings::StewardSettings};
+pub use {
+    app::run_steward,
+    rules::{FleetSettings, LeaseSettings},
+    settings::StewardSettings,
+};
--- a/crates/steward/src/process/settings.rs
+++ b/crates/steward/src/process/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the steward daemon.
 
 use {
+    super::{FleetSettings, LeaseSettings},
     compact_str::CompactString,
     conf::Check,
     daemon::{ProcessSettings, Settings},
@@ -17,6 +18,10 @@
     500
 }
 
+fn default_snapshot_ms() -> u64 {
+    300_000
+}
+
 /// Settings of the steward daemon.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -39,6 +44,15 @@
     /// Time between looks at the platform's lists, in milliseconds.
     #[serde(default = "default_poll_ms")]
     pub poll_ms: u64,
+    /// Times of leases.
+    #[serde(default)]
+    pub leases: LeaseSettings,
+    /// Rules of endpoint orders.
+    #[serde(default)]
+    pub fleet: FleetSettings,
+    /// Longest time between two snapshots of the configuration, in milliseconds.
+    #[serde(default = "default_snapshot_ms")]
+    pub snapshot_ms: u64,
 }
 
 impl StewardSettings {
@@ -47,6 +61,11 @@
         Duration::from_millis(self.exchange_ms)
     }
 
+    /// Longest time between two snapshots of the configuration.
+    pub fn snapshot(&self) -> Duration {
+        Duration::from_millis(self.snapshot_ms)
+    }
+
     /// Time between looks at the platform's lists.
     pub fn poll(&self) -> Duration {
         Duration::from_millis(self.poll_ms)
@@ -56,12 +75,17 @@
 impl Check for StewardSettings {
     fn check(&self) -> Result<(), CompactString> {
         self.process.check()?;
+        self.leases.check()?;
+        self.fleet.check()?;
         if self.secrets.is_empty() || self.secrets.iter().any(|s| s.len() < 16) {
             return Err("secrets: accepted is one or more, each of 16 characters or more".into());
         }
         if !(50..=60_000).contains(&self.exchange_ms) || !(50..=60_000).contains(&self.poll_ms) {
             return Err("exchange_ms, poll_ms: accepted is 50 to 60000".into());
         }
+        if !(1_000..=86_400_000).contains(&self.snapshot_ms) {
+            return Err("snapshot_ms: accepted is 1000 to 86400000".into());
+        }
         Ok(())
     }
 }
--- /dev/null
+++ b/crates/steward/src/snapshot/writer.rs
@@ -0,0 +1,85 @@
+//! Writes snapshots while the lease for them is held.
+
+use {
+    super::record::Snapshot,
+    clock::{SharedClock, Stamp},
+    conf::Config,
+    coord::Tenure,
+    futures_lite::FutureExt,
+    mesh::Node,
+    platform::{Log, Stream},
+    std::{sync::Arc, time::Duration},
+    types::Version,
+    wire::Stop,
+};
+
+/// Versions after which a snapshot is written without waiting for its time.
+const VERSIONS: u64 = 64;
+/// Time between looks at the version.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// Writes snapshots of the configuration.
+pub(crate) struct Snapshots {
+    node: Arc<Node>,
+    clock: SharedClock,
+    log: Arc<dyn Log>,
+    tenure: Arc<dyn Tenure>,
+    /// Longest time between snapshots; must be well under the log's retention.
+    interval: Duration,
+    stop: Stop,
+}
+
+impl Snapshots {
+    pub(crate) fn new(
+        node: Arc<Node>,
+        log: Arc<dyn Log>,
+        tenure: Arc<dyn Tenure>,
+        interval: Duration,
+        stop: Stop,
+    ) -> Self {
+        let clock = node.clock().clone();
+        Self {
+            node,
+            clock,
+            log,
+            tenure,
+            interval,
+            stop,
+        }
+    }
+
+    /// Writes snapshots until the process stops. When it returns, no write is on its way.
+    pub(crate) async fn run(self) {
+        let mut last: Option<(Version, Stamp)> = None;
+        while !self.stop.is_set() {
+            let config = self.node.store().config().clone();
+            if self.tenure.epoch().is_none() {
+                last = None;
+            } else if self.is_due(&config, last) && self.write(&config).await {
+                last = Some((config.version(), self.clock.now()));
+            }
+            self.clock.sleep(LOOK).or(self.stop.wait()).await;
+        }
+    }
+
+    fn is_due(&self, config: &Config, last: Option<(Version, Stamp)>) -> bool {
+        let Some((version, at)) = last else {
+            return config.version() > Version(0);
+        };
+        config.version().0 >= version.0 + VERSIONS || self.clock.now().since(at) >= self.interval
+    }
+
+    async fn write(&self, config: &Config) -> bool {
+        let Ok(data) = serde_json::to_string(&Snapshot::of(config)) else {
+            return false;
+        };
+        if self.tenure.epoch().is_none() {
+            return false;
+        }
+        let appended = self.log.append(Stream::Snapshots, &data).await;
+        if let Err(e) = &appended {
+            log::warn!(error:% = e; "cannot write a snapshot");
+        }
+        appended.is_ok()
+    }
+}
