--- a/crates/entry/src/process/links.rs
+++ b/crates/entry/src/process/links.rs
@@ -4,7 +4,7 @@
     super::App,
     clock::SharedClock,
     http_types::{Request, Response, StatusCode},
-    mesh::{LINK_PATH, LinkBatch, Node, SYNC_PATH},
+    mesh::{DEMAND_PATH, LINK_PATH, LinkBatch, Node, SYNC_PATH},
     std::{sync::Arc, time::Duration},
     types::Bytes,
     wire::{Handled, Handler, from_rmp, read_body, to_rmp},
@@ -41,6 +41,7 @@
         let answer = match path.as_str() {
             SYNC_PATH => self.node.answer_bytes(&bytes),
             LINK_PATH => self.link(&bytes),
+            DEMAND_PATH => to_rmp(&self.app.scheduler.demand()).ok(),
             _ => return Response::new(StatusCode::NotFound),
         };
         let Some(answer) = answer else {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the VMs of the system share: configuration, endpoint and VM lists, withdrawn keys; and how it
 //! spreads between them.
 
+mod demand;
 mod link;
 mod members;
 mod node;
@@ -9,6 +10,7 @@
 mod sync;
 
 pub use {
+    demand::{DEMAND_PATH, DemandAnswer, DemandLine},
     link::{
         AdoptMsg, AskMsg, Headroom, LINK_PATH, LinkAnswer, LinkBatch, LinkMsg, Packed, ProgressMsg,
         TicketNo,
