Withdrawals without the log, spill-over between zones, moves off evicted endpoints

Cause: a key could be withdrawn only through the log; a zone without free slots refused while another had room; streams on cheap endpoints ran into their eviction; a restarted entry took the first version it met.

Change: an operator hands a withdrawal to any entry, it spreads by exchange (at once with two peers after a change) and stewards put it on the log later; `honour_s` bounds how long keys are honoured without word from the platform; free slots ride on answers and requests spill to the roomiest zone; streams leave cheap endpoints that are leaving; a pause of 50 tokens, at least 3 s, counts as a failed engine; a new process hears three peers before it is ready.

The two version tests also pass without the hearing of peers, since the steward of a restarted entry is in date there: they show that versions do not go back, not that this part is needed.

--- a/crates/ctl/src/command/key.rs
+++ b/crates/ctl/src/command/key.rs
@@ -5,7 +5,7 @@
     conf::{Item, Key},
     eyre::{Result, bail, eyre},
     pico_args::Arguments,
-    std::{fs::File, io::Read},
+    std::{fs::File, io::Read, net::SocketAddr, path::PathBuf},
     types::{ClassId, KeyDigest, OrgId},
 };
 
@@ -46,11 +46,17 @@
 async fn withdraw(session: &Session, mut args: Arguments) -> Result<ExitReason> {
     let key: Option<String> = args.opt_value_from_str("--key")?;
     let digest: Option<KeyDigest> = args.opt_value_from_str("--digest")?;
+    let entry: Option<SocketAddr> = args.opt_value_from_str("--entry")?;
+    let secret: Option<PathBuf> = args.opt_value_from_str("--secret-file")?;
     finish(args)?;
     let digest = key
         .map(|k| KeyDigest::of_key(k.as_bytes()))
         .or(digest)
         .ok_or_else(|| eyre!("--key KEY or --digest DIGEST is missing"))?;
+    if let Some(entry) = entry {
+        let file = secret.ok_or_else(|| eyre!("--entry needs --secret-file FILE"))?;
+        return session.revoke(entry, &file, digest).await;
+    }
     let config = session.config().await?;
     let known = config.key(&digest).cloned();
     let known = known.ok_or_else(|| eyre!("no such key: {digest}"))?;
--- a/crates/ctl/src/command/session.rs
+++ b/crates/ctl/src/command/session.rs
@@ -4,12 +4,14 @@
     super::ExitReason,
     clock::{SharedClock, SystemClock},
     conf::{Change, Config, Item, ItemKey, Op, Outcome},
-    eyre::{Result, WrapErr, eyre},
+    eyre::{Result, WrapErr, bail, eyre},
+    http_types::Method,
+    mesh::{Authenticator, REVOKE_PATH, RevokeRequest},
     pico_args::Arguments,
     platform::{HttpPlatform, Log, Stream},
-    std::{net::SocketAddr, time::Duration},
-    types::{OperatorId, RequestId},
-    wire::Client,
+    std::{fs, net::SocketAddr, path::Path, time::Duration},
+    types::{KeyDigest, OperatorId, RequestId, Verdict},
+    wire::{Call, Client, to_rmp},
 };
 
 /// Appends of one change at most, when answers are lost.
@@ -21,6 +23,7 @@
 /// One run of the command.
 pub(super) struct Session {
     platform: HttpPlatform,
+    client: Client,
     clock: SharedClock,
     by: OperatorId,
     pub(super) json: bool,
@@ -35,9 +38,11 @@
         let by = by.map_or_else(|| "operator".parse(), Ok)?;
         let json = args.contains("--json");
         let clock = SystemClock::shared();
-        let platform = HttpPlatform::new(Client::new(clock.clone()), addr);
+        let client = Client::new(clock.clone());
+        let platform = HttpPlatform::new(client.clone(), addr);
         Ok(Self {
             platform,
+            client,
             clock,
             by,
             json,
@@ -117,13 +122,39 @@
         Ok(ExitReason::Failed)
     }
 
+    /// Withdraws a key through one entry, without the log.
+    pub(super) async fn revoke(
+        &self,
+        entry: SocketAddr,
+        secret: &Path,
+        key: KeyDigest,
+    ) -> Result<ExitReason> {
+        let text = fs::read_to_string(secret).wrap_err("cannot read the secret")?;
+        let auth = Authenticator::new(vec![text.trim().into()]);
+        let body = to_rmp(&RevokeRequest { key })?;
+        let mut call = Call::new(entry, Method::Post, REVOKE_PATH).body(body);
+        auth.sign(&mut call.request);
+        match self.client.send(call).await {
+            Ok(reply) if reply.status() == 200 => {
+                println!("withdrawn at {entry}; it spreads from there");
+                Ok(ExitReason::Done)
+            }
+            Ok(reply) => bail!("{entry} answered with status {}", reply.status()),
+            Err(e) if e.verdict == Verdict::NotRun => bail!("{entry}: {e}"),
+            Err(e) => {
+                eprintln!("{entry}: {e}");
+                Ok(ExitReason::Unknown)
+            }
+        }
+    }
+
     /// Appends a record; `true` when it may be in the log. The fold drops repeats of a change.
     async fn append(&self, record: &str) -> bool {
         let mut taken = false;
         for _ in 0..MAX_APPENDS {
             match self.platform.append(Stream::Config, record).await {
                 Ok(_) => return true,
-                Err(e) => taken |= e.verdict() != types::Verdict::NotRun,
+                Err(e) => taken |= e.verdict() != Verdict::NotRun,
             }
         }
         taken
--- a/crates/entry/src/process/app.rs
+++ b/crates/entry/src/process/app.rs
@@ -10,16 +10,25 @@
     async_executor::Executor,
     clock::{SharedClock, within},
     daemon::Process,
+    event_listener::Event,
     eyre::Result,
-    mesh::{Authenticator, Node},
+    mesh::{Authenticator, Headroom, Node},
     once::Claimer,
     parking_lot::RwLock,
     platform::HttpPlatform,
-    std::{sync::Arc, time::Duration},
-    types::Incarnation,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    types::{EndpointId, Incarnation, Reason, Refusal},
     wire::{Client, ServerLimits, Stop},
 };
 
+/// When a caller may try again whose key cannot be verified.
+const CONTACT_RETRY: Duration = Duration::from_secs(10);
 /// Longest wait of a stop for the outcomes of claimed requests to be on the log.
 const CLAIMS_END: Duration = Duration::from_secs(10);
 /// Time between lists of running requests to the VMs that schedule them.
@@ -42,7 +51,11 @@
     pub(crate) dispatch: Arc<dyn Dispatch>,
     pub(crate) keys: Arc<KeyWatches>,
     pub(crate) claimer: Option<Arc<Claimer>>,
+    /// Whether peers were heard, so that this process does not start behind them.
+    pub(super) caught_up: AtomicBool,
     view: RwLock<Arc<View>>,
+    /// Wakes when the view has changed.
+    viewed: Event,
 }
 
 impl App {
@@ -60,7 +73,14 @@
             .map(|a| Arc::new(HttpPlatform::new(client.clone(), a)));
         let claimer = platform.map(|log| Claimer::new(log, clock.clone(), settings.claim()));
         let ex = process.ex.clone();
-        let share = Share::new(node.clone(), scheduler.clone(), ex.clone(), clock.clone());
+        let zone = settings.zone.clone();
+        let share = Share::new(
+            zone,
+            node.clone(),
+            scheduler.clone(),
+            ex.clone(),
+            clock.clone(),
+        );
         Arc::new(Self {
             dispatch: share.dispatch(settings.sharing),
             settings,
@@ -72,21 +92,49 @@
             scheduler,
             keys: Arc::default(),
             claimer,
+            caught_up: AtomicBool::new(false),
             view: RwLock::default(),
+            viewed: Event::new(),
         })
     }
 
+    /// Free slots of what this VM schedules.
+    pub(crate) fn headroom(&self) -> Vec<Headroom> {
+        self.share.headroom()
+    }
+
     /// The current view.
     pub(crate) fn view(&self) -> Arc<View> {
         self.view.read().clone()
     }
 
+    /// Refuses when nothing was heard of the platform for so long that keys are no longer honoured.
+    pub(crate) fn check_contact(&self) -> Result<(), Refusal> {
+        let age = self.node.contact_age();
+        if age.is_some_and(|a| a <= self.settings.honour()) {
+            return Ok(());
+        }
+        let message = "keys cannot be verified: nothing was heard of the platform for too long";
+        Err(Refusal::not_run(Reason::Unavailable, message).retry_in(CONTACT_RETRY))
+    }
+
+    /// Resolves when an endpoint is about to be evicted.
+    pub(crate) async fn evicted(&self, endpoint: &EndpointId) {
+        loop {
+            let viewed = self.viewed.listen();
+            if self.view().evicted.contains(endpoint) {
+                return;
+            }
+            viewed.await;
+        }
+    }
+
     /// Makes a new view whenever the store changes.
     async fn follow(self: Arc<Self>, process: Process) {
         loop {
             let changed = self.node.changed().listen();
             self.refresh();
-            if self.view().config.version().0 > 0 {
+            if self.caught_up.load(Ordering::SeqCst) {
                 process.ready.set(!process.stop.is_set());
             }
             changed.await;
@@ -108,6 +156,7 @@
         metrics::gauge!("celerystage_endpoints").set(endpoints as f64);
         self.scheduler.update(&view);
         self.share.update(&view);
+        self.viewed.notify(usize::MAX);
     }
 
     /// Waits until requests under claims have ended and their outcomes are on the log.
--- a/crates/entry/src/process/links.rs
+++ b/crates/entry/src/process/links.rs
@@ -4,7 +4,7 @@
     super::App,
     clock::SharedClock,
     http_types::{Request, Response, StatusCode},
-    mesh::{DEMAND_PATH, LINK_PATH, LinkBatch, Node, SYNC_PATH},
+    mesh::{DEMAND_PATH, LINK_PATH, LinkBatch, Node, REVOKE_PATH, RevokeRequest, SYNC_PATH},
     std::{sync::Arc, time::Duration},
     types::Bytes,
     wire::{Handled, Handler, from_rmp, read_body, to_rmp},
@@ -41,6 +41,7 @@
         let answer = match path.as_str() {
             SYNC_PATH => self.node.answer_bytes(&bytes),
             LINK_PATH => self.link(&bytes),
+            REVOKE_PATH => self.revoke(&bytes),
             DEMAND_PATH => to_rmp(&self.app.scheduler.demand()).ok(),
             _ => return Response::new(StatusCode::NotFound),
         };
@@ -54,6 +55,14 @@
 }
 
 impl MeshHandler {
+    /// Withdraws a key for an operator who cannot reach the log; answers how many are withdrawn so.
+    fn revoke(&self, bytes: &[u8]) -> Option<Vec<u8>> {
+        let request: RevokeRequest = from_rmp(bytes).ok()?;
+        self.node.revoke(request.key);
+        log::warn!(key:% = request.key; "key withdrawn by an operator");
+        to_rmp(&self.node.store().revoked().len()).ok()
+    }
+
     /// Takes in a batch of messages from another entry.
     fn link(&self, bytes: &[u8]) -> Option<Vec<u8>> {
         let batch: LinkBatch = from_rmp(bytes).ok()?;
@@ -62,7 +71,7 @@
         for msg in msgs {
             self.app.share.take(&batch.from, msg);
         }
-        to_rmp(&self.node.link_answer(skipped)).ok()
+        to_rmp(&self.node.link_answer(skipped, self.app.headroom())).ok()
     }
 }
 
--- a/crates/entry/src/process/peers.rs
+++ b/crates/entry/src/process/peers.rs
@@ -2,25 +2,61 @@
 
 use {
     super::App,
+    futures_lite::FutureExt,
     platform::VmState,
-    std::{net::SocketAddr, sync::Arc},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
 };
 
+/// Peers that news are sent to.
+const NEWS_FANOUT: usize = 2;
+/// Peers that a new process hears before it takes requests.
+const CATCH_UP_PEERS: usize = 3;
+/// Time between looks for a first configuration.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(100);
+
 impl App {
-    /// Exchanges with one peer after the other, in random order, until the process stops.
+    /// Exchanges with random peers until the process stops: at intervals with one, and after each
+    /// change of the store with several at once, so that news spread in a few steps.
     pub(super) async fn gossip(self: Arc<Self>) {
+        self.catch_up().await;
         loop {
-            if let Some(peer) = self.random_peer() {
-                self.node.exchange(peer).await;
-            }
-            self.clock.sleep(self.settings.gossip()).await;
+            let changed = self.node.changed().listen();
+            let news = async {
+                changed.await;
+                true
+            };
+            let due = async {
+                self.clock.sleep(self.settings.gossip()).await;
+                false
+            };
+            let fanout = if news.or(due).await { NEWS_FANOUT } else { 1 };
+            self.exchange_with(fanout).await;
         }
     }
 
-    fn random_peer(&self) -> Option<SocketAddr> {
-        let peers = self.peers();
-        let at = fastrand::usize(..peers.len().max(1));
-        peers.get(at).copied()
+    /// Exchanges with several peers before this process takes requests, so that it does not start with
+    /// an older version than one that is in force.
+    async fn catch_up(&self) {
+        while self.node.store().config().version().0 == 0 {
+            let changed = self.node.changed().listen();
+            self.exchange_with(1).await;
+            changed.or(self.clock.sleep(CATCH_UP_PAUSE)).await;
+        }
+        self.exchange_with(CATCH_UP_PEERS).await;
+        self.caught_up.store(true, Ordering::SeqCst);
+        self.node.changed().notify(usize::MAX);
+    }
+
+    async fn exchange_with(&self, count: usize) {
+        let mut peers = self.peers();
+        fastrand::shuffle(&mut peers);
+        for peer in peers.into_iter().take(count) {
+            self.node.exchange(peer).await;
+        }
     }
 
     fn peers(&self) -> Vec<SocketAddr> {
--- a/crates/entry/src/process/settings.rs
+++ b/crates/entry/src/process/settings.rs
@@ -14,6 +14,10 @@
     Bytes(8 * 1024 * 1024)
 }
 
+fn default_honour_s() -> u64 {
+    12 * 3600
+}
+
 fn default_claim_s() -> u64 {
     24 * 3600
 }
@@ -52,6 +56,10 @@
     /// Time for which an answer is given again to a repeated request, in seconds.
     #[serde(default = "default_claim_s")]
     pub claim_s: u64,
+    /// Time for which keys are honoured while no VM that can be reached reads the platform's log, in
+    /// seconds. A zone that is cut off cannot learn of withdrawals.
+    #[serde(default = "default_honour_s")]
+    pub honour_s: u64,
     /// Largest accepted request body, in bytes.
     #[serde(default = "default_body")]
     pub body: Bytes,
@@ -75,6 +83,11 @@
         Duration::from_millis(self.gossip_ms)
     }
 
+    /// Time for which keys are honoured without word from the platform.
+    pub fn honour(&self) -> Duration {
+        Duration::from_secs(self.honour_s)
+    }
+
     /// Time for which an answer is given again to a repeated request.
     pub fn claim(&self) -> Duration {
         Duration::from_secs(self.claim_s)
@@ -95,6 +108,9 @@
         if !(50..=60_000).contains(&self.gossip_ms) {
             return Err("gossip_ms: accepted is 50 to 60000".into());
         }
+        if self.honour_s < 5 {
+            return Err("honour_s: accepted is 5 or more".into());
+        }
         if !(60..=7 * 24 * 3600).contains(&self.claim_s) {
             return Err("claim_s: accepted is 60 to 604800".into());
         }
--- a/crates/entry/src/request/caller.rs
+++ b/crates/entry/src/request/caller.rs
@@ -30,6 +30,7 @@
         if app.node.store().is_withdrawn(&digest) {
             return Err(withdrawn());
         }
+        app.check_contact()?;
         let key = view
             .config
             .key(&digest)
--- a/crates/entry/src/request/stream.rs
+++ b/crates/entry/src/request/stream.rs
@@ -14,11 +14,16 @@
     http_types::{Mime, Request, Response, StatusCode},
     route::Ending,
     serde_json::json,
-    std::str::FromStr,
+    std::{str::FromStr, time::Duration},
     types::{Reason, Refusal, Tokens, Verdict},
     wire::{BodySender, Event, EventSplitter, Fault, Reply, SendError, body_channel},
 };
 
+/// Pause between tokens after which an engine counts as failed: this many times the class's target,
+/// and at least [`MIN_STALL`].
+const STALL_TOKENS: u32 = 50;
+const MIN_STALL: Duration = Duration::from_secs(3);
+
 /// One streamed answer.
 pub(super) struct Streaming {
     work: Work,
@@ -49,6 +54,8 @@
     Caller,
     /// The engine failed.
     Engine(SendError),
+    /// The endpoint is about to be evicted.
+    Evicted,
     /// The request is refused.
     Refused(Refusal),
 }
@@ -104,10 +111,11 @@
     async fn first_events(&mut self, lease: Lease) -> Result<Result<Source, Response>, SendError> {
         let sent = self.work.app.clock.now();
         match self.try_open(&lease).await {
-            Ok(Ok((reply, splitter, ready))) => {
+            Ok(Ok((mut reply, splitter, ready))) => {
                 let now = self.work.app.clock.now();
                 lease.first_token(now.since(sent));
                 self.last = now;
+                reply.set_gap(self.stall());
                 Ok(Ok(Source {
                     lease,
                     reply,
@@ -128,6 +136,12 @@
         }
     }
 
+    /// Pause between tokens after which an engine counts as failed.
+    fn stall(&self) -> Duration {
+        let between = self.work.caller.class.targets.between();
+        (between * STALL_TOKENS).max(MIN_STALL)
+    }
+
     async fn try_open(
         &self,
         lease: &Lease,
@@ -168,6 +182,18 @@
             let refusal = match broken {
                 Broken::Caller => return,
                 Broken::Refused(refusal) => refusal,
+                Broken::Evicted => {
+                    metrics::counter!("celerystage_moves_total").increment(1);
+                    self.work.avoid.push(source.lease.endpoint.clone());
+                    source.lease.end(Ending::Cancelled);
+                    match self.reopen().await {
+                        Ok(next) => {
+                            source = next;
+                            continue;
+                        }
+                        Err(refusal) => refusal,
+                    }
+                }
                 Broken::Engine(failed) => {
                     let endpoint = source.lease.endpoint.clone();
                     source.lease.end(Ending::Failed);
@@ -196,6 +222,11 @@
                 message,
             ));
         }
+        self.reopen().await
+    }
+
+    /// Opens the rest of the stream at another endpoint.
+    async fn reopen(&mut self) -> Result<Source, Refusal> {
         match self.open().await? {
             Ok(source) => Ok(source),
             Err(_) => {
@@ -225,7 +256,11 @@
                 let events = next_events(&mut source.reply, &mut source.splitter).await;
                 events.map_err(Broken::Engine)
             };
-            source.ready = events.or(revoked).await?;
+            let evicted = async {
+                self.work.app.evicted(&source.lease.endpoint).await;
+                Err(Broken::Evicted)
+            };
+            source.ready = events.or(revoked).or(evicted).await?;
         }
     }
 
--- a/crates/entry/src/sched/group.rs
+++ b/crates/entry/src/sched/group.rs
@@ -170,6 +170,12 @@
         picker.slots().saturating_sub(picker.free(self.clock.now()))
     }
 
+    /// Slots that requests could take now.
+    pub(super) fn free(&self) -> u32 {
+        let now = self.clock.now();
+        self.inner.lock().picker.free(now)
+    }
+
     /// Requests that wait.
     pub(super) fn waiting(&self) -> usize {
         self.inner.lock().queue.len()
--- a/crates/entry/src/sched/local.rs
+++ b/crates/entry/src/sched/local.rs
@@ -7,12 +7,12 @@
     async_channel::bounded,
     clock::SharedClock,
     conf::{Class, Item},
-    mesh::{DemandAnswer, DemandLine},
+    mesh::{DemandAnswer, DemandLine, Headroom},
     parking_lot::Mutex,
     platform::Endpoint,
     route::Target,
     std::{collections::BTreeMap, sync::Arc, time::Duration},
-    types::{EndpointId, ModelId, Reason, Refusal},
+    types::{EndpointId, ModelId, Reason, Refusal, ZoneId},
 };
 
 /// When a caller may try again that found no endpoint.
@@ -74,6 +74,19 @@
         }
     }
 
+    /// Free slots and waiting requests of this VM's scheduler.
+    pub(crate) fn headroom(&self, zone: &ZoneId) -> Vec<Headroom> {
+        let groups = self.groups.lock();
+        let line = |(serves, group): (&ModelId, &Arc<Group>)| Headroom {
+            zone: zone.clone(),
+            serves: serves.clone(),
+            free: group.free(),
+            waiting: u32::try_from(group.waiting()).unwrap_or(u32::MAX),
+            age: Duration::ZERO,
+        };
+        groups.iter().map(line).collect()
+    }
+
     /// Requests that wait, by what they wait for.
     pub(crate) fn waiting(&self) -> Vec<(ModelId, usize)> {
         self.groups
--- a/crates/entry/src/sched/remote.rs
+++ b/crates/entry/src/sched/remote.rs
@@ -16,7 +16,7 @@
         },
         time::Duration,
     },
-    types::{EndpointId, ModelId, Reason, Refusal, Tokens, VmId},
+    types::{EndpointId, ModelId, Reason, Refusal, Tokens, VmId, ZoneId},
 };
 
 /// Schedulers that one request asks at most, besides the own one.
@@ -24,8 +24,8 @@
 /// Time between two messages about the tokens of one request.
 const PROGRESS_GAP: Duration = Duration::from_millis(500);
 
-/// VMs in the order in which they are home to each model of this availability zone.
-pub(crate) type Homes = BTreeMap<ModelId, Vec<VmId>>;
+/// VMs in the order in which they are home to each model, by availability zone.
+pub(crate) type Homes = BTreeMap<(ZoneId, ModelId), Vec<VmId>>;
 
 /// What a scheduler answers.
 enum Answer {
@@ -35,6 +35,13 @@
     Lost,
 }
 
+/// What became of an ask.
+enum Asked {
+    Given(Lease),
+    Refused(Refusal),
+    Lost,
+}
+
 struct Pending {
     home: VmId,
     answer: Sender<Answer>,
@@ -44,11 +51,13 @@
 struct Running {
     ask: Ask,
     endpoint: EndpointId,
+    zone: ZoneId,
 }
 
 /// Gets slots from other entries. Lock order: `homes`, then `pending`, then `running`; each is released
 /// before messages are sent.
 pub(crate) struct Remote {
+    zone: ZoneId,
     node: Arc<Node>,
     scheduler: Arc<Scheduler>,
     home: Arc<Home>,
@@ -62,6 +71,7 @@
 
 impl Remote {
     pub(crate) fn new(
+        zone: ZoneId,
         node: Arc<Node>,
         scheduler: Arc<Scheduler>,
         home: Arc<Home>,
@@ -69,6 +79,7 @@
         clock: SharedClock,
     ) -> Arc<Self> {
         Arc::new(Self {
+            zone,
             node,
             scheduler,
             home,
@@ -86,43 +97,116 @@
         *self.homes.write() = homes;
     }
 
-    /// The VM that schedules a model now; this one when no other can be reached.
-    fn home_of(&self, serves: &ModelId) -> VmId {
+    /// The VM that schedules a model of `zone` now, if one can be reached.
+    fn home_in(&self, zone: &ZoneId, serves: &ModelId) -> Option<VmId> {
         let homes = self.homes.read();
-        let ranked = homes.get(serves).into_iter().flatten();
-        let mut usable = ranked.filter(|vm| self.node.is_usable(vm));
-        usable.next().unwrap_or(self.node.vm()).clone()
+        let ranked = homes.get(&(zone.clone(), serves.clone()))?;
+        ranked.iter().find(|vm| self.node.is_usable(vm)).cloned()
+    }
+
+    /// The VM that schedules a model of this availability zone now; this one when no other can be
+    /// reached.
+    fn home_of(&self, serves: &ModelId) -> VmId {
+        self.home_in(&self.zone, serves)
+            .unwrap_or_else(|| self.node.vm().clone())
+    }
+
+    /// The VM that schedules a model of any availability zone now, if one can be reached.
+    fn home_now(&self, zone: &ZoneId, serves: &ModelId) -> Option<VmId> {
+        if *zone == self.zone {
+            return Some(self.home_of(serves));
+        }
+        self.home_in(zone, serves)
     }
 
+    /// Whether this VM schedules a model.
+    pub(crate) fn is_home(&self, serves: &ModelId) -> bool {
+        self.home_of(serves) == *self.node.vm()
+    }
+
+    /// Gets a slot in this availability zone, or in another one that has room where this one has none.
     async fn get(self: &Arc<Self>, ask: Ask) -> Result<Lease, Refusal> {
+        if self.spills(&ask)
+            && let Some(lease) = self.get_elsewhere(&ask).await
+        {
+            return Ok(lease);
+        }
+        let refused = match self.get_here(ask.clone()).await {
+            Ok(lease) => return Ok(lease),
+            Err(refused) => refused,
+        };
+        match refused.reason {
+            Reason::Overloaded | Reason::Unavailable => {
+                self.get_elsewhere(&ask).await.ok_or(refused)
+            }
+            _ => Err(refused),
+        }
+    }
+
+    /// Whether a request goes to another availability zone first: requests wait here while no slot is
+    /// free. Half of them stay, as all entries see the same figures.
+    fn spills(&self, ask: &Ask) -> bool {
+        let full = self
+            .node
+            .slack()
+            .is_full(self.clock.now(), &self.zone, &ask.serves);
+        full && fastrand::bool()
+    }
+
+    async fn get_elsewhere(self: &Arc<Self>, ask: &Ask) -> Option<Lease> {
+        let roomiest = self
+            .node
+            .slack()
+            .roomiest(self.clock.now(), &self.zone, &ask.serves);
+        let zone = roomiest?;
+        let home = self.home_in(&zone, &ask.serves)?;
+        if home == *self.node.vm() {
+            return None;
+        }
+        metrics::counter!("celerystage_spilled_total").increment(1);
+        match self.ask_home(ask, zone, home).await {
+            Asked::Given(lease) => Some(lease),
+            Asked::Refused(_) | Asked::Lost => None,
+        }
+    }
+
+    async fn get_here(self: &Arc<Self>, ask: Ask) -> Result<Lease, Refusal> {
         for _ in 0..MAX_HOMES {
             let home = self.home_of(&ask.serves);
             if home == *self.node.vm() {
                 return self.scheduler.decide(ask).await;
             }
-            let (ticket, receiver) = self.register(&home);
-            let withdraw = Withdraw {
-                remote: self.clone(),
-                ticket,
-                home: home.clone(),
-            };
-            self.post
-                .post(&home, LinkMsg::Ask(self.ask_msg(ticket, &ask)));
-            let answer = receiver.recv().await.unwrap_or(Answer::Lost);
-            match answer {
-                Answer::Grant(endpoint, addr) => {
-                    return Ok(self.lease(withdraw, &ask, endpoint, addr));
-                }
-                Answer::Refuse(refusal) if refusal.reason == Reason::Unavailable => {
+            match self.ask_home(&ask, self.zone.clone(), home).await {
+                Asked::Given(lease) => return Ok(lease),
+                Asked::Refused(refusal) if refusal.reason == Reason::Unavailable => {
                     return self.scheduler.decide(ask).await;
                 }
-                Answer::Refuse(refusal) => return Err(refusal),
-                Answer::Lost => metrics::counter!("celerystage_homes_lost_total").increment(1),
+                Asked::Refused(refusal) => return Err(refusal),
+                Asked::Lost => metrics::counter!("celerystage_homes_lost_total").increment(1),
             }
         }
         self.scheduler.decide(ask).await
     }
 
+    async fn ask_home(self: &Arc<Self>, ask: &Ask, zone: ZoneId, home: VmId) -> Asked {
+        let (ticket, receiver) = self.register(&home);
+        let withdraw = Withdraw {
+            remote: self.clone(),
+            ticket,
+            zone,
+            home: home.clone(),
+        };
+        self.post
+            .post(&home, LinkMsg::Ask(self.ask_msg(ticket, ask)));
+        match receiver.recv().await.unwrap_or(Answer::Lost) {
+            Answer::Grant(endpoint, addr) => {
+                Asked::Given(self.lease(withdraw, ask, endpoint, addr))
+            }
+            Answer::Refuse(refusal) => Asked::Refused(refusal),
+            Answer::Lost => Asked::Lost,
+        }
+    }
+
     fn register(&self, home: &VmId) -> (TicketNo, Receiver<Answer>) {
         let ticket = self.last.fetch_add(1, Ordering::Relaxed) + 1;
         let (answer, receiver) = bounded(1);
@@ -161,6 +245,7 @@
         let running = Running {
             ask: ask.clone(),
             endpoint: endpoint.clone(),
+            zone: withdraw.zone.clone(),
         };
         self.running.lock().insert(withdraw.ticket, running);
         let flow = Flow {
@@ -238,20 +323,22 @@
         for pending in self.pending.lock().values() {
             lists.entry(pending.home.clone()).or_default();
         }
-        let serves: Vec<(TicketNo, ModelId)> = self
-            .running
-            .lock()
-            .iter()
-            .map(|(t, r)| (*t, r.ask.serves.clone()))
-            .collect();
-        for (ticket, serves) in serves {
-            lists.entry(self.home_of(&serves)).or_default().push(ticket);
+        for (ticket, zone, serves) in self.places() {
+            if let Some(home) = self.home_now(&zone, &serves) {
+                lists.entry(home).or_default().push(ticket);
+            }
         }
         for (home, tickets) in lists {
             self.send(&home, LinkMsg::Held(tickets));
         }
     }
 
+    fn places(&self) -> Vec<(TicketNo, ZoneId, ModelId)> {
+        let running = self.running.lock();
+        let place = |(t, r): (&TicketNo, &Running)| (*t, r.zone.clone(), r.ask.serves.clone());
+        running.iter().map(place).collect()
+    }
+
     /// Sends the requests that wait at a VM elsewhere.
     fn lose(&self, home: &VmId) {
         let mut pending = self.pending.lock();
@@ -303,6 +390,7 @@
 struct Withdraw {
     remote: Arc<Remote>,
     ticket: TicketNo,
+    zone: ZoneId,
     home: VmId,
 }
 
@@ -349,11 +437,11 @@
     /// Sends to the VM that schedules the model now, and to the one that gave the slot.
     fn send(&self, msg: LinkMsg) {
         let remote = &self.granted.remote;
-        let home = remote.home_of(&self.serves);
-        if home != self.granted.home {
-            remote.send(&self.granted.home, msg.clone());
+        let now = remote.home_now(&self.granted.zone, &self.serves);
+        if let Some(home) = now.filter(|h| *h != self.granted.home) {
+            remote.send(&home, msg.clone());
         }
-        remote.send(&home, msg);
+        remote.send(&self.granted.home, msg);
     }
 }
 
--- a/crates/entry/src/sched/sharing.rs
+++ b/crates/entry/src/sched/sharing.rs
@@ -5,10 +5,10 @@
     crate::version::View,
     async_executor::Executor,
     clock::SharedClock,
-    mesh::{LinkMsg, Node},
+    mesh::{Headroom, LinkMsg, Node},
     serde::Deserialize,
     std::sync::{Arc, Weak},
-    types::VmId,
+    types::{VmId, ZoneId},
 };
 
 /// How the entries of an availability zone share its endpoints.
@@ -24,6 +24,8 @@
 
 /// Both sides of the sharing, and the outboxes.
 pub(crate) struct Share {
+    zone: ZoneId,
+    node: Arc<Node>,
     scheduler: Arc<Scheduler>,
     links: Arc<Links>,
     home: Arc<Home>,
@@ -32,6 +34,7 @@
 
 impl Share {
     pub(crate) fn new(
+        zone: ZoneId,
         node: Arc<Node>,
         scheduler: Arc<Scheduler>,
         ex: Arc<Executor<'static>>,
@@ -46,11 +49,20 @@
             ex,
             clock.clone(),
         );
-        let remote = Remote::new(node, scheduler.clone(), home.clone(), post, clock);
+        let remote = Remote::new(
+            zone.clone(),
+            node.clone(),
+            scheduler.clone(),
+            home.clone(),
+            post,
+            clock,
+        );
         let watch: Arc<dyn Watch> = remote.clone();
         let watch: Weak<dyn Watch> = Arc::downgrade(&watch);
         links.set_watch(watch);
         Self {
+            zone,
+            node,
             scheduler,
             links,
             home,
@@ -88,8 +100,18 @@
         }
     }
 
+    /// Free slots of what this VM schedules.
+    pub(crate) fn headroom(&self) -> Vec<Headroom> {
+        let all = self.scheduler.headroom(&self.zone);
+        all.into_iter()
+            .filter(|h| self.remote.is_home(&h.serves))
+            .collect()
+    }
+
     /// Lists running requests to the VMs that schedule them, and takes back what silent VMs hold.
     pub(crate) fn beat(&self) {
+        let now = self.node.clock().now();
+        self.node.slack().hear(now, self.headroom());
         self.remote.beat();
         self.home.sweep();
     }
--- a/crates/entry/src/version/view.rs
+++ b/crates/entry/src/version/view.rs
@@ -5,8 +5,11 @@
     conf::{Config, Item},
     mesh::{Store, rank_homes},
     platform::{Endpoint, EndpointState, VmState},
-    std::{collections::BTreeMap, sync::Arc},
-    types::{ModelId, VmId, ZoneId},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
+    types::{EndpointId, ModelId, VmId, ZoneId},
 };
 
 /// One version of the shared state.
@@ -16,7 +19,9 @@
     pub(crate) config: Arc<Config>,
     /// Endpoints of this availability zone that take work, by what they serve.
     pub(crate) local: BTreeMap<ModelId, Vec<Endpoint>>,
-    /// VMs of this availability zone in the order in which they schedule what is served here.
+    /// Cheap endpoints that leave: their streams move before they are cut.
+    pub(crate) evicted: BTreeSet<EndpointId>,
+    /// VMs of each availability zone in the order in which they schedule what is served there.
     pub(crate) homes: Homes,
 }
 
@@ -34,10 +39,12 @@
                 .or_default()
                 .push(endpoint.clone());
         }
-        let homes = homes(store, zone, local.keys());
+        let homes = homes(store);
+        let evicted = evicted(store);
         Self {
             config: store.config().clone(),
             local,
+            evicted,
             homes,
         }
     }
@@ -55,11 +62,25 @@
     }
 }
 
-/// Ranks the live VMs of `zone` for each of `serves`.
-fn homes<'a>(store: &Store, zone: &ZoneId, serves: impl Iterator<Item = &'a ModelId>) -> Homes {
-    let all = store.vms().vms.iter();
-    let live = all.filter(|v| v.zone == *zone && v.state == VmState::Live);
-    let vms: Vec<VmId> = live.map(|v| v.vm.clone()).collect();
-    let rank = |s: &ModelId| rank_homes(&format!("{zone}/{s}"), vms.iter().cloned());
-    serves.map(|s| (s.clone(), rank(s))).collect()
+fn evicted(store: &Store) -> BTreeSet<EndpointId> {
+    let all = store.zones().flat_map(|z| &z.endpoints);
+    let leaving = all.filter(|e| e.cheap && e.state == EndpointState::Leaving);
+    leaving.map(|e| e.id.clone()).collect()
+}
+
+/// Ranks the live VMs of each availability zone for what is served there.
+fn homes(store: &Store) -> Homes {
+    let mut homes = Homes::new();
+    for list in store.zones() {
+        let zone = &list.zone;
+        let all = store.vms().vms.iter();
+        let live = all.filter(|v| v.zone == *zone && v.state == VmState::Live);
+        let vms: Vec<VmId> = live.map(|v| v.vm.clone()).collect();
+        let served: BTreeSet<&ModelId> = list.endpoints.iter().map(|e| &e.serves).collect();
+        for serves in served {
+            let ranked = rank_homes(&format!("{zone}/{serves}"), vms.iter().cloned());
+            homes.insert((zone.clone(), serves.clone()), ranked);
+        }
+    }
+    homes
 }
--- a/crates/entry/tests/failures/common.rs
+++ b/crates/entry/tests/failures/common.rs
@@ -14,20 +14,29 @@
 
 /// One availability zone; `vms` entries share `engines` engines.
 pub(crate) fn start(vms: usize, engines: usize) -> Result<Cluster> {
-    let zone = ZoneShape {
-        zone: "ernakulam".parse()?,
+    start_zones(vec![zone("ernakulam", vms, engines)?], "")
+}
+
+/// An availability zone with one replica of the plain service.
+pub(crate) fn zone(name: &str, vms: usize, engines: usize) -> Result<ZoneShape> {
+    Ok(ZoneShape {
+        zone: name.parse()?,
         vms,
         engines,
         cheap: 0,
         services: 1,
-    };
+    })
+}
+
+/// Several availability zones; `entry` adds to the entries' settings.
+pub(crate) fn start_zones(zones: Vec<ZoneShape>, entry: &str) -> Result<Cluster> {
     Cluster::start(Shape {
-        zones: vec![zone],
+        zones,
         model: MODEL.parse()?,
         service: "permit-desk".parse()?,
         items: demo_config()?,
         engine: Vec::new(),
-        entry: String::new(),
+        entry: entry.into(),
         steward: String::new(),
     })
 }
--- a/crates/entry/tests/failures/main.rs
+++ b/crates/entry/tests/failures/main.rs
@@ -3,3 +3,5 @@
 mod at_most_once;
 mod common;
 mod home_lost;
+mod keys;
+mod zones;
--- /dev/null
+++ b/crates/entry/tests/failures/zones.rs
@@ -0,0 +1,142 @@
+//! Availability zones: spill-over, eviction of cheap endpoints, versions after a restart.
+
+use {
+    crate::common::{MODEL, not_whole, run_with, start, start_zones, streams, zone},
+    eyre::Result,
+    harness::{Cluster, wait_until},
+    load::Outcome,
+    standin::{
+        engine::{Control as EngineControl, Executed},
+        platform::{Control, Fault},
+    },
+};
+
+#[test]
+fn a_zone_without_engines_is_served_by_another() -> Result<()> {
+    let cluster = start_zones(vec![zone("ernakulam", 2, 2)?, zone("calicut", 2, 0)?], "")?;
+    let calicut: Vec<_> = cluster
+        .vms
+        .iter()
+        .filter(|v| v.zone.as_str() == "calicut")
+        .collect();
+    let entries: Vec<_> = calicut.iter().map(|v| v.callers).collect();
+    let probe = streams(entries.clone(), 20.0, 0.2)?;
+    wait_until("the other zone's room is known", || {
+        run_with(&probe, || Ok(())).is_ok_and(|s| !s.is_empty() && not_whole(&s).is_empty())
+    })?;
+    let samples = run_with(&streams(entries, 20.0, 2.0)?, || Ok(()))?;
+    assert_eq!(not_whole(&samples), Vec::<&Outcome>::new());
+    Ok(())
+}
+
+#[test]
+fn streams_move_off_evicted_endpoints_before_these_end() -> Result<()> {
+    let mut shape = zone("ernakulam", 2, 4)?;
+    shape.cheap = 2;
+    let cluster = start_zones(vec![shape], "")?;
+    let engines = cluster.serving(&MODEL.parse()?);
+    let cheap: Vec<_> = engines.iter().filter(|e| e.cheap).cloned().collect();
+    let mut plan = streams(cluster.entries(), 10.0, 3.0)?;
+    plan.flows[0].work = long_streams()?;
+    let samples = run_with(&plan, || {
+        wait_until("cheap endpoints run requests", || {
+            cheap.iter().any(|e| !executed(&cluster, e.addr).is_empty())
+        })?;
+        cluster.control(&Control::Leave(
+            cheap.iter().map(|e| e.id.clone()).collect(),
+        ))?;
+        wait_until("no entry uses them", || {
+            let moved = cheap.iter().map(|e| running(&cluster, e.addr)).sum::<u64>();
+            moved == 0
+        })?;
+        for endpoint in &cheap {
+            cluster.control_endpoint(endpoint.addr, &EngineControl::CutAfter(Some(0)))?;
+        }
+        cluster.control(&Control::Remove(
+            cheap.iter().map(|e| e.id.clone()).collect(),
+        ))
+    })?;
+    assert_eq!(not_whole(&samples), Vec::<&Outcome>::new());
+    let moves = cluster
+        .vms
+        .iter()
+        .filter_map(|v| cluster.http.metric(v.admin, "celerystage_moves_total").ok());
+    assert!(moves.sum::<f64>() > 0.0, "no stream was moved");
+    Ok(())
+}
+
+/// Streams of 300 tokens.
+fn long_streams() -> Result<load::Work> {
+    Ok(load::Work::Chat {
+        model: MODEL.parse()?,
+        lengths: load::Lengths {
+            median: 300.0,
+            spread: 0.0,
+            longest: 300,
+        },
+        prompt: 100,
+        prefixes: 1,
+    })
+}
+
+#[test]
+fn a_restarted_entry_never_serves_an_older_version() -> Result<()> {
+    let mut cluster = start(3, 1)?;
+    let before = version(&cluster, 0);
+    cluster.publish(vec![conf::Item::Org(conf::Org {
+        id: "late-mill".parse()?,
+        weight: 2,
+    })])?;
+    wait_until("the change is in force everywhere", || {
+        (0..3).all(|i| version(&cluster, i) > before)
+    })?;
+    let newest = version(&cluster, 0);
+    cluster.control(&Control::Fault(Fault {
+        down: true,
+        ..Fault::default()
+    }))?;
+    for i in 0..3 {
+        cluster.vms[i].entry.kill()?;
+        cluster.vms[i].restart_entry()?;
+        cluster.vms[i].wait_ready(&cluster.http)?;
+        assert!(version(&cluster, i) >= newest, "entry {i} went back");
+    }
+    Ok(())
+}
+
+#[test]
+fn a_change_reaches_an_entry_whose_steward_is_dead() -> Result<()> {
+    let mut cluster = start(3, 1)?;
+    let before = version(&cluster, 0);
+    if let Some(steward) = &mut cluster.vms[0].steward {
+        steward.kill()?;
+    }
+    cluster.publish(vec![conf::Item::Org(conf::Org {
+        id: "late-mill".parse()?,
+        weight: 2,
+    })])?;
+    wait_until("the change is in force", || version(&cluster, 0) > before)
+}
+
+fn version(cluster: &Cluster, vm: usize) -> u64 {
+    let admin = cluster.vms[vm].admin;
+    cluster
+        .http
+        .metric(admin, "celerystage_config_version")
+        .unwrap_or_default() as u64
+}
+
+fn executed(cluster: &Cluster, engine: std::net::SocketAddr) -> Vec<Executed> {
+    cluster.http.get(engine, "/record").unwrap_or_default()
+}
+
+fn running(cluster: &Cluster, engine: std::net::SocketAddr) -> u64 {
+    #[derive(serde::Deserialize)]
+    struct Load {
+        running: u64,
+    }
+    cluster
+        .http
+        .get::<Load>(engine, "/load")
+        .map_or(0, |l| l.running)
+}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,6 +6,7 @@
 mod members;
 mod node;
 mod rank;
+mod slack;
 mod store;
 mod sync;
 
@@ -18,6 +19,7 @@
     members::{Heard, Members},
     node::{AUTH_HEADER, Authenticator, Node, PeerList},
     rank::rank_homes,
+    slack::Slack,
     store::{Changed, ConfigRecord, Delta, Store, Summary},
-    sync::{SYNC_PATH, SyncAnswer, SyncRequest},
+    sync::{REVOKE_PATH, RevokeRequest, SYNC_PATH, SyncAnswer, SyncRequest},
 };
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -142,6 +142,9 @@
     /// Whether the answering VM is stopping.
     #[serde(default)]
     pub leaving: bool,
+    /// Free slots of what the answering VM schedules.
+    #[serde(default)]
+    pub headroom: Vec<Headroom>,
     /// Note of what could not be understood, for logs.
     #[serde(default)]
     pub skipped: Option<CompactString>,
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -2,10 +2,10 @@
 
 use {
     super::{
-        Changed, Heard, LINK_PATH, LinkAnswer, LinkBatch, LinkMsg, Members, Packed, SYNC_PATH,
-        Store, SyncAnswer, SyncRequest,
+        Changed, Delta, Headroom, Heard, LINK_PATH, LinkAnswer, LinkBatch, LinkMsg, Members,
+        Packed, SYNC_PATH, Slack, Store, Summary, SyncAnswer, SyncRequest,
     },
-    clock::SharedClock,
+    clock::{SharedClock, Stamp},
     compact_str::CompactString,
     event_listener::Event,
     http_types::{Method, Request, headers::HeaderName},
@@ -21,7 +21,7 @@
         time::Duration,
     },
     subtle::ConstantTimeEq,
-    types::{Bytes, Incarnation, VmId},
+    types::{Bytes, Incarnation, KeyDigest, VmId},
     wire::{Call, CallLimits, Client, from_rmp, to_rmp},
 };
 
@@ -75,7 +75,7 @@
 
 /// One process's part in the exchange.
 ///
-/// Lock order: `store`, then `lacks`, then `members`; none is held across an await.
+/// Lock order: `store`, then `lacks`, `members`, `contact`, `slack`; none is held across an await.
 pub struct Node {
     vm: VmId,
     incarnation: Incarnation,
@@ -84,8 +84,10 @@
     clock: SharedClock,
     store: Mutex<Store>,
     /// What each peer had when it last answered.
-    lacks: Mutex<BTreeMap<SocketAddr, super::Summary>>,
+    lacks: Mutex<BTreeMap<SocketAddr, Summary>>,
     members: Mutex<Members>,
+    contact: Mutex<Option<Stamp>>,
+    slack: Mutex<Slack>,
     leaving: AtomicBool,
     changed: Event,
 }
@@ -108,6 +110,8 @@
             store: Mutex::default(),
             lacks: Mutex::default(),
             members: Mutex::default(),
+            contact: Mutex::default(),
+            slack: Mutex::default(),
             leaving: AtomicBool::new(false),
             changed: Event::new(),
         })
@@ -148,6 +152,37 @@
         &self.changed
     }
 
+    /// Takes note that this VM's process has just read the platform's log.
+    pub fn touch(&self) {
+        *self.contact.lock() = Some(self.clock.now());
+    }
+
+    /// Time since any VM is known to have read the platform's log; `None` when none ever did.
+    pub fn contact_age(&self) -> Option<Duration> {
+        let contact = *self.contact.lock();
+        contact.map(|at| self.clock.now().since(at))
+    }
+
+    fn hear_contact(&self, age: Option<Duration>) {
+        let Some(age) = age else { return };
+        let at = self.clock.now() - age;
+        let mut contact = self.contact.lock();
+        *contact = Some(contact.map_or(at, |known| known.max(at)));
+    }
+
+    /// Free slots by availability zone and model, locked.
+    pub fn slack(&self) -> MutexGuard<'_, Slack> {
+        self.slack.lock()
+    }
+
+    /// Withdraws a key at once, here and soon everywhere.
+    pub fn revoke(&self, key: KeyDigest) -> Changed {
+        self.apply(Delta {
+            revoked: vec![key],
+            ..Delta::default()
+        })
+    }
+
     /// Marks this VM as stopping; other VMs learn it with the next answer.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::SeqCst);
@@ -173,7 +208,7 @@
     }
 
     /// Takes in new state and wakes whoever waits for changes.
-    pub fn apply(&self, delta: super::Delta) -> Changed {
+    pub fn apply(&self, delta: Delta) -> Changed {
         let changed = self.store.lock().apply(delta);
         if changed.any() {
             self.changed.notify(usize::MAX);
@@ -184,12 +219,17 @@
     /// Answers a peer's request.
     pub fn answer(&self, request: SyncRequest) -> SyncAnswer {
         self.apply(request.delta);
+        self.hear_contact(request.contact);
+        let now = self.clock.now();
+        self.slack.lock().hear(now, request.headroom);
         let store = self.store.lock();
         SyncAnswer {
             from: self.vm.clone(),
             incarnation: self.incarnation,
             have: store.summary(),
             delta: store.newer_than(&request.have),
+            contact: self.contact_age(),
+            headroom: self.slack.lock().tell(now),
         }
     }
 
@@ -204,7 +244,12 @@
         let sent = self.try_batch(to, msgs).await;
         let mut members = self.members.lock();
         match sent {
-            Some(answer) => Some(members.answered(to, answer.incarnation, answer.leaving)),
+            Some(answer) => {
+                let heard = members.answered(to, answer.incarnation, answer.leaving);
+                drop(members);
+                self.slack.lock().hear(self.clock.now(), answer.headroom);
+                Some(heard)
+            }
             None => {
                 if members.failed(self.clock.now(), to) {
                     log::warn!(vm:% = to; "VM suspected");
@@ -254,12 +299,13 @@
     }
 
     /// The answer to a batch of which `skipped` messages were not understood.
-    pub fn link_answer(&self, skipped: usize) -> LinkAnswer {
+    pub fn link_answer(&self, skipped: usize, headroom: Vec<Headroom>) -> LinkAnswer {
         let note = (skipped > 0).then(|| format!("{skipped} messages not understood").into());
         LinkAnswer {
             from: self.vm.clone(),
             incarnation: self.incarnation,
             leaving: self.is_leaving(),
+            headroom,
             skipped: note,
         }
     }
@@ -274,6 +320,11 @@
         let mut reply = self.client.send(call).await.ok()?;
         let mut answer: SyncAnswer = reply.rmp(MAX_MESSAGE).await.ok()?;
         self.apply(std::mem::take(&mut answer.delta));
+        self.hear_contact(answer.contact);
+        let now = self.clock.now();
+        self.slack
+            .lock()
+            .hear(now, std::mem::take(&mut answer.headroom));
         self.lacks.lock().insert(peer, answer.have.clone());
         Some(answer)
     }
@@ -282,13 +333,15 @@
         let store = self.store.lock();
         let delta = match self.lacks.lock().get(&peer) {
             Some(have) => store.newer_than(have),
-            None => super::Delta::default(),
+            None => Delta::default(),
         };
         SyncRequest {
             from: self.vm.clone(),
             incarnation: self.incarnation,
             have: store.summary(),
             delta,
+            contact: self.contact_age(),
+            headroom: self.slack.lock().tell(self.clock.now()),
         }
     }
 }
--- a/crates/mesh/src/sync.rs
+++ b/crates/mesh/src/sync.rs
@@ -1,14 +1,25 @@
 //! Messages of the exchange that keeps VMs at the same state.
 
 use {
-    super::{Delta, Summary},
+    super::{Delta, Headroom, Summary},
     serde::{Deserialize, Serialize},
-    types::{Incarnation, VmId},
+    std::time::Duration,
+    types::{Incarnation, KeyDigest, VmId},
 };
 
 /// Path of the exchange.
 pub const SYNC_PATH: &str = "/mesh/sync";
 
+/// Path by which an operator withdraws a key without the log.
+pub const REVOKE_PATH: &str = "/mesh/revoke";
+
+/// Withdraws a key at once; it spreads from VM to VM and is put on the log when that can be reached.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RevokeRequest {
+    /// Digest of the key.
+    pub key: KeyDigest,
+}
+
 /// What a VM has, and what it knows the peer to lack.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SyncRequest {
@@ -21,6 +32,12 @@
     /// What the receiver lacked when it last answered.
     #[serde(default)]
     pub delta: Delta,
+    /// Time since any VM is known to have read the platform's log.
+    #[serde(default)]
+    pub contact: Option<Duration>,
+    /// Free slots by availability zone and model.
+    #[serde(default)]
+    pub headroom: Vec<Headroom>,
 }
 
 /// What the receiver has, and what the sender lacks.
@@ -35,4 +52,10 @@
     /// What the sender lacks.
     #[serde(default)]
     pub delta: Delta,
+    /// Time since any VM is known to have read the platform's log.
+    #[serde(default)]
+    pub contact: Option<Duration>,
+    /// Free slots by availability zone and model.
+    #[serde(default)]
+    pub headroom: Vec<Headroom>,
 }
--- a/crates/steward/src/process/app.rs
+++ b/crates/steward/src/process/app.rs
@@ -4,6 +4,7 @@
     super::{
         StewardSettings,
         lease::{contended, orders_lease, snapshots_lease},
+        revoked::publish_revoked,
     },
     crate::{
         orders::Orders,
@@ -55,6 +56,7 @@
             follower.seek(self.node.store().config().version().0);
             match follower.batch().await {
                 Ok(Batch::Records(records)) => {
+                    self.node.touch();
                     let record = |r: platform::Record| ConfigRecord {
                         offset: r.offset,
                         data: r.data,
@@ -139,6 +141,11 @@
         Ok((orders, snapshots))
     }
 
+    /// Puts keys that operators withdrew without the log on the log.
+    fn publish_revoked(&self) -> impl Future<Output = ()> + Send + 'static {
+        publish_revoked(self.node.clone(), self.platform.clone(), self.clock.clone())
+    }
+
     /// Takes the platform's lists.
     async fn poll_lists(self: Arc<Self>) {
         loop {
@@ -176,6 +183,7 @@
         process.ex.spawn(steward.clone().poll_lists()),
         process.ex.spawn(steward.clone().exchange()),
         process.ex.spawn(orders.clone().follow()),
+        process.ex.spawn(steward.publish_revoked()),
     ];
     let guarded = [
         process.ex.spawn(orders.govern()),
--- a/crates/steward/src/process/mod.rs
+++ b/crates/steward/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod app;
 mod lease;
+mod revoked;
 mod rules;
 mod settings;
 
