Tiered queue: strict tiers, bounded starvation, fair shares, early refusal

Cause: first come, first served lets a burst of one class, or one heavy organisation, crowd out all others, and runs requests that are already too late. Change: admit::Tiered behind Queue. Strict tiers, one dispatch in four at most goes to classes past half of their bound; one shared space that sheds the lowest tier; a virtual token counter by organisation; waits predicted from measured slot times, refused at once beyond mean + 4 deviations. Queue::completed takes a Completion (organisation, tokens); Queue::first_token and Queue::adopted are new; the entry's Group passes them on (its own interface is unchanged) and skips the queue while no slot is free.

--- a/crates/admit/src/fifo.rs
+++ b/crates/admit/src/fifo.rs
@@ -1,7 +1,7 @@
 //! First come, first served: the baseline that other policies are measured against.
 
 use {
-    super::{ClassRule, Queue, Shed, Ticket, TicketId},
+    super::{ClassRule, Completion, Queue, Shed, Ticket, TicketId},
     clock::Stamp,
     std::{collections::VecDeque, time::Duration},
     types::{ClassId, OrgId, Reason, Tokens},
@@ -52,7 +52,11 @@
 
     fn charge(&mut self, _class: &ClassId, _org: &OrgId, _weight: u32, _tokens: Tokens) {}
 
-    fn completed(&mut self, _now: Stamp, _class: &ClassId, _held: Duration) {}
+    fn first_token(&mut self, _class: &ClassId, _after: Duration) {}
+
+    fn adopted(&mut self, _class: &ClassId, _org: &OrgId) {}
+
+    fn completed(&mut self, _now: Stamp, _done: &Completion) {}
 
     fn predict(&self, _now: Stamp, _class: &ClassId) -> Duration {
         Duration::ZERO
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -1,12 +1,15 @@
 //! Admission: which waiting request runs next, and which is refused. Decisions only: no I/O, and time
 //! is an argument.
 
+mod average;
 mod fifo;
 mod queue;
 mod ticket;
+mod tiered;
 
 pub use {
     fifo::Fifo,
-    queue::{ClassRule, Queue, Shed},
+    queue::{ClassRule, Completion, Queue, Shed},
     ticket::{Ticket, TicketId},
+    tiered::Tiered,
 };
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -33,6 +33,21 @@
     pub retry: Duration,
 }
 
+/// How a dispatched request gave its slot back.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Completion {
+    /// Class of work.
+    pub class: ClassId,
+    /// Organisation that the request ran for.
+    pub org: OrgId,
+    /// How long it held its slot.
+    pub held: Duration,
+    /// Tokens generated for it.
+    pub tokens: Tokens,
+    /// Whether it was answered whole, so that its time and length count for averages.
+    pub whole: bool,
+}
+
 /// Holds waiting requests and decides on their order.
 pub trait Queue: Send {
     /// Replaces the rules of all classes.
@@ -56,8 +71,14 @@
     /// Charges an organisation for generated tokens.
     fn charge(&mut self, class: &ClassId, org: &OrgId, weight: u32, tokens: Tokens);
 
-    /// Tells that a dispatched request of `class` held its slot for `held`.
-    fn completed(&mut self, now: Stamp, class: &ClassId, held: Duration);
+    /// Tells that the first token of a request of `class` came `after` its dispatch.
+    fn first_token(&mut self, class: &ClassId, after: Duration);
+
+    /// Tells that a request which another scheduler dispatched is completed here.
+    fn adopted(&mut self, class: &ClassId, org: &OrgId);
+
+    /// Tells that a dispatched request gave its slot back.
+    fn completed(&mut self, now: Stamp, done: &Completion);
 
     /// Expected wait of a request of `class` that arrived now.
     fn predict(&self, now: Stamp, class: &ClassId) -> Duration;
--- /dev/null
+++ b/crates/admit/tests/outcome.rs
@@ -0,0 +1,112 @@
+//! Outcomes under overload, each against first-come-first-served in the same run.
+
+mod sim;
+
+use {
+    admit::{Fifo, Queue, Tiered},
+    sim::{Flow, Sim, rule},
+};
+
+const SLOTS: usize = 16;
+const SECONDS: f64 = 60.0;
+
+fn flow(class: &'static str, org: &'static str, rate: f64, tokens: f64) -> Flow {
+    Flow {
+        class,
+        org,
+        rate,
+        tokens,
+        span: (0.0, f64::INFINITY),
+    }
+}
+
+fn run(queue: impl Queue + 'static, flows: &[Flow], seed: u64) -> Sim {
+    let rules = [
+        rule("urgent", 0, 2_000, 400),
+        rule("summary", 1, 2_000, 1_000),
+        rule("batch", 3, 2_000, 10_000),
+    ];
+    let mut sim = Sim::new(Box::new(queue), &rules, SLOTS, seed);
+    sim.run(SECONDS, flows);
+    sim
+}
+
+/// Slots give 1,600 tokens a second; the top tier asks for 60% of them, the others burst to twice
+/// the capacity in all.
+#[test]
+fn the_top_tier_attains_under_a_burst() {
+    let mut burst = flow("batch", "c", 40.0, 40.0);
+    burst.span = (15.0, 45.0);
+    let flows = [
+        flow("urgent", "a", 48.0, 20.0),
+        flow("summary", "b", 16.0, 30.0),
+        flow("batch", "c", 4.0, 40.0),
+        burst,
+    ];
+    for seed in 1..=3 {
+        let tiered = run(Tiered::default(), &flows, seed);
+        let fifo = run(Fifo::default(), &flows, seed);
+        for (name, sim) in [("tiered", &tiered), ("fifo", &fifo)] {
+            let [u, s, b] = ["urgent", "summary", "batch"].map(|c| sim.attained(c, 0.0));
+            println!(
+                "burst seed {seed} {name}: attained urgent {u:.4} summary {s:.4} batch {b:.4} \
+                 wasted {:.4}",
+                sim.wasted()
+            );
+        }
+        assert!(tiered.attained("urgent", 0.0) >= 0.99);
+        assert!(tiered.wasted() < 0.01);
+        assert!(
+            fifo.attained("urgent", 0.0) < 0.99,
+            "the baseline shows no overload"
+        );
+    }
+}
+
+/// One organisation sends twenty times the others' requests, with longer answers.
+#[test]
+fn the_worst_organisation_gets_its_share() {
+    let mut flows = vec![flow("summary", "a-heavy", 100.0, 60.0)];
+    for org in ["b", "c", "d", "e", "f"] {
+        flows.push(flow("summary", org, 8.0, 30.0));
+    }
+    for seed in 1..=3 {
+        let tiered = run(Tiered::default(), &flows, seed);
+        let fifo = run(Fifo::default(), &flows, seed);
+        let (worst, base) = (tiered.worst_share(), fifo.worst_share());
+        println!("heavy seed {seed}: worst share tiered {worst:.3} fifo {base:.3}");
+        assert!(worst >= 0.9);
+        assert!(base < 0.9, "the baseline shows no unfairness");
+    }
+}
+
+/// The top tier alone asks for 1.6 times the capacity: what is accepted is served in time, refusals
+/// come at once, and slots stay busy.
+#[test]
+fn the_top_tier_alone_exceeds_capacity() {
+    let flows = [
+        flow("urgent", "a", 128.0, 20.0),
+        flow("batch", "c", 10.0, 40.0),
+    ];
+    for seed in 1..=3 {
+        let sim = run(Tiered::default(), &flows, seed);
+        let urgent: Vec<_> = sim.fates.iter().filter(|f| f.class == "urgent").collect();
+        let shed: Vec<_> = urgent
+            .iter()
+            .filter_map(|f| Some(f.shed? - f.arrived))
+            .collect();
+        let late = shed.iter().filter(|s| s.as_millis() > 0).count() as f64;
+        let made: u64 = urgent.iter().map(|f| f.made).sum();
+        let used = made as f64 / (SECONDS * SLOTS as f64 * 100.0);
+        println!(
+            "over seed {seed}: refused {} of {}, not at once {late}, slots used by the top tier \
+             {used:.3}, wasted {:.4}",
+            shed.len(),
+            urgent.len(),
+            sim.wasted()
+        );
+        assert!(late / shed.len() as f64 <= 0.01);
+        assert!(used >= 0.9);
+        assert!(sim.wasted() < 0.01 && sim.idle == 0);
+    }
+}
--- /dev/null
+++ b/crates/admit/tests/sim/mod.rs
@@ -0,0 +1,287 @@
+//! A fake server with a fixed number of slots, in simulated time, for tests of queue policies.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use {
+    admit::{ClassRule, Completion, Queue, Shed, Ticket, TicketId},
+    clock::Stamp,
+    std::{collections::BTreeMap, time::Duration},
+    types::{ClassId, OrgId, Tier, Tokens},
+};
+
+/// Time of one step; each running request generates one token in it.
+pub(crate) const STEP: Duration = Duration::from_millis(10);
+
+/// Arrivals of one organisation in one class.
+#[derive(Debug, Clone)]
+pub(crate) struct Flow {
+    pub(crate) class: &'static str,
+    pub(crate) org: &'static str,
+    /// Arrivals a second.
+    pub(crate) rate: f64,
+    /// Mean length of answers, in tokens.
+    pub(crate) tokens: f64,
+    /// Active from and until, in seconds.
+    pub(crate) span: (f64, f64),
+}
+
+/// What happened to a request.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Fate {
+    pub(crate) class: String,
+    pub(crate) org: String,
+    pub(crate) tier: u8,
+    pub(crate) arrived: Duration,
+    pub(crate) first: Option<Duration>,
+    pub(crate) shed: Option<Duration>,
+    pub(crate) tokens: u64,
+    pub(crate) made: u64,
+    pub in_time: bool,
+}
+
+struct Run {
+    ticket: Ticket,
+    since: Stamp,
+    made: u64,
+}
+
+/// The server.
+pub(crate) struct Sim {
+    pub(crate) queue: Box<dyn Queue>,
+    pub(crate) rules: Vec<ClassRule>,
+    pub(crate) slots: usize,
+    pub(crate) now: Stamp,
+    pub(crate) fates: Vec<Fate>,
+    /// Steps at which a slot stayed free while a request waited.
+    pub(crate) idle: u64,
+    /// Dispatches in order, as class and time.
+    pub(crate) dispatches: Vec<(String, Duration)>,
+    running: Vec<Run>,
+    rng: fastrand::Rng,
+}
+
+pub(crate) fn rule(id: &str, tier: u8, starve_ms: u64, first_ms: u64) -> ClassRule {
+    ClassRule {
+        id: id.parse().unwrap(),
+        tier: Tier(tier),
+        depth: 100,
+        starve: Duration::from_millis(starve_ms),
+        first: Duration::from_millis(first_ms),
+    }
+}
+
+pub(crate) fn ticket(id: u64, rule: &ClassRule, org: &str, now: Stamp) -> Ticket {
+    Ticket {
+        id: TicketId(id),
+        org: org.parse().unwrap(),
+        weight: 1,
+        class: rule.id.clone(),
+        tier: rule.tier,
+        arrived: now,
+        deadline: now + rule.first,
+        prompt: Tokens(0),
+        resumed: false,
+    }
+}
+
+impl Sim {
+    pub(crate) fn new(
+        mut queue: Box<dyn Queue>,
+        rules: &[ClassRule],
+        slots: usize,
+        seed: u64,
+    ) -> Self {
+        queue.set_classes(rules);
+        queue.set_capacity(slots as u32);
+        Self {
+            queue,
+            rules: rules.to_vec(),
+            slots,
+            now: Stamp::from_nanos(1_000_000_000),
+            fates: Vec::new(),
+            idle: 0,
+            dispatches: Vec::new(),
+            running: Vec::new(),
+            rng: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    fn time(&self) -> Duration {
+        self.now.since(Stamp::from_nanos(1_000_000_000))
+    }
+
+    /// Runs for a time with Poisson arrivals of the flows.
+    pub(crate) fn run(&mut self, seconds: f64, flows: &[Flow]) {
+        while self.time().as_secs_f64() < seconds {
+            let time = self.time().as_secs_f64();
+            for flow in flows {
+                let active = flow.span.0 <= time && time < flow.span.1;
+                let mut chance = if active {
+                    flow.rate * STEP.as_secs_f64()
+                } else {
+                    0.0
+                };
+                while self.rng.f64() < chance {
+                    self.arrive(flow);
+                    chance -= 1.0;
+                }
+            }
+            self.pump();
+            self.now = self.now + STEP;
+            self.step();
+            let late = self.queue.expire(self.now);
+            self.shed(late);
+            self.pump();
+        }
+    }
+
+    fn arrive(&mut self, flow: &Flow) {
+        let rule = self.rules.iter().find(|r| r.id.as_str() == flow.class);
+        let rule = rule.unwrap().clone();
+        let length = (-self.rng.f64().max(1e-9).ln() * flow.tokens).ceil();
+        self.fates.push(Fate {
+            class: flow.class.to_owned(),
+            org: flow.org.to_owned(),
+            tier: rule.tier.0,
+            arrived: self.time(),
+            tokens: length.clamp(1.0, 8.0 * flow.tokens) as u64,
+            ..Fate::default()
+        });
+        let ticket = ticket(self.fates.len() as u64 - 1, &rule, flow.org, self.now);
+        let shed = self.queue.offer(self.now, ticket);
+        self.shed(shed);
+    }
+
+    fn shed(&mut self, shed: Vec<Shed>) {
+        let time = self.time();
+        for s in shed {
+            let fate = &mut self.fates[s.ticket.id.0 as usize];
+            assert!(
+                fate.first.is_none() && fate.shed.is_none(),
+                "shed after its decision"
+            );
+            fate.shed = Some(time);
+        }
+    }
+
+    fn pump(&mut self) {
+        while self.running.len() < self.slots {
+            let Some(ticket) = self.queue.next(self.now, &mut |_| true) else {
+                self.idle += u64::from(!self.queue.is_empty());
+                return;
+            };
+            let time = self.time();
+            let fate = &mut self.fates[ticket.id.0 as usize];
+            assert!(
+                fate.first.is_none() && fate.shed.is_none(),
+                "dispatched after its decision"
+            );
+            fate.first = Some(time);
+            fate.in_time = ticket.deadline >= self.now;
+            self.dispatches.push((fate.class.clone(), time));
+            self.running.push(Run {
+                ticket,
+                since: self.now,
+                made: 0,
+            });
+        }
+    }
+
+    fn step(&mut self) {
+        let running = std::mem::take(&mut self.running);
+        for mut run in running {
+            let fate = &mut self.fates[run.ticket.id.0 as usize];
+            run.made += 1;
+            fate.made += 1;
+            let (class, org) = (run.ticket.class.clone(), run.ticket.org.clone());
+            self.queue
+                .charge(&class, &org, run.ticket.weight, Tokens(1));
+            if run.made < fate.tokens {
+                self.running.push(run);
+                continue;
+            }
+            let done = Completion {
+                class,
+                org,
+                held: self.now.since(run.since),
+                tokens: Tokens(run.made),
+                whole: true,
+            };
+            self.queue.completed(self.now, &done);
+        }
+    }
+
+    /// Share of a class's requests from `from` seconds on that were dispatched in time.
+    pub(crate) fn attained(&self, class: &str, from: f64) -> f64 {
+        let of = self.fates.iter();
+        let of: Vec<_> = of
+            .filter(|f| f.class == class && f.arrived.as_secs_f64() >= from)
+            .filter(|f| f.first.is_some() || f.shed.is_some())
+            .collect();
+        of.iter().filter(|f| f.in_time).count() as f64 / of.len().max(1) as f64
+    }
+
+    /// Share of generated tokens that came after their request's deadline.
+    pub(crate) fn wasted(&self) -> f64 {
+        let made: u64 = self.fates.iter().map(|f| f.made).sum();
+        let late = self
+            .fates
+            .iter()
+            .filter(|f| f.first.is_some() && !f.in_time);
+        late.map(|f| f.made).sum::<u64>() as f64 / made.max(1) as f64
+    }
+
+    /// Tokens generated by organisation.
+    pub(crate) fn by_org(&self) -> BTreeMap<String, f64> {
+        let mut orgs = BTreeMap::new();
+        for fate in &self.fates {
+            *orgs.entry(fate.org.clone()).or_insert(0.0) += fate.made as f64;
+        }
+        orgs
+    }
+
+    /// Tokens asked for by organisation.
+    pub(crate) fn demand(&self) -> BTreeMap<String, f64> {
+        let mut orgs = BTreeMap::new();
+        for fate in &self.fates {
+            *orgs.entry(fate.org.clone()).or_insert(0.0) += fate.tokens as f64;
+        }
+        orgs
+    }
+
+    /// The worst organisation's tokens over its max-min fair share of all generated tokens.
+    pub(crate) fn worst_share(&self) -> f64 {
+        let (made, demand) = (self.by_org(), self.demand());
+        let shares = fair_shares(&demand, made.values().sum());
+        let ratio = |(org, share): (&String, &f64)| made[org] / share;
+        shares.iter().map(ratio).fold(f64::INFINITY, f64::min)
+    }
+}
+
+/// Max-min fair shares of `total` for the given demands.
+pub(crate) fn fair_shares(demand: &BTreeMap<String, f64>, total: f64) -> BTreeMap<String, f64> {
+    let mut sorted: Vec<_> = demand.iter().collect();
+    sorted.sort_by(|a, b| a.1.total_cmp(b.1));
+    let (mut left, mut shares) = (total, BTreeMap::new());
+    for (index, (org, wanted)) in sorted.iter().enumerate() {
+        let share = wanted.min(left / (sorted.len() - index) as f64);
+        left -= share;
+        shares.insert((*org).clone(), share);
+    }
+    shares
+}
+
+/// A completion that teaches the queue a class's mean slot time.
+pub(crate) fn teach(queue: &mut dyn Queue, class: &ClassId, held: Duration) {
+    let org: OrgId = "teacher".parse().unwrap();
+    let done = Completion {
+        class: class.clone(),
+        org,
+        held,
+        tokens: Tokens(20),
+        whole: true,
+    };
+    for _ in 0..20 {
+        queue.completed(Stamp::from_nanos(1_000_000_000), &done);
+    }
+}
--- a/crates/entry/src/sched/group.rs
+++ b/crates/entry/src/sched/group.rs
@@ -2,12 +2,19 @@
 
 use {
     super::{Ask, Lease, Slot},
-    admit::{ClassRule, Queue, Shed, Ticket, TicketId},
+    admit::{ClassRule, Completion, Queue, Shed, Ticket, TicketId},
     async_channel::Sender,
     clock::{SharedClock, Stamp},
     parking_lot::Mutex,
     route::{Ending, Need, Picker, Target},
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
     types::{ClassId, EndpointId, OrgId, Refusal, Tokens},
 };
 
@@ -105,7 +112,12 @@
     /// A lease for a request that already runs at an endpoint, given by another scheduler.
     pub(super) fn adopt(self: &Arc<Self>, id: &EndpointId, running: Running) -> Option<Lease> {
         let now = self.clock.now();
-        let target = self.inner.lock().picker.occupy(now, id)?;
+        let target = {
+            let mut inner = self.inner.lock();
+            let target = inner.picker.occupy(now, id)?;
+            inner.queue.adopted(&running.class, &running.org);
+            target
+        };
         Some(self.lease(now, target, running))
     }
 
@@ -116,6 +128,7 @@
             running,
             target,
             since: now,
+            tokens: AtomicU64::new(0),
         };
         Lease::new(endpoint, addr, Box::new(held))
     }
@@ -133,6 +146,8 @@
         let mut decided = Decided::default();
         {
             let mut inner = self.inner.lock();
+            let slots = inner.picker.slots();
+            inner.queue.set_capacity(slots);
             let late = inner.queue.expire(now);
             inner.refuse(late, &mut decided);
             inner.pump(now, &mut decided);
@@ -146,9 +161,7 @@
         {
             let mut inner = self.inner.lock();
             inner.picker.done(now, &held.target.id, ending);
-            inner
-                .queue
-                .completed(now, &held.running.class, now.since(held.since));
+            inner.queue.completed(now, &held.completion(now, ending));
             inner.pump(now, &mut decided);
         }
         self.send(now, decided);
@@ -207,7 +220,7 @@
 
     /// Dispatches waiting requests while there is room.
     fn pump(&mut self, now: Stamp, decided: &mut Decided) {
-        loop {
+        while self.picker.free(now) > 0 {
             let (picker, waiters) = (&self.picker, &self.waiters);
             let mut fits = |t: &Ticket| {
                 waiters
@@ -245,21 +258,33 @@
     running: Running,
     target: Target,
     since: Stamp,
+    tokens: AtomicU64,
+}
+
+impl Held {
+    fn completion(&self, now: Stamp, ending: Ending) -> Completion {
+        Completion {
+            class: self.running.class.clone(),
+            org: self.running.org.clone(),
+            held: now.since(self.since),
+            tokens: Tokens(self.tokens.load(Ordering::Relaxed)),
+            whole: ending == Ending::Whole,
+        }
+    }
 }
 
 impl Slot for Held {
     fn first_token(&self, after: Duration) {
         let now = self.group.clock.now();
-        self.group
-            .inner
-            .lock()
-            .picker
-            .first_token(now, &self.target.id, after);
+        let mut inner = self.group.inner.lock();
+        inner.picker.first_token(now, &self.target.id, after);
+        inner.queue.first_token(&self.running.class, after);
     }
 
     fn progress(&self, tokens: Tokens, span: Duration) {
         let now = self.group.clock.now();
         let running = &self.running;
+        self.tokens.fetch_add(tokens.0, Ordering::Relaxed);
         let mut inner = self.group.inner.lock();
         inner.picker.progress(now, &self.target.id, tokens, span);
         inner
