Adaptive picker: concurrency limits, health, affinity and price; budgets

Cause: least outstanding sends most requests to an endpoint that fails at once, keeps feeding a straggler, and fills engines beyond their time between tokens. Change: route::Adaptive behind Picker: additive increase and multiplicative decrease of each endpoint's limit against the tightest target in force; own requests in flight plus a fading estimate of others' from reports; ejection after three failures or at twice the peers' median time between tokens, a third of the endpoints at most, probes with doubling pauses; rendezvous prefix affinity with bounded load; price by tier. Budget and Hedger, pure. Picker::done and Picker::occupy take the tier; Group looks it up, its interface is unchanged. queue: tiered and picker: adaptive are the defaults.

--- a/crates/entry/src/sched/group.rs
+++ b/crates/entry/src/sched/group.rs
@@ -15,7 +15,7 @@
         },
         time::Duration,
     },
-    types::{ClassId, EndpointId, OrgId, Refusal, Tokens},
+    types::{ClassId, EndpointId, OrgId, Refusal, Tier, Tokens},
 };
 
 /// The scheduler's answer to a waiting request. A lease that is never taken out of the channel gives
@@ -52,6 +52,7 @@
     queue: Box<dyn Queue>,
     picker: Box<dyn Picker>,
     waiters: HashMap<TicketId, Waiter>,
+    tiers: HashMap<ClassId, Tier>,
     last_id: u64,
 }
 
@@ -72,6 +73,7 @@
             queue,
             picker,
             waiters: HashMap::new(),
+            tiers: HashMap::new(),
             last_id: 0,
         };
         Arc::new(Self {
@@ -87,6 +89,7 @@
         {
             let mut inner = self.inner.lock();
             inner.queue.set_classes(rules);
+            inner.tiers = rules.iter().map(|r| (r.id.clone(), r.tier)).collect();
             inner.picker.set_targets(now, targets);
             let slots = inner.picker.slots();
             inner.queue.set_capacity(slots);
@@ -114,7 +117,8 @@
         let now = self.clock.now();
         let target = {
             let mut inner = self.inner.lock();
-            let target = inner.picker.occupy(now, id)?;
+            let tier = inner.tier(&running.class);
+            let target = inner.picker.occupy(now, id, tier)?;
             inner.queue.adopted(&running.class, &running.org);
             target
         };
@@ -160,7 +164,8 @@
         let mut decided = Decided::default();
         {
             let mut inner = self.inner.lock();
-            inner.picker.done(now, &held.target.id, ending);
+            let tier = inner.tier(&held.running.class);
+            inner.picker.done(now, &held.target.id, tier, ending);
             inner.queue.completed(now, &held.completion(now, ending));
             inner.pump(now, &mut decided);
         }
@@ -218,6 +223,11 @@
         id
     }
 
+    /// Tier of a class; that of a class which was removed is the lowest.
+    fn tier(&self, class: &ClassId) -> Tier {
+        self.tiers.get(class).copied().unwrap_or(Tier(u8::MAX))
+    }
+
     /// Dispatches waiting requests while there is room.
     fn pump(&mut self, now: Stamp, decided: &mut Decided) {
         while self.picker.free(now) > 0 {
--- a/crates/entry/src/sched/policy.rs
+++ b/crates/entry/src/sched/policy.rs
@@ -1,8 +1,8 @@
 //! Policies by name.
 
 use {
-    admit::{Fifo, Queue},
-    route::{LeastOutstanding, Picker, RoundRobin},
+    admit::{Fifo, Queue, Tiered},
+    route::{Adaptive, LeastOutstanding, Picker, RoundRobin},
     serde::Deserialize,
 };
 
@@ -11,8 +11,10 @@
 #[serde(rename_all = "snake_case")]
 pub enum QueuePolicy {
     /// First come, first served.
-    #[default]
     Fifo,
+    /// Strict tiers, fair shares, early refusal.
+    #[default]
+    Tiered,
 }
 
 /// Which endpoint takes a request.
@@ -22,8 +24,10 @@
     /// One after the other.
     RoundRobin,
     /// Fewest requests in flight.
-    #[default]
     LeastOutstanding,
+    /// By load, health, cached prefixes and price.
+    #[default]
+    Adaptive,
 }
 
 /// Policies of a scheduler.
@@ -40,6 +44,7 @@
     pub(crate) fn queue(&self) -> Box<dyn Queue> {
         match self.queue {
             QueuePolicy::Fifo => Box::new(Fifo::default()),
+            QueuePolicy::Tiered => Box::new(Tiered::default()),
         }
     }
 
@@ -47,6 +52,7 @@
         match self.picker {
             PickerPolicy::RoundRobin => Box::new(RoundRobin::default()),
             PickerPolicy::LeastOutstanding => Box::new(LeastOutstanding::default()),
+            PickerPolicy::Adaptive => Box::new(Adaptive::default()),
         }
     }
 }
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -68,7 +68,7 @@
     fn pick(&mut self, now: Stamp, need: &Need) -> Option<Target>;
 
     /// Takes a slot of a given endpoint for a request that already runs there, even beyond its limit.
-    fn occupy(&mut self, now: Stamp, id: &EndpointId) -> Option<Target>;
+    fn occupy(&mut self, now: Stamp, id: &EndpointId, tier: Tier) -> Option<Target>;
 
     /// Tells that the first token came `after` the request was sent.
     fn first_token(&mut self, now: Stamp, id: &EndpointId, after: Duration);
@@ -76,8 +76,8 @@
     /// Tells that `tokens` more came in `span`.
     fn progress(&mut self, now: Stamp, id: &EndpointId, tokens: Tokens, span: Duration);
 
-    /// Gives the slot back.
-    fn done(&mut self, now: Stamp, id: &EndpointId, ending: Ending);
+    /// Gives the slot of a request of `tier` back.
+    fn done(&mut self, now: Stamp, id: &EndpointId, tier: Tier, ending: Ending);
 
     /// Takes in an engine's report of its load.
     fn report(&mut self, now: Stamp, id: &EndpointId, report: LoadReport);
--- a/crates/route/src/robin.rs
+++ b/crates/route/src/robin.rs
@@ -4,7 +4,7 @@
     super::{Ending, LoadReport, Need, Picker, Target, table::Table},
     clock::Stamp,
     std::{ops::Bound, time::Duration},
-    types::{EndpointId, Tokens},
+    types::{EndpointId, Tier, Tokens},
 };
 
 /// Chooses the endpoint after the last chosen one that has room.
@@ -47,7 +47,7 @@
         self.table.start(&id)
     }
 
-    fn occupy(&mut self, _now: Stamp, id: &EndpointId) -> Option<Target> {
+    fn occupy(&mut self, _now: Stamp, id: &EndpointId, _tier: Tier) -> Option<Target> {
         self.table.start(id)
     }
 
@@ -55,7 +55,7 @@
 
     fn progress(&mut self, _now: Stamp, _id: &EndpointId, _tokens: Tokens, _span: Duration) {}
 
-    fn done(&mut self, _now: Stamp, id: &EndpointId, _ending: Ending) {
+    fn done(&mut self, _now: Stamp, id: &EndpointId, _tier: Tier, _ending: Ending) {
         self.table.finish(id);
     }
 
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -8,14 +8,16 @@
 
 /// One endpoint and what this scheduler has in flight there.
 #[derive(Debug, Clone)]
-pub(crate) struct Row {
+pub(crate) struct Row<E = ()> {
     pub(crate) target: Target,
     pub(crate) flying: u32,
     /// Whether the endpoint takes new requests.
     pub(crate) open: bool,
+    /// What a policy keeps besides.
+    pub(crate) extra: E,
 }
 
-impl Row {
+impl<E> Row<E> {
     pub(crate) fn has_room(&self, need: &Need) -> bool {
         let barred = self.target.cheap && !need.idempotent;
         self.open
@@ -27,11 +29,11 @@
 
 /// Endpoints by id.
 #[derive(Debug, Default)]
-pub(crate) struct Table {
-    pub(crate) rows: BTreeMap<EndpointId, Row>,
+pub(crate) struct Table<E = ()> {
+    pub(crate) rows: BTreeMap<EndpointId, Row<E>>,
 }
 
-impl Table {
+impl<E: Default> Table<E> {
     /// Takes over a new list; rows of missing endpoints stay, closed, until their last request ends.
     pub(crate) fn set(&mut self, targets: &[Target]) {
         for row in self.rows.values_mut() {
@@ -42,6 +44,7 @@
                 target: target.clone(),
                 flying: 0,
                 open: true,
+                extra: E::default(),
             });
             row.target = target.clone();
             row.open = true;
--- /dev/null
+++ b/crates/route/tests/budget.rs
@@ -0,0 +1,64 @@
+//! Retries and hedges stay within their share of the traffic.
+
+use {
+    quickcheck::{Gen, QuickCheck},
+    route::{Budget, HEDGE_CAP, HEDGE_SHARE, Hedger, Need, RETRY_CAP, RETRY_SHARE},
+    std::time::Duration,
+    types::Tier,
+};
+
+#[test]
+fn extra_requests_keep_their_share() {
+    fn property(ops: Vec<bool>) -> bool {
+        let mut budget = Budget::new(RETRY_SHARE, RETRY_CAP);
+        let (mut earned, mut taken) = (0.0, 0.0);
+        ops.into_iter().all(|earns| {
+            if earns {
+                budget.earn();
+                earned += 1.0;
+            } else {
+                taken += f64::from(u8::from(budget.take()));
+            }
+            taken <= RETRY_CAP + RETRY_SHARE * earned + 1e-6
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(500, 1))
+        .tests(300)
+        .quickcheck(property as fn(Vec<bool>) -> bool);
+}
+
+#[test]
+fn an_outage_ends_retries() {
+    let mut budget = Budget::new(RETRY_SHARE, RETRY_CAP);
+    let granted = (0..1_000).filter(|_| budget.take()).count();
+    assert_eq!(granted, RETRY_CAP as usize);
+}
+
+#[test]
+fn only_idempotent_requests_of_the_top_tier_are_hedged() {
+    let need = |tier, idempotent| Need {
+        tier: Tier(tier),
+        idempotent,
+        prefix: 0,
+        between: Duration::from_millis(20),
+        avoid: Vec::new(),
+    };
+    let long = Duration::from_secs(5);
+    let mut hedger = Hedger::default();
+    assert!(
+        !hedger.hedge(&need(0, true), long),
+        "nothing was measured yet"
+    );
+    for _ in 0..1_000 {
+        hedger.first_token(Duration::from_millis(100));
+    }
+    assert!(!hedger.hedge(&need(0, false), long));
+    assert!(!hedger.hedge(&need(1, true), long));
+    assert!(!hedger.hedge(&need(0, true), Duration::from_millis(200)));
+    assert!(hedger.hedge(&need(0, true), Duration::from_millis(301)));
+    let granted = (0..1_000)
+        .filter(|_| hedger.hedge(&need(0, true), long))
+        .count();
+    assert!(granted as f64 <= HEDGE_CAP + HEDGE_SHARE * 1_000.0);
+}
