Entry: retries within a budget

Cause: three attempts for each request triple the load on endpoints that fail for all. Change: Work::may_retry is the one place that allows another attempt: by verdict, by number, and out of a budget of a tenth of the answered requests with 100 saved up. Denials are counted in celerystage_retries_denied_total. Plain services report their time to the answer to the scheduler. Conclusion: an outage costs at most 100 extra attempts an entry and a tenth of what is answered.

--- a/crates/entry/src/process/app.rs
+++ b/crates/entry/src/process/app.rs
@@ -13,8 +13,9 @@
     eyre::Result,
     mesh::{Authenticator, Node},
     once::Claimer,
-    parking_lot::RwLock,
     platform::HttpPlatform,
+    parking_lot::{Mutex, RwLock},
+    route::{Budget, RETRY_CAP, RETRY_SHARE},
     std::{sync::Arc, time::Duration},
     types::Incarnation,
     wire::{Client, ServerLimits, Stop},
@@ -42,6 +43,8 @@
     pub(crate) dispatch: Arc<dyn Dispatch>,
     pub(crate) keys: Arc<KeyWatches>,
     pub(crate) claimer: Option<Arc<Claimer>>,
+    /// Keeps retries to a share of the answered requests. Its lock is taken alone.
+    pub(crate) retries: Mutex<Budget>,
     view: RwLock<Arc<View>>,
 }
 
@@ -72,6 +75,7 @@
             scheduler,
             keys: Arc::default(),
             claimer,
+            retries: Mutex::new(Budget::new(RETRY_SHARE, RETRY_CAP)),
             view: RwLock::default(),
         })
     }
--- a/crates/entry/src/request/model.rs
+++ b/crates/entry/src/request/model.rs
@@ -20,8 +20,6 @@
 
 /// Largest accepted answer that is not streamed.
 const MAX_ANSWER: Bytes = Bytes(32 * 1024 * 1024);
-/// Attempts at most for one request.
-pub(super) const MAX_ATTEMPTS: u32 = 3;
 /// Time limits towards engines. The head of an answer that is not streamed comes with its end.
 pub(super) const STREAM_LIMITS: CallLimits = CallLimits {
     connect: Duration::from_millis(500),
@@ -92,7 +90,7 @@
             let endpoint = lease.endpoint.clone();
             lease.end(Ending::Failed);
             self.failed(endpoint, failed.verdict);
-            if self.attempts.made() >= MAX_ATTEMPTS {
+            if !self.may_retry() {
                 return Err(endpoint_failed(failed));
             }
         }
@@ -159,6 +157,7 @@
 
     /// Counts a request that was answered whole.
     pub(super) fn count_served(&self, tokens: Tokens) {
+        self.app.retries.lock().earn();
         let class = self.caller.class.id.to_string();
         let org = self.caller.org.to_string();
         metrics::counter!("celerystage_served_total", "class" => class.clone(), "org" => org.clone())
--- a/crates/entry/src/request/plain.rs
+++ b/crates/entry/src/request/plain.rs
@@ -21,8 +21,6 @@
 
 /// Largest accepted answer of a plain service.
 const MAX_ANSWER: Bytes = Bytes(16 * 1024 * 1024);
-/// Attempts at most for one request.
-const MAX_ATTEMPTS: u32 = 3;
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// Organisation that requests on open routes count for.
 const ANYONE: &str = "open";
@@ -118,6 +116,7 @@
             let (endpoint, failed) = match self.attempt(&lease, plain).await {
                 Ok(response) => {
                     lease.end(Ending::Whole);
+                    self.app.retries.lock().earn();
                     return Ok(response);
                 }
                 Err(failed) => {
@@ -127,8 +126,7 @@
                 }
             };
             self.failed(endpoint, failed.verdict);
-            let again = self.attempts.verdict().allows_retry(self.idempotent);
-            if !again || self.attempts.made() >= MAX_ATTEMPTS {
+            if !self.may_retry() {
                 return Err(Refusal::after(
                     failed.verdict,
                     Reason::EndpointFailed,
@@ -163,9 +161,11 @@
             gap: limit,
         };
         call.reuse = self.idempotent;
+        let sent = self.app.clock.now();
         let mut reply = self.app.client.send(call).await?;
         check_id(&reply, self)?;
         let bytes = reply.bytes(MAX_ANSWER).await?;
+        lease.first_token(self.app.clock.now().since(sent));
         let mut response = Response::new(reply.head().status());
         to_caller(reply.head(), &mut response);
         response.insert_header(ID_HEADER, self.id.to_string());
--- a/crates/entry/src/request/stream.rs
+++ b/crates/entry/src/request/stream.rs
@@ -4,7 +4,7 @@
     super::{
         caller::withdrawn,
         headers::ID_HEADER,
-        model::{Answer, MAX_ATTEMPTS, STREAM_LIMITS, endpoint_failed},
+        model::{Answer, STREAM_LIMITS, endpoint_failed},
         prompt::Prompt,
         work::Work,
     },
@@ -95,7 +95,7 @@
                 Ok(opened) => return Ok(opened),
                 Err(failed) => failed,
             };
-            if self.work.attempts.made() >= MAX_ATTEMPTS {
+            if !self.work.may_retry() {
                 return Err(endpoint_failed(failed));
             }
         }
@@ -188,7 +188,7 @@
 
     async fn resume(&mut self) -> Result<Source, Refusal> {
         metrics::counter!("celerystage_resumes_total").increment(1);
-        if self.work.attempts.made() >= MAX_ATTEMPTS {
+        if !self.work.may_retry() {
             let message = "the endpoint was cut off, and so were those that took over";
             return Err(Refusal::after(
                 Verdict::Ran,
--- a/crates/entry/src/request/work.rs
+++ b/crates/entry/src/request/work.rs
@@ -11,6 +11,9 @@
     wire::refusal_response,
 };
 
+/// Attempts at most for one request.
+const MAX_ATTEMPTS: u32 = 3;
+
 /// One request on its way.
 pub(super) struct Work {
     pub(super) app: Arc<App>,
@@ -56,6 +59,19 @@
         metrics::counter!("celerystage_attempts_failed_total").increment(1);
     }
 
+    /// Whether another attempt may follow the failed ones. Takes it out of the budget for retries.
+    pub(super) fn may_retry(&self) -> bool {
+        let allowed = self.attempts.verdict().allows_retry(self.idempotent);
+        if !allowed || self.attempts.made() >= MAX_ATTEMPTS {
+            return false;
+        }
+        let granted = self.app.retries.lock().take();
+        if !granted {
+            metrics::counter!("celerystage_retries_denied_total").increment(1);
+        }
+        granted
+    }
+
     /// A refusal with the verdict of all attempts.
     pub(super) fn refusal(&self, mut refusal: Refusal) -> Refusal {
         refusal.verdict = refusal.verdict.then(self.attempts.verdict());
