Limiter: rate, token and concurrency limits with a stated error

Cause: the configuration's limits and exceptions were accepted and not applied. Change: admit::Limiter holds one process's share of each limit: a second's worth of burst, tokens charged as generated with debt repaid before the next request, counts divided exactly by place among the live VMs, one at least. The entry counts each request by organisation, class and route before its body is read (request::Permit) with equal shares over the listed live VMs. Conclusion: the bound holds; until the processes exchange demand, callers that all use one entry get an eighth of their limit there.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -3,12 +3,14 @@
 
 mod average;
 mod fifo;
+mod limiter;
 mod queue;
 mod ticket;
 mod tiered;
 
 pub use {
     fifo::Fifo,
+    limiter::{LimitKey, LimitShare, Limited, Limiter, OverLimit},
     queue::{ClassRule, Completion, Queue, Shed},
     ticket::{Ticket, TicketId},
     tiered::Tiered,
--- a/crates/admit/src/tiered/class.rs
+++ b/crates/admit/src/tiered/class.rs
@@ -13,6 +13,8 @@
 
 /// Least expected cost of a request, in tokens.
 const MIN_COST: f64 = 1.0;
+/// Time between sweeps.
+const SWEEP: Duration = Duration::from_secs(10);
 
 /// One class with its organisations and its measured rates.
 #[derive(Debug)]
@@ -25,6 +27,7 @@
     /// First arrival since the last dispatch.
     unserved: Option<Stamp>,
     last_arrival: Stamp,
+    swept: Stamp,
     hold: Mean,
     first: Mean,
     cost: Mean,
@@ -40,6 +43,7 @@
             floor: 0.0,
             unserved: None,
             last_arrival: Stamp::default(),
+            swept: Stamp::default(),
             hold: Mean::default(),
             first: Mean::default(),
             cost: Mean::default(),
@@ -220,8 +224,12 @@
         self.first.add(after.as_secs_f64());
     }
 
-    /// Forgets idle organisations that would be lifted to the floor anyway.
-    pub(super) fn sweep(&mut self) {
+    /// Forgets idle organisations that would be lifted to the floor anyway; cheap to call often.
+    pub(super) fn sweep(&mut self, now: Stamp) {
+        if now.since(self.swept) < SWEEP {
+            return;
+        }
+        self.swept = now;
         let floor = self.floor;
         self.orgs.retain(|_, o| !o.is_idle() || o.used > floor);
     }
--- a/crates/admit/src/tiered/mod.rs
+++ b/crates/admit/src/tiered/mod.rs
@@ -174,7 +174,7 @@
             let Some(class) = self.classes.get_mut(&id) else {
                 continue;
             };
-            class.sweep();
+            class.sweep(now);
             let late = |ticket: &Ticket, ahead: f64| {
                 let left = ticket.deadline.since(now + first);
                 let hopeless = wait.for_place(ahead).shortest() > left;
--- /dev/null
+++ b/crates/admit/tests/limiter.rs
@@ -0,0 +1,193 @@
+//! Limits of the fleet hold over eight processes within the stated error.
+
+use {
+    admit::{LimitKey, LimitShare, Limited, Limiter},
+    clock::Stamp,
+    conf::Limits,
+    quickcheck::{Gen, QuickCheck},
+    std::time::Duration,
+    types::{PerSecond, Tokens},
+};
+
+const LIVE: u32 = 8;
+const MILLI: Duration = Duration::from_millis(1);
+
+fn key() -> LimitKey {
+    LimitKey {
+        org: "a".parse().unwrap(),
+        class: "summary".parse().unwrap(),
+        route: None,
+    }
+}
+
+fn rate(rate: f64) -> PerSecond {
+    PerSecond::try_from(rate).unwrap()
+}
+
+fn fleet(shares: impl Fn(u32) -> LimitShare) -> Vec<Limiter> {
+    let limiter = |index| {
+        let mut limiter = Limiter::default();
+        limiter.set_share(shares(index));
+        limiter
+    };
+    (0..LIVE).map(limiter).collect()
+}
+
+fn check<A: quickcheck::Testable>(seed: u64, property: A) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, seed))
+        .tests(200)
+        .quickcheck(property);
+}
+
+/// In any span of T seconds at most `limit * T` requests and one second's worth (one for each process
+/// at least) are admitted, however arrivals are spread.
+#[test]
+fn the_request_rate_is_bounded() {
+    fn property(limit: u8, seed: u64) -> bool {
+        let limit = f64::from(limit) + 1.0;
+        let limits = Limits {
+            requests: Some(rate(limit)),
+            ..Limits::default()
+        };
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut fleet = fleet(|i| LimitShare::equal(LIVE, i));
+        let mut admitted: Vec<u64> = Vec::new();
+        for milli in 0..4_000u64 {
+            let now = Stamp::from_nanos(milli * 1_000_000);
+            let at = rng.usize(..LIVE as usize);
+            if fleet[at].admit(now, &key(), &limits).is_ok() {
+                admitted.push(milli);
+            }
+        }
+        let burst = limit.max(f64::from(LIVE));
+        admitted.iter().enumerate().all(|(i, from)| {
+            let span = |until: u64| (until - from) as f64 / 1000.0;
+            let rest = admitted[i..].iter().enumerate();
+            let mut rest = rest.map(|(n, until)| ((n + 1) as f64, span(*until)));
+            rest.all(|(count, span)| count <= limit * span + burst + 1e-6)
+        })
+    }
+    check(1, property as fn(u8, u64) -> bool);
+}
+
+/// Running requests never exceed the limit, or one for each process if that is more.
+#[test]
+fn concurrency_is_bounded() {
+    fn property(most: u8, ops: Vec<(u8, bool)>) -> bool {
+        let limits = Limits {
+            concurrent: Some(u32::from(most)),
+            ..Limits::default()
+        };
+        let mut fleet = fleet(|i| LimitShare::equal(LIVE, i));
+        let mut running = vec![0u32; LIVE as usize];
+        ops.into_iter()
+            .chain((0..200).map(|i| (i, false)))
+            .all(|(at, ends)| {
+                let at = usize::from(at) % LIVE as usize;
+                if ends && running[at] > 0 {
+                    fleet[at].done(&key());
+                    running[at] -= 1;
+                } else if fleet[at].admit(Stamp::default(), &key(), &limits).is_ok() {
+                    running[at] += 1;
+                }
+                let bound = if most == 0 {
+                    0
+                } else {
+                    u32::from(most).max(LIVE)
+                };
+                running.iter().sum::<u32>() <= bound
+            })
+    }
+    check(2, property as fn(u8, Vec<(u8, bool)>) -> bool);
+}
+
+/// Tokens are charged after the fact; the debt is repaid before the next request.
+#[test]
+fn tokens_are_repaid() {
+    let limits = Limits {
+        tokens: Some(rate(100.0)),
+        ..Limits::default()
+    };
+    let mut limiter = Limiter::default();
+    let start = Stamp::from_nanos(1);
+    assert!(limiter.admit(start, &key(), &limits).is_ok());
+    limiter.spend(&key(), Tokens(600));
+    let over = limiter.admit(start, &key(), &limits).unwrap_err();
+    assert_eq!(over.what, Limited::Tokens);
+    assert_eq!(over.retry, Duration::from_secs(5));
+    assert!(
+        limiter
+            .admit(start + over.retry - MILLI, &key(), &limits)
+            .is_err()
+    );
+    assert!(limiter.admit(start + over.retry, &key(), &limits).is_ok());
+}
+
+/// A refused caller that comes back when told is admitted.
+#[test]
+fn the_told_wait_suffices() {
+    let limits = Limits {
+        requests: Some(rate(8.0)),
+        ..Limits::default()
+    };
+    let mut limiter = Limiter::default();
+    limiter.set_share(LimitShare::equal(LIVE, 3));
+    let start = Stamp::from_nanos(1);
+    assert!(limiter.admit(start, &key(), &limits).is_ok());
+    let over = limiter.admit(start, &key(), &limits).unwrap_err();
+    assert!(limiter.admit(start + over.retry, &key(), &limits).is_ok());
+}
+
+/// With all callers at one process, shares by demand give it nine tenths of the limit; equal shares
+/// give it an eighth.
+#[test]
+fn shares_follow_demand() {
+    let limits = Limits {
+        requests: Some(rate(80.0)),
+        ..Limits::default()
+    };
+    let served = |share: LimitShare| {
+        let mut limiter = Limiter::default();
+        limiter.set_share(share);
+        let arrivals = (0..10_000u64).map(|m| Stamp::from_nanos(m * 1_000_000));
+        arrivals
+            .filter(|now| limiter.admit(*now, &key(), &limits).is_ok())
+            .count() as f64
+    };
+    let equal = LimitShare::equal(LIVE, 0);
+    let weighted = equal.by_demand(rate(1_000.0), rate(1_000.0));
+    let (equal, weighted) = (served(equal), served(weighted));
+    println!("all callers at one of 8 processes, limit 800: equal {equal}, by demand {weighted}");
+    assert!(equal <= 800.0 / 8.0 + 10.0);
+    assert!((0.9 * 800.0..=800.0 + 80.0).contains(&weighted));
+}
+
+/// Shares by demand add up to the whole.
+#[test]
+fn shares_add_up() {
+    fn property(demands: Vec<u8>) -> bool {
+        let demands: Vec<f64> = (0..LIVE as usize)
+            .map(|i| f64::from(demands.get(i).copied().unwrap_or_default()))
+            .collect();
+        let limits = Limits {
+            requests: Some(rate(800.0)),
+            ..Limits::default()
+        };
+        let sum = demands.iter().sum();
+        let admitted: usize = (0..LIVE)
+            .map(|i| {
+                let share = LimitShare::equal(LIVE, i);
+                let share = share.by_demand(rate(demands[i as usize]), rate(sum));
+                let mut limiter = Limiter::default();
+                limiter.set_share(share);
+                let now = Stamp::from_nanos(1);
+                (0..900)
+                    .filter(|_| limiter.admit(now, &key(), &limits).is_ok())
+                    .count()
+            })
+            .sum();
+        (800 - LIVE as usize..=800).contains(&admitted)
+    }
+    check(3, property as fn(Vec<u8>) -> bool);
+}
--- a/crates/admit/tests/tiered.rs
+++ b/crates/admit/tests/tiered.rs
@@ -120,7 +120,7 @@
                 .find(|f| f.class == *class)
                 .unwrap()
                 .arrived;
-            mine.chain([&(String::new(), 12 * SECOND)]).all(|(_, at)| {
+            mine.chain([&("", 12 * SECOND)]).all(|(_, at)| {
                 let first = sim
                     .fates
                     .iter()
--- a/crates/entry/src/process/app.rs
+++ b/crates/entry/src/process/app.rs
@@ -7,17 +7,18 @@
         sched::{Dispatch, Scheduler, Share},
         version::View,
     },
+    admit::{LimitShare, Limiter},
     async_executor::Executor,
     clock::{SharedClock, within},
     daemon::Process,
     eyre::Result,
-    mesh::{Authenticator, Node},
+    mesh::{Authenticator, Node, Store},
     once::Claimer,
-    platform::HttpPlatform,
     parking_lot::{Mutex, RwLock},
+    platform::{HttpPlatform, VmState},
     route::{Budget, RETRY_CAP, RETRY_SHARE},
     std::{sync::Arc, time::Duration},
-    types::Incarnation,
+    types::{Incarnation, VmId},
     wire::{Client, ServerLimits, Stop},
 };
 
@@ -45,6 +46,8 @@
     pub(crate) claimer: Option<Arc<Claimer>>,
     /// Keeps retries to a share of the answered requests. Its lock is taken alone.
     pub(crate) retries: Mutex<Budget>,
+    /// Meters of organisations' limits. Its lock is taken alone.
+    pub(crate) limiter: Mutex<Limiter>,
     view: RwLock<Arc<View>>,
 }
 
@@ -75,6 +78,7 @@
             scheduler,
             keys: Arc::default(),
             claimer,
+            limiter: Mutex::default(),
             retries: Mutex::new(Budget::new(RETRY_SHARE, RETRY_CAP)),
             view: RwLock::default(),
         })
@@ -98,11 +102,13 @@
     }
 
     fn refresh(&self) {
-        let view = {
+        let (view, share) = {
             let store = self.node.store();
             self.keys.sweep(&store);
-            Arc::new(View::of(&store, &self.settings.zone))
+            let view = Arc::new(View::of(&store, &self.settings.zone));
+            (view, limit_share(&store, &self.settings.vm))
         };
+        self.limiter.lock().set_share(share);
         let last = std::mem::replace(&mut *self.view.write(), view.clone());
         if last.config.version() != view.config.version() {
             log::info!(version = view.config.version().0; "configuration in force");
@@ -136,6 +142,7 @@
         loop {
             self.clock.sleep(TICK).await;
             self.scheduler.tick();
+            self.limiter.lock().sweep(self.clock.now());
             for (serves, waiting) in self.scheduler.waiting() {
                 let label = serves.to_string();
                 metrics::gauge!("celerystage_waiting", "serves" => label).set(waiting as f64);
@@ -144,6 +151,17 @@
     }
 }
 
+/// This VM's equal share of the fleet's limits: its place in the order of the listed live VMs.
+fn limit_share(store: &Store, own: &VmId) -> LimitShare {
+    let listed = store.vms().vms.iter();
+    let live = listed.filter(|v| v.state == VmState::Live || v.vm == *own);
+    let mut live: Vec<&VmId> = live.map(|v| &v.vm).collect();
+    live.sort();
+    let index = live.iter().position(|v| *v == own);
+    let count = live.len() + usize::from(index.is_none());
+    LimitShare::equal(count as u32, index.unwrap_or(live.len()) as u32)
+}
+
 /// Runs the entry daemon until it is told to stop and the last request has ended.
 pub async fn run_entry(process: Process, settings: EntrySettings) -> Result<()> {
     let app = App::new(&process, settings);
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod headers;
 mod keyed;
 mod model;
+mod permit;
 mod plain;
 mod prompt;
 mod stream;
--- a/crates/entry/src/request/model.rs
+++ b/crates/entry/src/request/model.rs
@@ -5,6 +5,7 @@
         caller::Caller,
         front::{Front, new_id},
         headers::{ID_HEADER, to_caller, to_endpoint},
+        permit::Permit,
         plain::{check_id, path_and_query},
         prompt::Prompt,
         stream::Streaming,
@@ -47,6 +48,7 @@
     ) -> Result<Response, Refusal> {
         let arrived = self.app.clock.now();
         let caller = Caller::find(&self.app, &view, &request)?;
+        let permit = Permit::take(&self.app, &view, &caller, None)?;
         let body = self.body(&mut request).await?;
         let prompt = Prompt::parse(&body)?;
         if view.config.model(&prompt.model).is_none() {
@@ -56,6 +58,7 @@
         let mut work = Work {
             app: self.app.clone(),
             caller,
+            permit,
             id: new_id(),
             arrived,
             serves: prompt.model.clone(),
@@ -112,6 +115,7 @@
         };
         let bytes = reply.bytes(MAX_ANSWER).await?;
         let tokens = Tokens(completion_tokens(&bytes));
+        self.permit.spend(tokens);
         lease.progress(tokens, self.app.clock.now().since(sent));
         self.count_served(tokens);
         let mut response = Response::new(reply.head().status());
--- /dev/null
+++ b/crates/entry/src/request/permit.rs
@@ -0,0 +1,57 @@
+//! A request's place within its organisation's limits.
+
+use {
+    super::caller::Caller,
+    crate::{process::App, version::View},
+    admit::{LimitKey, Limited, OverLimit},
+    std::sync::Arc,
+    types::{Reason, Refusal, RouteId, Tokens},
+};
+
+/// A request counted against its limits, until it is dropped.
+pub(super) struct Permit {
+    app: Arc<App>,
+    key: LimitKey,
+}
+
+impl Permit {
+    /// Counts a request in, or refuses it.
+    pub(super) fn take(
+        app: &Arc<App>,
+        view: &View,
+        caller: &Caller,
+        route: Option<&RouteId>,
+    ) -> Result<Self, Refusal> {
+        let key = LimitKey {
+            org: caller.org.clone(),
+            class: caller.class.id.clone(),
+            route: route.cloned(),
+        };
+        let limits = view.config.limits(&key.org, &key.class, route);
+        let now = app.clock.now();
+        let admitted = app.limiter.lock().admit(now, &key, &limits);
+        admitted.map_err(over_limit)?;
+        let app = app.clone();
+        Ok(Self { app, key })
+    }
+
+    /// Charges generated tokens.
+    pub(super) fn spend(&self, tokens: Tokens) {
+        self.app.limiter.lock().spend(&self.key, tokens);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.app.limiter.lock().done(&self.key);
+    }
+}
+
+fn over_limit(over: OverLimit) -> Refusal {
+    let message = match over.what {
+        Limited::Requests => "the organisation sends more requests a second than its limit",
+        Limited::Tokens => "the organisation generates more tokens a second than its limit",
+        Limited::Concurrent => "the organisation has as many requests at once as its limit",
+    };
+    Refusal::not_run(Reason::OverLimit, message).retry_in(over.retry)
+}
--- a/crates/entry/src/request/plain.rs
+++ b/crates/entry/src/request/plain.rs
@@ -6,6 +6,7 @@
         front::{Front, new_id},
         headers::{ID_HEADER, to_caller, to_endpoint},
         keyed::{run_keyed, sent_key},
+        permit::Permit,
         work::{Work, refuse},
     },
     crate::{sched::Lease, version::View},
@@ -34,11 +35,13 @@
         let arrived = self.app.clock.now();
         let route = find_route(&view, &request)?;
         let caller = self.plain_caller(&view, &route, &request)?;
+        let permit = Permit::take(&self.app, &view, &caller, Some(&route.id))?;
         let body = self.body(&mut request).await?;
         let safe = matches!(request.method(), Method::Get | Method::Head);
         let mut work = Work {
             app: self.app.clone(),
             caller,
+            permit,
             id: new_id(),
             arrived,
             serves: route.service.clone(),
--- a/crates/entry/src/request/stream.rs
+++ b/crates/entry/src/request/stream.rs
@@ -251,6 +251,7 @@
         if token {
             self.delivered += 1;
             let now = self.work.app.clock.now();
+            self.work.permit.spend(Tokens(1));
             lease.progress(Tokens(1), now.since(self.last));
             self.last = now;
         }
--- a/crates/entry/src/request/work.rs
+++ b/crates/entry/src/request/work.rs
@@ -1,7 +1,7 @@
 //! One request on its way: what its attempts share.
 
 use {
-    super::caller::Caller,
+    super::{caller::Caller, permit::Permit},
     crate::{process::App, sched::Ask},
     clock::Stamp,
     http_types::Response,
@@ -18,6 +18,7 @@
 pub(super) struct Work {
     pub(super) app: Arc<App>,
     pub(super) caller: Caller,
+    pub(super) permit: Permit,
     pub(super) id: RequestId,
     pub(super) arrived: Stamp,
     pub(super) serves: ModelId,
