Merge the admission and routing policies

Change: the tiered queue, the limiter, the adaptive picker and the budgets; the entry's process keeps both sides' fields.

--- a/crates/entry/src/request/model.rs
+++ b/crates/entry/src/request/model.rs
@@ -5,6 +5,7 @@
         caller::Caller,
         front::{Front, new_id},
         headers::{ID_HEADER, to_caller, to_endpoint},
+        permit::Permit,
         plain::{check_id, path_and_query},
         prompt::Prompt,
         stream::Streaming,
@@ -20,8 +21,6 @@
 
 /// Largest accepted answer that is not streamed.
 const MAX_ANSWER: Bytes = Bytes(32 * 1024 * 1024);
-/// Attempts at most for one request.
-pub(super) const MAX_ATTEMPTS: u32 = 3;
 /// Time limits towards engines. The head of an answer that is not streamed comes with its end.
 pub(super) const STREAM_LIMITS: CallLimits = CallLimits {
     connect: Duration::from_millis(500),
@@ -49,6 +48,7 @@
     ) -> Result<Response, Refusal> {
         let arrived = self.app.clock.now();
         let caller = Caller::find(&self.app, &view, &request)?;
+        let permit = Permit::take(&self.app, &view, &caller, None)?;
         let body = self.body(&mut request).await?;
         let prompt = Prompt::parse(&body)?;
         if view.config.model(&prompt.model).is_none() {
@@ -58,6 +58,7 @@
         let mut work = Work {
             app: self.app.clone(),
             caller,
+            permit,
             id: new_id(),
             arrived,
             serves: prompt.model.clone(),
@@ -92,7 +93,7 @@
             let endpoint = lease.endpoint.clone();
             lease.end(Ending::Failed);
             self.failed(endpoint, failed.verdict);
-            if self.attempts.made() >= MAX_ATTEMPTS {
+            if !self.may_retry() {
                 return Err(endpoint_failed(failed));
             }
         }
@@ -114,6 +115,7 @@
         };
         let bytes = reply.bytes(MAX_ANSWER).await?;
         let tokens = Tokens(completion_tokens(&bytes));
+        self.permit.spend(tokens);
         lease.progress(tokens, self.app.clock.now().since(sent));
         self.count_served(tokens);
         let mut response = Response::new(reply.head().status());
@@ -159,6 +161,7 @@
 
     /// Counts a request that was answered whole.
     pub(super) fn count_served(&self, tokens: Tokens) {
+        self.app.retries.lock().earn();
         let class = self.caller.class.id.to_string();
         let org = self.caller.org.to_string();
         metrics::counter!("celerystage_served_total", "class" => class.clone(), "org" => org.clone())
--- a/crates/entry/src/sched/group.rs
+++ b/crates/entry/src/sched/group.rs
@@ -2,13 +2,20 @@
 
 use {
     super::{Ask, Lease, Slot},
-    admit::{ClassRule, Queue, Shed, Ticket, TicketId},
+    admit::{ClassRule, Completion, Queue, Shed, Ticket, TicketId},
     async_channel::Sender,
     clock::{SharedClock, Stamp},
     parking_lot::Mutex,
     route::{Ending, Need, Picker, Target},
-    std::{collections::HashMap, sync::Arc, time::Duration},
-    types::{ClassId, EndpointId, OrgId, Refusal, Tokens},
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    types::{ClassId, EndpointId, OrgId, Refusal, Tier, Tokens},
 };
 
 /// The scheduler's answer to a waiting request. A lease that is never taken out of the channel gives
@@ -45,6 +52,7 @@
     queue: Box<dyn Queue>,
     picker: Box<dyn Picker>,
     waiters: HashMap<TicketId, Waiter>,
+    tiers: HashMap<ClassId, Tier>,
     last_id: u64,
 }
 
@@ -65,6 +73,7 @@
             queue,
             picker,
             waiters: HashMap::new(),
+            tiers: HashMap::new(),
             last_id: 0,
         };
         Arc::new(Self {
@@ -80,6 +89,7 @@
         {
             let mut inner = self.inner.lock();
             inner.queue.set_classes(rules);
+            inner.tiers = rules.iter().map(|r| (r.id.clone(), r.tier)).collect();
             inner.picker.set_targets(now, targets);
             let slots = inner.picker.slots();
             inner.queue.set_capacity(slots);
@@ -105,7 +115,13 @@
     /// A lease for a request that already runs at an endpoint, given by another scheduler.
     pub(super) fn adopt(self: &Arc<Self>, id: &EndpointId, running: Running) -> Option<Lease> {
         let now = self.clock.now();
-        let target = self.inner.lock().picker.occupy(now, id)?;
+        let target = {
+            let mut inner = self.inner.lock();
+            let tier = inner.tier(&running.class);
+            let target = inner.picker.occupy(now, id, tier)?;
+            inner.queue.adopted(&running.class, &running.org);
+            target
+        };
         Some(self.lease(now, target, running))
     }
 
@@ -116,6 +132,7 @@
             running,
             target,
             since: now,
+            tokens: AtomicU64::new(0),
         };
         Lease::new(endpoint, addr, Box::new(held))
     }
@@ -133,6 +150,8 @@
         let mut decided = Decided::default();
         {
             let mut inner = self.inner.lock();
+            let slots = inner.picker.slots();
+            inner.queue.set_capacity(slots);
             let late = inner.queue.expire(now);
             inner.refuse(late, &mut decided);
             inner.pump(now, &mut decided);
@@ -145,10 +164,9 @@
         let mut decided = Decided::default();
         {
             let mut inner = self.inner.lock();
-            inner.picker.done(now, &held.target.id, ending);
-            inner
-                .queue
-                .completed(now, &held.running.class, now.since(held.since));
+            let tier = inner.tier(&held.running.class);
+            inner.picker.done(now, &held.target.id, tier, ending);
+            inner.queue.completed(now, &held.completion(now, ending));
             inner.pump(now, &mut decided);
         }
         self.send(now, decided);
@@ -211,9 +229,14 @@
         id
     }
 
+    /// Tier of a class; that of a class which was removed is the lowest.
+    fn tier(&self, class: &ClassId) -> Tier {
+        self.tiers.get(class).copied().unwrap_or(Tier(u8::MAX))
+    }
+
     /// Dispatches waiting requests while there is room.
     fn pump(&mut self, now: Stamp, decided: &mut Decided) {
-        loop {
+        while self.picker.free(now) > 0 {
             let (picker, waiters) = (&self.picker, &self.waiters);
             let mut fits = |t: &Ticket| {
                 waiters
@@ -251,21 +274,33 @@
     running: Running,
     target: Target,
     since: Stamp,
+    tokens: AtomicU64,
+}
+
+impl Held {
+    fn completion(&self, now: Stamp, ending: Ending) -> Completion {
+        Completion {
+            class: self.running.class.clone(),
+            org: self.running.org.clone(),
+            held: now.since(self.since),
+            tokens: Tokens(self.tokens.load(Ordering::Relaxed)),
+            whole: ending == Ending::Whole,
+        }
+    }
 }
 
 impl Slot for Held {
     fn first_token(&self, after: Duration) {
         let now = self.group.clock.now();
-        self.group
-            .inner
-            .lock()
-            .picker
-            .first_token(now, &self.target.id, after);
+        let mut inner = self.group.inner.lock();
+        inner.picker.first_token(now, &self.target.id, after);
+        inner.queue.first_token(&self.running.class, after);
     }
 
     fn progress(&self, tokens: Tokens, span: Duration) {
         let now = self.group.clock.now();
         let running = &self.running;
+        self.tokens.fetch_add(tokens.0, Ordering::Relaxed);
         let mut inner = self.group.inner.lock();
         inner.picker.progress(now, &self.target.id, tokens, span);
         inner
