Scenario language, fault proxy and a scenario for each promise that has code

Cause: the promises had no check that tries to break them.

Change: crate proof (test side). `faultproxy` is a TCP proxy without knowledge of HTTP, driven over /control: delay, held directions, reset now or after N bytes, answers lost after the effect, repeated requests, throttling. `celery-prove FILE...` runs scenario files, parsed with winnow, against a whole system of processes; a balancer thread follows /readyz, so that planned stops are met as behind the platform's balancer. Checks read the stand-ins' /record, the platform's log and what callers received, and the entries' configuration over the mesh exchange. harness: the mesh secret is public, for that exchange.

--- a/crates/harness/src/cluster/mod.rs
+++ b/crates/harness/src/cluster/mod.rs
@@ -7,5 +7,5 @@
 pub use {
     shape::{Shape, ZoneShape},
     start::Cluster,
-    vm::Vm,
+    vm::{MESH_SECRET, Vm},
 };
--- a/crates/harness/src/cluster/vm.rs
+++ b/crates/harness/src/cluster/vm.rs
@@ -9,7 +9,7 @@
 };
 
 /// Secret that the processes of a cluster share.
-const SECRET: &str = "only-for-tests-and-demos";
+pub const MESH_SECRET: &str = "only-for-tests-and-demos";
 
 /// One VM: an entry and a steward, with their settings files.
 pub struct Vm {
@@ -66,7 +66,7 @@
         let path = self.folder.join(format!("{}-steward.yaml", self.vm));
         let text = format!(
             "process:\n  admin: 127.0.0.1:0\n  threads: 1\nvm: {}\nzone: {}\nentry: {}\n\
-             platform: {platform}\nsecrets: [{SECRET}]\n{extra}\n",
+             platform: {platform}\nsecrets: [{MESH_SECRET}]\n{extra}\n",
             self.vm, self.zone, self.mesh
         );
         fs::write(&path, text)?;
@@ -92,7 +92,7 @@
     let path = folder.join(format!("{vm}-entry.yaml"));
     let text = format!(
         "process:\n  admin: {admin}\n  threads: 2\nvm: {vm}\nzone: {zone}\ncallers: {callers}\n\
-         mesh: {mesh}\nsecrets: [{SECRET}]\ngossip_ms: 250\ndrain_ms: 200\n{extra}\n"
+         mesh: {mesh}\nsecrets: [{MESH_SECRET}]\ngossip_ms: 250\ndrain_ms: 200\n{extra}\n"
     );
     fs::write(&path, text)?;
     let path = path.display().to_string();
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -7,7 +7,7 @@
 mod process;
 
 pub use {
-    cluster::{Cluster, Shape, Vm, ZoneShape},
+    cluster::{Cluster, MESH_SECRET, Shape, Vm, ZoneShape},
     demo::{demo_config, run_demo},
     process::{Http, Proc, wait_until},
 };
--- /dev/null
+++ b/crates/proof/src/bin/celery-prove.rs
@@ -0,0 +1,75 @@
+//! Runs scenario files.
+
+use {
+    clock::SystemClock,
+    eyre::{Result, WrapErr, bail},
+    pico_args::Arguments,
+    proof::{parse_script, run_script},
+    std::{fs, path::Path, process::ExitCode},
+};
+
+const HELP: &str = "\
+celery-prove: runs scenario files against a whole system on loopback
+
+Usage: celery-prove [--check] FILE...
+
+  --check   parse the files and run nothing
+
+Exit codes: 0 all hold, 1 some scenario failed, 2 bad command line.
+";
+
+fn prove(file: &Path, only_check: bool) -> Result<String> {
+    let text = fs::read_to_string(file).wrap_err("cannot read")?;
+    let script = parse_script(&text)?;
+    let title = script.title().to_owned();
+    if !only_check {
+        run_script(script)?;
+    }
+    Ok(title)
+}
+
+fn options() -> Result<Option<(Vec<String>, bool)>> {
+    let mut args = Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        return Ok(None);
+    }
+    let only_check = args.contains("--check");
+    let files: Vec<String> = args
+        .finish()
+        .into_iter()
+        .map(|f| f.to_string_lossy().into_owned())
+        .collect();
+    if files.is_empty() || files.iter().any(|f| f.starts_with('-')) {
+        bail!("files of scenarios are needed; see --help");
+    }
+    Ok(Some((files, only_check)))
+}
+
+fn main() -> ExitCode {
+    let (files, only_check) = match options() {
+        Ok(Some(options)) => options,
+        Ok(None) => {
+            print!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        Err(e) => {
+            eprintln!("celery-prove: {e:#}");
+            return ExitCode::from(2);
+        }
+    };
+    let clock = SystemClock::shared();
+    let mut failed = 0;
+    for file in &files {
+        let start = clock.now();
+        let outcome = prove(Path::new(file), only_check);
+        let seconds = clock.now().since(start).as_secs_f64();
+        match outcome {
+            Ok(title) => println!("holds   {seconds:>5.1} s  {file}: {title}"),
+            Err(e) => {
+                failed += 1;
+                println!("FAILED  {seconds:>5.1} s  {file}: {e:#}");
+            }
+        }
+    }
+    ExitCode::from(u8::from(failed > 0))
+}
--- /dev/null
+++ b/crates/proof/src/proxy/control.rs
@@ -0,0 +1,77 @@
+//! Control calls of the fault proxy.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Number of a link.
+pub type LinkId = usize;
+
+/// Directions in which bytes are held back until the fault is taken away.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Hold {
+    /// Neither.
+    #[default]
+    None,
+    /// From the caller to the target.
+    Forward,
+    /// From the target to the caller.
+    Back,
+    /// Both.
+    Both,
+}
+
+/// Faults of one link.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Faults {
+    /// Delay of each piece in each direction, in milliseconds.
+    #[serde(default)]
+    pub delay_ms: u64,
+    /// Directions that are held back.
+    #[serde(default)]
+    pub hold: Hold,
+    /// Resets connections after this many bytes from the target.
+    #[serde(default)]
+    pub reset_after: Option<u64>,
+    /// Number of coming connections that are reset when the target begins to answer.
+    #[serde(default)]
+    pub lose_answers: u32,
+    /// Number of coming connections whose bytes are sent to the target a second time.
+    #[serde(default)]
+    pub repeat: u32,
+    /// Bytes a second in each direction.
+    #[serde(default)]
+    pub rate: Option<u64>,
+}
+
+impl Faults {
+    /// Delay of each piece.
+    pub fn delay(&self) -> Duration {
+        Duration::from_millis(self.delay_ms)
+    }
+}
+
+/// A control call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Control {
+    /// Opens a link to the first target that accepts, in turn. Answered with [`Opened`].
+    Open(Vec<SocketAddr>),
+    /// Replaces the targets of a link, for its coming connections.
+    Targets(LinkId, Vec<SocketAddr>),
+    /// Replaces the faults of a link.
+    Faults(LinkId, Faults),
+    /// Resets all connections of a link.
+    Reset(LinkId),
+}
+
+/// A new link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Opened {
+    /// Its number.
+    pub link: LinkId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+}
--- /dev/null
+++ b/crates/proof/src/run/links.rs
@@ -0,0 +1,57 @@
+//! The fault proxy's process, and the links that a scenario puts between the system's parts.
+
+use {
+    crate::{Control, Faults, LinkId, Opened, script::ast::Line},
+    eyre::Result,
+    harness::{Http, Proc},
+    std::net::SocketAddr,
+    types::ZoneId,
+};
+
+/// Calls to the fault proxy.
+#[derive(Clone)]
+pub(super) struct Proxy {
+    http: Http,
+    control: SocketAddr,
+}
+
+impl Proxy {
+    /// Starts a fault proxy.
+    pub(super) fn start(http: Http) -> Result<(Proc, Self)> {
+        let proc = Proc::start("faultproxy", &["--threads", "2"])?;
+        let control = proc.wait_addr("control")?;
+        Ok((proc, Self { http, control }))
+    }
+
+    fn send(&self, control: &Control) -> Result<Vec<u8>> {
+        self.http.post(self.control, "/control", control)
+    }
+
+    pub(super) fn open(&self, targets: Vec<SocketAddr>) -> Result<Opened> {
+        Ok(serde_json::from_slice(
+            &self.send(&Control::Open(targets))?,
+        )?)
+    }
+
+    pub(super) fn targets(&self, link: LinkId, targets: Vec<SocketAddr>) -> Result<()> {
+        self.send(&Control::Targets(link, targets)).map(drop)
+    }
+
+    pub(super) fn faults(&self, link: LinkId, faults: Faults) -> Result<()> {
+        self.send(&Control::Faults(link, faults)).map(drop)
+    }
+
+    pub(super) fn reset(&self, link: LinkId) -> Result<()> {
+        self.send(&Control::Reset(link)).map(drop)
+    }
+}
+
+/// A link and what it stands before.
+#[derive(Debug, Clone)]
+pub(super) struct Placement {
+    pub(super) line: Line,
+    pub(super) zone: ZoneId,
+    /// Number within the zone, from 1.
+    pub(super) index: usize,
+    pub(super) link: LinkId,
+}
--- /dev/null
+++ b/crates/proof/src/run/mod.rs
@@ -0,0 +1,30 @@
+//! Runs scenarios.
+
+mod balancer;
+mod bench;
+mod check;
+mod config;
+mod links;
+mod load;
+mod pause;
+mod peek;
+mod perform;
+mod record;
+
+use {
+    crate::Script,
+    bench::Bench,
+    eyre::{Result, WrapErr},
+};
+
+/// Runs a scenario; the error names the line of the first step that failed.
+pub fn run_script(script: Script) -> Result<()> {
+    let steps = script.steps.clone();
+    let mut bench = Bench::start(script).wrap_err("the system did not start")?;
+    for placed in &steps {
+        bench
+            .perform(&placed.step)
+            .wrap_err_with(|| format!("line {}", placed.line))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/proof/src/run/peek.rs
@@ -0,0 +1,39 @@
+//! What an entry holds, asked over the exchange that entries have among themselves.
+
+use {
+    eyre::{Result, bail},
+    harness::{Http, MESH_SECRET},
+    http_types::Method,
+    mesh::{Authenticator, Delta, SYNC_PATH, Summary, SyncAnswer, SyncRequest},
+    std::{net::SocketAddr, time::Duration},
+    types::Incarnation,
+    wire::{Call, CallLimits, from_rmp, to_rmp},
+};
+
+/// Name under which the runner asks.
+const ASKER: &str = "vm-prover";
+const LIMITS: CallLimits = CallLimits {
+    connect: Duration::from_millis(500),
+    head: Duration::from_secs(1),
+    gap: Duration::from_secs(1),
+};
+
+/// The whole state of the entry at `mesh`.
+pub(super) fn peek(http: &Http, mesh: SocketAddr) -> Result<Delta> {
+    let request = SyncRequest {
+        from: ASKER.parse()?,
+        incarnation: Incarnation(0),
+        have: Summary::default(),
+        delta: Delta::default(),
+    };
+    let mut call = Call::new(mesh, Method::Post, SYNC_PATH)
+        .body(to_rmp(&request)?)
+        .limits(LIMITS);
+    Authenticator::new(vec![MESH_SECRET.into()]).sign(&mut call.request);
+    let (reply, bytes) = http.send(call)?;
+    if reply.status() != 200 {
+        bail!("{mesh}: status {}", reply.status());
+    }
+    let answer: SyncAnswer = from_rmp(&bytes)?;
+    Ok(answer.delta)
+}
--- /dev/null
+++ b/crates/proof/src/script/lexis.rs
@@ -0,0 +1,106 @@
+//! Words, numbers and times of the scenario language.
+
+use {
+    super::ast::Place,
+    std::{str::FromStr, time::Duration},
+    winnow::{
+        ModalResult, Parser,
+        ascii::{dec_uint, float, space0},
+        combinator::{alt, cut_err, delimited, eof, not, peek, preceded, terminated},
+        error::{StrContext, StrContextValue},
+        token::{one_of, take_till, take_while},
+    },
+};
+
+pub(super) type Input<'a> = &'a str;
+
+fn is_word(c: char) -> bool {
+    c.is_ascii_alphanumeric() || "._-:/%@".contains(c)
+}
+
+/// What an error says was expected.
+pub(super) fn expected(what: &'static str) -> StrContext {
+    StrContext::Expected(StrContextValue::Description(what))
+}
+
+/// A word after white space.
+pub(super) fn word<'a>(input: &mut Input<'a>) -> ModalResult<&'a str> {
+    preceded(space0, take_while(1.., is_word))
+        .context(expected("a word"))
+        .parse_next(input)
+}
+
+/// This very word.
+pub(super) fn keyword<'a>(name: &'static str) -> impl FnMut(&mut Input<'a>) -> ModalResult<()> {
+    move |input| {
+        (space0, name, word_end)
+            .void()
+            .context(StrContext::Expected(StrContextValue::StringLiteral(name)))
+            .parse_next(input)
+    }
+}
+
+fn word_end(input: &mut Input<'_>) -> ModalResult<()> {
+    alt((eof.void(), peek(not(one_of(is_word))))).parse_next(input)
+}
+
+/// A word that parses as `T`.
+pub(super) fn parsed<'a, T: FromStr>(input: &mut Input<'a>) -> ModalResult<T> {
+    word.parse_to().parse_next(input)
+}
+
+/// A whole number.
+pub(super) fn number<T: TryFrom<u64>>(input: &mut Input<'_>) -> ModalResult<T> {
+    preceded(space0, terminated(dec_uint::<_, u64, _>, word_end))
+        .verify_map(|n| T::try_from(n).ok())
+        .context(expected("a whole number"))
+        .parse_next(input)
+}
+
+/// A number.
+pub(super) fn decimal(input: &mut Input<'_>) -> ModalResult<f64> {
+    preceded(space0, terminated(float, word_end))
+        .context(expected("a number"))
+        .parse_next(input)
+}
+
+/// A time such as `200ms` or `3s`.
+pub(super) fn time(input: &mut Input<'_>) -> ModalResult<Duration> {
+    let unit = alt(("ms".value(1u64), "s".value(1000)));
+    preceded(space0, (dec_uint::<_, u64, _>, unit, word_end))
+        .map(|(n, unit, ())| Duration::from_millis(n.saturating_mul(unit)))
+        .context(expected("a time such as 200ms or 3s"))
+        .parse_next(input)
+}
+
+/// Text in quotes.
+pub(super) fn text<'a>(input: &mut Input<'a>) -> ModalResult<&'a str> {
+    let quoted = delimited('"', take_till(0.., ['"', '\n']), cut_err('"'));
+    preceded(space0, quoted)
+        .context(expected("text in quotes"))
+        .parse_next(input)
+}
+
+/// `on` or `off`.
+pub(super) fn switch(input: &mut Input<'_>) -> ModalResult<bool> {
+    alt((keyword("on").value(true), keyword("off").value(false)))
+        .context(expected("on or off"))
+        .parse_next(input)
+}
+
+/// `all`, a zone, or a zone and a number as in `calicut/2`.
+pub(super) fn place(input: &mut Input<'_>) -> ModalResult<Place> {
+    word.verify_map(to_place)
+        .context(expected("all, ZONE or ZONE/NUMBER"))
+        .parse_next(input)
+}
+
+fn to_place(text: &str) -> Option<Place> {
+    if text == "all" {
+        return Some(Place::All);
+    }
+    match text.split_once('/') {
+        Some((zone, index)) => Some(Place::One(zone.parse().ok()?, index.parse().ok()?)),
+        None => text.parse().ok().map(Place::Zone),
+    }
+}
--- /dev/null
+++ b/crates/proof/src/script/parse.rs
@@ -0,0 +1,215 @@
+//! Parses scenario files: one statement a line.
+
+use {
+    super::{
+        ast::{FlowSpec, Placed, Script, Step, ZoneSpec},
+        lexis::{Input, decimal, expected, keyword, number, parsed, text, word},
+        step::{STEPS, step},
+    },
+    load::{Lengths, Work},
+    std::{error::Error, fmt},
+    winnow::{
+        ModalResult, Parser,
+        ascii::space0,
+        combinator::{alt, cut_err, eof, opt, preceded},
+        error::{ContextError, ParseError, StrContext},
+        token::rest,
+    },
+};
+
+const PROMPT_CHARS: usize = 400;
+const PREFIXES: u64 = 4;
+const MODEL: &str = "surveyor-llm";
+const HEADS: &str = "scenario, seed, zone, engines, flow, or a step";
+
+/// Where and why a scenario is not understood.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ScriptError {
+    /// Line, from 1.
+    pub line: usize,
+    /// Column, from 1.
+    pub column: usize,
+    /// What was expected.
+    pub message: String,
+}
+
+impl fmt::Display for ScriptError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "line {}, column {}: {}",
+            self.line, self.column, self.message
+        )
+    }
+}
+
+impl Error for ScriptError {}
+
+enum Statement {
+    Empty,
+    Title(String),
+    Seed(u64),
+    Zone(ZoneSpec),
+    Engines(Vec<String>),
+    Flow(FlowSpec),
+    Step(Step),
+}
+
+/// Parses a scenario.
+pub fn parse_script(source: &str) -> Result<Script, ScriptError> {
+    let mut script = Script::default();
+    for (index, text) in source.lines().enumerate() {
+        let line = index + 1;
+        let parsed = statement_line
+            .parse(text)
+            .map_err(|e| failed(line, text, &e))?;
+        match parsed {
+            Statement::Empty => {}
+            Statement::Title(title) => script.title = title,
+            Statement::Seed(seed) => script.seed = seed,
+            Statement::Zone(zone) => script.zones.push(zone),
+            Statement::Engines(args) => script.engines = args,
+            Statement::Flow(flow) => script.flows.push(flow),
+            Statement::Step(step) => script.steps.push(Placed { line, step }),
+        }
+    }
+    check_flows(&script)?;
+    Ok(script)
+}
+
+fn failed(line: usize, text: &str, error: &ParseError<&str, ContextError>) -> ScriptError {
+    let before = text.get(..error.offset()).unwrap_or(text);
+    let what = error.inner().context().filter_map(|c| match c {
+        StrContext::Expected(value) => Some(value.to_string()),
+        _ => None,
+    });
+    let message = match what.last() {
+        Some(what) => format!("expected {what}"),
+        None => "not understood".into(),
+    };
+    ScriptError {
+        line,
+        column: before.chars().count() + 1,
+        message,
+    }
+}
+
+fn check_flows(script: &Script) -> Result<(), ScriptError> {
+    for placed in &script.steps {
+        let Step::Load(names, _) = &placed.step else {
+            continue;
+        };
+        let unknown = names
+            .iter()
+            .find(|n| !script.flows.iter().any(|f| f.name == **n));
+        if let Some(name) = unknown {
+            return Err(ScriptError {
+                line: placed.line,
+                column: 1,
+                message: format!("no flow is named {name}"),
+            });
+        }
+    }
+    Ok(())
+}
+
+fn statement_line(input: &mut Input<'_>) -> ModalResult<Statement> {
+    let statement = opt(preceded(space0, statement)).parse_next(input)?;
+    (space0, opt(('#', rest)), eof)
+        .context(expected("the end of the line"))
+        .parse_next(input)?;
+    Ok(statement.unwrap_or(Statement::Empty))
+}
+
+fn statement(input: &mut Input<'_>) -> ModalResult<Statement> {
+    let start = *input;
+    let head = word(input)?;
+    match head {
+        "scenario" => cut_err(text.map(|t| Statement::Title(t.into()))).parse_next(input),
+        "seed" => cut_err(number.map(Statement::Seed)).parse_next(input),
+        "zone" => cut_err(zone.map(Statement::Zone)).parse_next(input),
+        "engines" => cut_err(text.map(engines)).parse_next(input),
+        "flow" => cut_err(flow.map(Statement::Flow)).parse_next(input),
+        name if STEPS.contains(&name) => {
+            cut_err(|i: &mut Input<'_>| step(name, i).map(Statement::Step)).parse_next(input)
+        }
+        _ => {
+            *input = start;
+            let unknown = winnow::combinator::fail::<_, Statement, _>;
+            cut_err(unknown.context(expected(HEADS))).parse_next(input)
+        }
+    }
+}
+
+fn engines(text: &str) -> Statement {
+    Statement::Engines(text.split_whitespace().map(Into::into).collect())
+}
+
+fn zone(input: &mut Input<'_>) -> ModalResult<ZoneSpec> {
+    let zone = parsed.context(expected("a zone")).parse_next(input)?;
+    let vms = preceded(keyword("vms"), number).parse_next(input)?;
+    let engines = preceded(keyword("engines"), number).parse_next(input)?;
+    let cheap = opt(preceded(keyword("cheap"), number)).parse_next(input)?;
+    let services = preceded(keyword("services"), number).parse_next(input)?;
+    Ok(ZoneSpec {
+        zone,
+        vms,
+        engines,
+        cheap: cheap.unwrap_or_default(),
+        services,
+    })
+}
+
+fn flow(input: &mut Input<'_>) -> ModalResult<FlowSpec> {
+    let name = word.parse_next(input)?.into();
+    let work = alt((chat, get, post))
+        .context(expected("chat, get or post"))
+        .parse_next(input)?;
+    let org = preceded(keyword("org"), parsed).parse_next(input)?;
+    let class = preceded(keyword("class"), parsed).parse_next(input)?;
+    let rate = preceded(keyword("rate"), decimal).parse_next(input)?;
+    Ok(FlowSpec {
+        name,
+        work,
+        org,
+        class,
+        rate,
+    })
+}
+
+fn chat(input: &mut Input<'_>) -> ModalResult<Work> {
+    let median: u32 = preceded(
+        (keyword("chat"), cut_err(keyword("tokens"))),
+        cut_err(number),
+    )
+    .parse_next(input)?;
+    let spread = opt(preceded(keyword("spread"), decimal)).parse_next(input)?;
+    let model = MODEL
+        .parse()
+        .map_err(|_| winnow::error::ErrMode::Cut(ContextError::new()))?;
+    Ok(Work::Chat {
+        model,
+        lengths: Lengths {
+            median: median.into(),
+            spread: spread.unwrap_or_default(),
+            longest: 4 * u64::from(median),
+        },
+        prompt: PROMPT_CHARS,
+        prefixes: PREFIXES,
+    })
+}
+
+fn get(input: &mut Input<'_>) -> ModalResult<Work> {
+    preceded(keyword("get"), cut_err(word))
+        .map(|path| Work::Get { path: path.into() })
+        .parse_next(input)
+}
+
+fn post(input: &mut Input<'_>) -> ModalResult<Work> {
+    (keyword("post"), cut_err(word), opt(keyword("keyed")))
+        .map(|((), path, keyed)| Work::Post {
+            path: path.into(),
+            keyed: keyed.is_some(),
+        })
+        .parse_next(input)
+}
