--- a/crates/standin/src/engine/control.rs
+++ b/crates/standin/src/engine/control.rs
@@ -58,7 +58,7 @@
     CutAfter(Option<u64>),
     /// Refuses requests with status 500.
     Fail(bool),
-    /// Answers with another request's id.
+    /// Answers with another request's id and content.
     Cross(bool),
     /// Stops making tokens without closing anything.
     Hang(bool),
--- a/crates/standin/src/engine/handler.rs
+++ b/crates/standin/src/engine/handler.rs
@@ -231,7 +231,7 @@
 
     fn event(&self, index: u64) -> Vec<u8> {
         let id = self.engine.shown_id(self.id);
-        let delta = json!({ "content": token_text(self.id, index) });
+        let delta = json!({ "content": token_text(id, index) });
         let choice = json!({ "index": 0, "delta": delta, "finish_reason": null });
         let chunk = json!({
             "id": format!("chatcmpl-{id}"),
@@ -271,7 +271,7 @@
                 return pending().await;
             }
             self.step().await;
-            text.push_str(&token_text(self.id, index));
+            text.push_str(&token_text(self.engine.shown_id(self.id), index));
         }
         self.engine.record.lock()[self.at].whole = true;
         let message = json!({ "role": "assistant", "content": text });
--- a/crates/standin/src/service/control.rs
+++ b/crates/standin/src/service/control.rs
@@ -14,7 +14,7 @@
     Delay(u64),
     /// Number of coming requests that are executed but never answered.
     LoseAnswers(u32),
-    /// Answers with another request's id.
+    /// Answers with another request's id and content.
     Cross(bool),
 }
 
--- a/crates/standin/src/service/handler.rs
+++ b/crates/standin/src/service/handler.rs
@@ -13,6 +13,8 @@
 };
 
 const ID_HEADER: &str = "x-request-id";
+/// What a crossed answer echoes: another request's body.
+const CROSSED: &str = "crossed";
 const DEFAULT_DELAY: Duration = Duration::from_millis(10);
 
 #[derive(Debug)]
@@ -86,7 +88,8 @@
         if lost {
             return pending().await;
         }
-        let mut response = json_response(200, &json!({ "done": true, "echo": text }));
+        let echo = if cross { CROSSED.into() } else { text };
+        let mut response = json_response(200, &json!({ "done": true, "echo": echo }));
         if let Some(id) = id {
             let shown = if cross {
                 RequestId::from_bits(!id.bits())
