Scenarios cut a VM from the platform by a link that holds

Cause: the scenarios of a zone cut from the platform went on to hold with the exchange between entries switched off. The stand-in's cut goes by a header that no process of the system sends, so it cut nobody.

Change: harness starts a cluster with a link between each VM and the platform (`start_linked`); the scenario language has `link platform PLACE hold both` in place of `cut platform PLACE`.

Conclusion: the stand-in's `cut` fault is without use and can go.

--- a/crates/harness/src/cluster/start.rs
+++ b/crates/harness/src/cluster/start.rs
@@ -33,6 +33,15 @@
 impl Cluster {
     /// Starts all processes and waits until every entry is ready.
     pub fn start(shape: Shape) -> Result<Self> {
+        Self::start_linked(shape, |_, _, platform| Ok(platform))
+    }
+
+    /// As [`Cluster::start`]; `link` tells under which address the VM with this number in its
+    /// availability zone, from 1, reaches the platform.
+    pub fn start_linked(
+        shape: Shape,
+        mut link: impl FnMut(&ZoneId, usize, SocketAddr) -> Result<SocketAddr>,
+    ) -> Result<Self> {
         let nonce = fastrand::u64(..);
         let folder = env::temp_dir().join(format!("celerystage-{}-{nonce:x}", process::id()));
         fs::create_dir_all(&folder)?;
@@ -50,12 +59,12 @@
         };
         for zone in &shape.zones {
             cluster.start_backends(zone)?;
-            cluster.start_vms(zone)?;
+            cluster.start_vms(zone, &mut link)?;
         }
         cluster.list_vms()?;
         cluster.publish(shape.items)?;
         for vm in &mut cluster.vms {
-            vm.start_steward(platform_addr, &shape.steward)?;
+            vm.start_steward(vm.platform, &shape.steward)?;
         }
         for vm in &cluster.vms {
             vm.wait_ready(&cluster.http)?;
@@ -89,15 +98,21 @@
         self.control(&Control::Endpoints(zone.zone.clone(), endpoints))
     }
 
-    fn start_vms(&mut self, zone: &ZoneShape) -> Result<()> {
+    fn start_vms(
+        &mut self,
+        zone: &ZoneShape,
+        link: &mut impl FnMut(&ZoneId, usize, SocketAddr) -> Result<SocketAddr>,
+    ) -> Result<()> {
         for i in 0..zone.vms {
             let vm = format!("vm-{}-{}", zone.zone, i + 1).parse()?;
-            let extra = format!("platform: {}\n{}", self.platform_addr, self.shape.entry);
+            let platform = link(&zone.zone, i + 1, self.platform_addr)?;
+            let extra = &self.shape.entry;
             self.vms.push(Vm::start(
                 self.folder.clone(),
                 vm,
                 zone.zone.clone(),
-                &extra,
+                platform,
+                extra,
             )?);
         }
         Ok(())
--- a/crates/harness/src/cluster/vm.rs
+++ b/crates/harness/src/cluster/vm.rs
@@ -23,6 +23,8 @@
     pub mesh: SocketAddr,
     /// Admin address of the entry.
     pub admin: SocketAddr,
+    /// Where this VM reaches the platform.
+    pub platform: SocketAddr,
     /// The entry.
     pub entry: Proc,
     /// The steward.
@@ -33,19 +35,26 @@
 
 impl Vm {
     /// Starts the entry of a VM; kernel-chosen ports.
-    pub(super) fn start(folder: PathBuf, vm: VmId, zone: ZoneId, extra: &str) -> Result<Self> {
+    pub(super) fn start(
+        folder: PathBuf,
+        vm: VmId,
+        zone: ZoneId,
+        platform: SocketAddr,
+        extra: &str,
+    ) -> Result<Self> {
+        let extra = format!("platform: {platform}\n{extra}");
         let any = "127.0.0.1:0".parse()?;
-        let entry = start_entry(&folder, &vm, &zone, [any; 3], extra)?;
+        let entry = start_entry(&folder, &vm, &zone, [any; 3], &extra)?;
         let callers = entry.wait_addr("callers")?;
         let mesh = entry.wait_addr("mesh")?;
         let admin = entry.wait_addr("admin")?;
-        let extra = extra.to_owned();
         Ok(Self {
             vm,
             zone,
             callers,
             mesh,
             admin,
+            platform,
             entry,
             steward: None,
             folder,
--- a/crates/proof/src/run/bench.rs
+++ b/crates/proof/src/run/bench.rs
@@ -11,7 +11,7 @@
     compact_str::CompactString,
     conf::Config,
     eyre::Result,
-    harness::{Cluster, Proc, Shape, ZoneShape, demo_config, wait_until},
+    harness::{Cluster, Http, Proc, Shape, ZoneShape, demo_config, wait_until},
     load::{Flow, Sample},
     platform::{Endpoint, Vm as ListedVm, VmState},
     standin::platform::{Control, Fault},
@@ -71,10 +71,22 @@
 impl Bench {
     /// Starts what the script asks for.
     pub(super) fn start(script: Script) -> Result<Self> {
-        let cluster = Cluster::start(shape(&script)?)?;
-        let (proc, proxy) = Proxy::start(cluster.http.clone())?;
+        let (proc, proxy) = Proxy::start(Http::default())?;
         let mut links = Vec::new();
         let wanted = wanted_lines(&script);
+        let cluster = Cluster::start_linked(shape(&script)?, |zone, index, platform| {
+            if !wanted.contains(&Line::Platform) {
+                return Ok(platform);
+            }
+            let opened = proxy.open(vec![platform])?;
+            links.push(Placement {
+                line: Line::Platform,
+                zone: zone.clone(),
+                index,
+                link: opened.link,
+            });
+            Ok(opened.addr)
+        })?;
         let sites = sites(&cluster);
         let relisted = relist(&cluster, &proxy, &wanted, &mut links)?;
         let members = members(&cluster, &proxy, &wanted, &mut links)?;
--- a/crates/proof/src/run/perform.rs
+++ b/crates/proof/src/run/perform.rs
@@ -80,10 +80,9 @@
 
     fn stewards(&mut self, act: Act, place: &Place) -> Result<()> {
         for index in self.some_vms(place)? {
-            let platform = self.cluster.platform_addr;
             let vm = &mut self.cluster.vms[index];
             if act == Act::Start {
-                vm.start_steward(platform, "")?;
+                vm.start_steward(vm.platform, "")?;
                 continue;
             }
             let steward = vm.steward.as_mut();
@@ -117,11 +116,6 @@
                 self.fault.delay_ms = u64::try_from(delay.as_millis())?;
             }
             PlatformFault::LoseAnswers(count) => self.fault.lose_answers = *count,
-            PlatformFault::Cut(place) => {
-                let vms = self.some_vms(place)?;
-                let ids = vms.iter().map(|&i| self.cluster.vms[i].vm.clone());
-                self.fault.cut = ids.collect();
-            }
         }
         self.cluster.control(&Control::Fault(self.fault.clone()))
     }
--- a/crates/proof/src/script/ast.rs
+++ b/crates/proof/src/script/ast.rs
@@ -72,6 +72,7 @@
     Service,
     Mesh,
     Callers,
+    Platform,
 }
 
 /// A fault of links.
@@ -88,7 +89,6 @@
     Up,
     Slow(Duration),
     LoseAnswers(u32),
-    Cut(Place),
 }
 
 /// What must hold.
--- a/crates/proof/src/script/step.rs
+++ b/crates/proof/src/script/step.rs
@@ -16,10 +16,9 @@
 };
 
 /// Words that begin a step.
-pub(super) const STEPS: [&str; 21] = [
+pub(super) const STEPS: [&str; 20] = [
     "load", "finish", "sleep", "stop", "kill", "pause", "continue", "start", "platform", "engine",
     "service", "link", "leave", "remove", "withdraw", "weight", "race", "settle", "mark", "check",
-    "cut",
 ];
 
 /// Parses what follows the word that begins a step.
@@ -34,9 +33,6 @@
         "continue" => process(Act::Continue, input),
         "start" => process(Act::Start, input),
         "platform" => platform.map(Step::Platform).parse_next(input),
-        "cut" => preceded(keyword("platform"), place)
-            .map(|p| Step::Platform(PlatformFault::Cut(p)))
-            .parse_next(input),
         "engine" => (place, engine)
             .map(|(p, c)| Step::Engine(p, c))
             .parse_next(input),
@@ -128,8 +124,9 @@
         keyword("service").value(Line::Service),
         keyword("mesh").value(Line::Mesh),
         keyword("callers").value(Line::Callers),
+        keyword("platform").value(Line::Platform),
     ))
-    .context(expected("engine, service, mesh or callers"))
+    .context(expected("engine, service, mesh, callers or platform"))
     .parse_next(input)
 }
 
