--- a/crates/conf/src/fleet/config.rs
+++ b/crates/conf/src/fleet/config.rs
@@ -117,6 +117,7 @@
                     );
                 }
                 Op::Remove { .. } => {
+                    self.check_remove(&key)?;
                     items.remove(&key);
                 }
             }
@@ -137,6 +138,14 @@
         Ok(())
     }
 
+    /// A withdrawn key stays, so that it cannot be given again.
+    fn check_remove(&self, key: &ItemKey) -> Result<(), Refused> {
+        match self.get(key).map(|e| &e.item) {
+            Some(Item::Key(k)) if k.withdrawn => Err(Refused::Withdrawn(key.clone())),
+            _ => Ok(()),
+        }
+    }
+
     /// A class.
     pub fn class(&self, id: &ClassId) -> Option<&Class> {
         match &self.get(&ItemKey::Class(id.clone()))?.item {
