Paired experiments on whole systems

Cause: policies have to be chosen by figures, against baselines in the same run. The harness starts cheap engines as a process of their own, so that an eviction can kill them.

--- a/crates/harness/src/cluster/start.rs
+++ b/crates/harness/src/cluster/start.rs
@@ -4,11 +4,17 @@
     super::{Shape, Vm, ZoneShape},
     crate::process::{Http, Proc, wait_until},
     conf::{Change, Item, Op},
-    eyre::{Result, ensure},
+    eyre::{Result, ensure, eyre},
     platform::{AppendBody, Endpoint, EndpointState, Vm as ListedVm, VmState},
     serde::Serialize,
     standin::platform::Control,
-    std::{env, fs, net::SocketAddr, path::PathBuf, process},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        env, fs,
+        net::SocketAddr,
+        path::PathBuf,
+        process,
+    },
     types::{EndpointId, ModelId, RequestId, Version, ZoneId},
 };
 
@@ -18,8 +24,12 @@
     pub platform: Proc,
     /// Where it listens.
     pub platform_addr: SocketAddr,
-    /// Processes of engines and services.
+    /// Processes of engines and services. A zone's cheap engines have their own.
     pub backends: Vec<Proc>,
+    /// Which process serves an endpoint, as an index.
+    owners: BTreeMap<SocketAddr, usize>,
+    /// Processes that were killed on purpose.
+    killed: BTreeSet<usize>,
     /// All endpoints with their zones.
     pub endpoints: Vec<(ZoneId, Endpoint)>,
     /// All VMs.
@@ -42,6 +52,8 @@
             platform,
             platform_addr,
             backends: Vec::new(),
+            owners: BTreeMap::new(),
+            killed: BTreeSet::new(),
             endpoints: Vec::new(),
             vms: Vec::new(),
             http: Http::default(),
@@ -66,29 +78,55 @@
 
     fn start_backends(&mut self, zone: &ZoneShape) -> Result<()> {
         let mut endpoints = Vec::new();
-        if zone.engines > 0 {
-            let count = zone.engines.to_string();
-            let mut args = vec!["--threads", "2", "--count", &count];
-            args.extend(self.shape.engine.iter().map(String::as_str));
-            let proc = Proc::start("standin-engine", &args)?;
-            let addrs = proc.wait_addrs("engine", zone.engines)?;
+        let cheap = zone.cheap.min(zone.engines);
+        for (from, count) in [(0, cheap), (cheap, zone.engines - cheap)] {
             let model = self.shape.model.clone();
-            for (i, addr) in addrs.into_iter().enumerate() {
-                endpoints.push(endpoint(&zone.zone, &model, i, addr, i < zone.cheap)?);
+            for (i, addr) in self.start_engines(count)?.into_iter().enumerate() {
+                let index = from + i;
+                endpoints.push(endpoint(&zone.zone, &model, index, addr, index < cheap)?);
             }
-            self.backends.push(proc);
         }
         for i in 0..zone.services {
             let proc = Proc::start("standin-service", &[])?;
             let addr = proc.wait_addr("service")?;
             endpoints.push(endpoint(&zone.zone, &self.shape.service, i, addr, false)?);
-            self.backends.push(proc);
+            self.own(proc, &[addr]);
         }
         let listed = endpoints.iter().cloned().map(|e| (zone.zone.clone(), e));
         self.endpoints.extend(listed);
         self.control(&Control::Endpoints(zone.zone.clone(), endpoints))
     }
 
+    /// Starts `count` engines in one process.
+    fn start_engines(&mut self, count: usize) -> Result<Vec<SocketAddr>> {
+        if count == 0 {
+            return Ok(Vec::new());
+        }
+        let text = count.to_string();
+        let mut args = vec!["--threads", "2", "--count", &text];
+        args.extend(self.shape.engine.iter().map(String::as_str));
+        let proc = Proc::start("standin-engine", &args)?;
+        let addrs = proc.wait_addrs("engine", count)?;
+        self.own(proc, &addrs);
+        Ok(addrs)
+    }
+
+    fn own(&mut self, proc: Proc, addrs: &[SocketAddr]) {
+        let index = self.backends.len();
+        self.owners.extend(addrs.iter().map(|a| (*a, index)));
+        self.backends.push(proc);
+    }
+
+    /// Kills the process that serves `addr`, and with it the other endpoints of that process.
+    pub fn kill_backend(&mut self, addr: SocketAddr) -> Result<()> {
+        let index = self.owners.get(&addr).copied();
+        let index = index.ok_or_else(|| eyre!("no process serves {addr}"))?;
+        if self.killed.insert(index) {
+            self.backends[index].kill()?;
+        }
+        Ok(())
+    }
+
     fn start_vms(&mut self, zone: &ZoneShape) -> Result<()> {
         for i in 0..zone.vms {
             let vm = format!("vm-{}-{}", zone.zone, i + 1).parse()?;
@@ -155,6 +193,16 @@
         all.map(|(_, e)| e.clone()).collect()
     }
 
+    /// Engines.
+    pub fn engines(&self) -> Vec<Endpoint> {
+        self.serving(&self.shape.model)
+    }
+
+    /// Replicas of the plain service.
+    pub fn services(&self) -> Vec<Endpoint> {
+        self.serving(&self.shape.service)
+    }
+
     /// Addresses for callers.
     pub fn entries(&self) -> Vec<SocketAddr> {
         self.vms.iter().map(|v| v.callers).collect()
@@ -186,7 +234,8 @@
                 );
             }
         }
-        for backend in &mut self.backends {
+        let backends = self.backends.iter_mut().enumerate();
+        for (_, backend) in backends.filter(|(i, _)| !self.killed.contains(i)) {
             ensure!(backend.stop()?.success(), "a stand-in did not stop cleanly");
         }
         ensure!(
--- /dev/null
+++ b/crates/lab/src/bin/celery-lab.rs
@@ -0,0 +1,119 @@
+//! The experiments as a program.
+
+use {
+    eyre::{Result, bail},
+    lab::{Arm, Experiment, PairPlan, SiteKind, plot, run_pair},
+    pico_args::Arguments,
+    std::{path::PathBuf, process::ExitCode},
+};
+
+const HELP: &str = "\
+celery-lab: runs experiments on whole systems on loopback
+
+Usage: celery-lab pair [--site malabar|grandformat] [--experiment NAME|all]... [--arm ARM]...
+                       [--rounds N] [--seconds N] [--level X] [--seed N] [--json] [--plot FILE.svg]
+
+  Each ARM is NAME=KEY:VALUE,... with settings of the entries; queue and picker go under policy.
+  Without --arm: fifo with round robin, fifo with least outstanding, and the defaults.
+  Experiments: steady, burst, straggler, crash, hang, eviction, heavy.
+
+Exit codes: 0 done; 1 a request that may not be repeated ran twice, or a refusal was untrue;
+2 bad command line or a failure to run.
+";
+
+const DEFAULT_ARMS: [&str; 3] = [
+    "fifo-robin=queue:fifo,picker:round_robin",
+    "fifo-least=queue:fifo,picker:least_outstanding",
+    "defaults",
+];
+const DEFAULT_ROUNDS: u64 = 2;
+const DEFAULT_SECONDS: f64 = 20.0;
+const DEFAULT_SEED: u64 = 1;
+
+fn values<T>(args: &mut Arguments, key: &'static str) -> Result<Vec<T>>
+where
+    T: std::str::FromStr<Err = eyre::Report>,
+{
+    let texts: Vec<String> = args.values_from_str(key)?;
+    texts.iter().map(|t| t.parse()).collect()
+}
+
+fn pair(mut args: Arguments) -> Result<ExitCode> {
+    let site: String = args
+        .opt_value_from_str("--site")?
+        .unwrap_or_else(|| "malabar".into());
+    let names: Vec<String> = args.values_from_str("--experiment")?;
+    let experiments = if names.is_empty() || names.iter().any(|n| n == "all") {
+        Experiment::ALL.to_vec()
+    } else {
+        names.iter().map(|n| n.parse()).collect::<Result<_>>()?
+    };
+    let mut arms: Vec<Arm> = values(&mut args, "--arm")?;
+    if arms.is_empty() {
+        arms = DEFAULT_ARMS
+            .iter()
+            .map(|a| a.parse())
+            .collect::<Result<_>>()?;
+    }
+    let json = args.contains("--json");
+    let svg: Option<PathBuf> = args.opt_value_from_str("--plot")?;
+    let plan = PairPlan {
+        site: site.parse::<SiteKind>()?.site(),
+        experiment: Experiment::Steady,
+        arms,
+        rounds: args
+            .opt_value_from_str("--rounds")?
+            .unwrap_or(DEFAULT_ROUNDS),
+        seconds: args
+            .opt_value_from_str("--seconds")?
+            .unwrap_or(DEFAULT_SECONDS),
+        level: args.opt_value_from_str("--level")?.unwrap_or(1.0),
+        seed: args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED),
+    };
+    if let Some(extra) = args.finish().first() {
+        bail!("unknown argument {extra:?}; see --help");
+    }
+    let mut reports = Vec::new();
+    for experiment in experiments {
+        let report = run_pair(&PairPlan {
+            experiment,
+            ..plan.clone()
+        })?;
+        if !json {
+            println!("{report}");
+        }
+        reports.push(report);
+    }
+    if json {
+        println!("{}", serde_json::to_string_pretty(&reports)?);
+    }
+    if let Some(path) = svg {
+        plot(&reports, &path)?;
+    }
+    let arms = reports.iter().flat_map(|r| &r.arms);
+    let sound = arms.into_iter().all(|a| a.executions <= 1 && a.untrue == 0);
+    Ok(if sound {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(1)
+    })
+}
+
+fn run() -> Result<ExitCode> {
+    let mut args = Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    match args.subcommand()?.as_deref() {
+        Some("pair") => pair(args),
+        _ => bail!("accepted is pair; see --help"),
+    }
+}
+
+fn main() -> ExitCode {
+    run().unwrap_or_else(|e| {
+        eprintln!("celery-lab: {e:#}");
+        ExitCode::from(2)
+    })
+}
--- /dev/null
+++ b/crates/lab/src/figures/observed.rs
@@ -0,0 +1,60 @@
+//! What callers and stand-ins saw in one round.
+
+use {
+    crate::pair::LostRecords,
+    eyre::Result,
+    harness::Cluster,
+    load::Sample,
+    standin::{engine, service},
+    types::EndpointId,
+};
+
+/// What one engine executed.
+#[derive(Debug, Clone)]
+pub(crate) struct EngineRecord {
+    pub(crate) cheap: bool,
+    pub(crate) executed: Vec<engine::Executed>,
+}
+
+/// What callers and stand-ins saw in one round.
+#[derive(Debug, Clone)]
+pub struct Observed {
+    pub(crate) samples: Vec<Sample>,
+    pub(crate) engines: Vec<EngineRecord>,
+    pub(crate) services: Vec<service::Executed>,
+}
+
+impl Observed {
+    /// Reads the records of all stand-ins; those of killed engines are in `lost`.
+    pub(crate) fn read(
+        cluster: &Cluster,
+        samples: Vec<Sample>,
+        mut lost: LostRecords,
+    ) -> Result<Self> {
+        let mut take_lost = |id: &EndpointId| {
+            let at = lost.iter().position(|(l, _)| l == id)?;
+            Some(lost.swap_remove(at).1)
+        };
+        let mut engines = Vec::new();
+        for endpoint in cluster.engines() {
+            let executed = match take_lost(&endpoint.id) {
+                Some(executed) => executed,
+                None => cluster.http.get(endpoint.addr, "/record")?,
+            };
+            engines.push(EngineRecord {
+                cheap: endpoint.cheap,
+                executed,
+            });
+        }
+        let mut services = Vec::new();
+        for endpoint in cluster.services() {
+            let executed: Vec<service::Executed> = cluster.http.get(endpoint.addr, "/record")?;
+            services.extend(executed);
+        }
+        Ok(Self {
+            samples,
+            engines,
+            services,
+        })
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,11 @@
+//! Experiments on whole systems on loopback: paired policies, cost of the path, cost of control, soak.
+
+mod figures;
+mod pair;
+mod shape;
+
+pub use {
+    figures::{ArmFigures, ClassFigures, Observed, PairReport, fair_shares, plot, worst_share},
+    pair::{Arm, Experiment, PairPlan, run_pair},
+    shape::{Site, SiteKind},
+};
--- a/crates/load/src/drive/sample.rs
+++ b/crates/load/src/drive/sample.rs
@@ -1,6 +1,7 @@
 //! What became of one request, as its caller saw it.
 
 use {
+    crate::plan::Flow,
     compact_str::CompactString,
     std::time::Duration,
     types::{RequestId, Verdict},
@@ -50,3 +51,16 @@
     /// Tokens received.
     pub tokens: u64,
 }
+
+impl Sample {
+    /// Whether the answer was whole and met its flow's targets.
+    pub fn attains(&self, flow: &Flow) -> bool {
+        let first = self
+            .first
+            .is_some_and(|f| f <= Duration::from_millis(flow.first_ms));
+        let between = self
+            .between
+            .is_none_or(|b| b <= Duration::from_millis(flow.between_ms));
+        self.outcome == Outcome::Whole && first && between
+    }
+}
--- a/crates/load/src/report/figures.rs
+++ b/crates/load/src/report/figures.rs
@@ -129,7 +129,7 @@
                 row.whole += 1;
                 row.tokens += sample.tokens;
                 org.tokens += sample.tokens;
-                if attains(flow, sample) {
+                if sample.attains(flow) {
                     row.attained += 1;
                     org.attained += 1;
                 }
@@ -151,14 +151,3 @@
         self.classes.values().map(|c| c.wrong + c.cut).sum()
     }
 }
-
-/// Whether an answer met its flow's targets.
-fn attains(flow: &Flow, sample: &Sample) -> bool {
-    let first = sample
-        .first
-        .is_some_and(|f| f <= Duration::from_millis(flow.first_ms));
-    let between = sample
-        .between
-        .is_none_or(|b| b <= Duration::from_millis(flow.between_ms));
-    first && between
-}
