Cost of the path, measured against direct calls

Cause: nobody knew what an entry adds to a request. Change: celery-lab cost sends one load through one entry and straight to the endpoints, in turns; the load tool names its chat requests, which engines need when they are called directly.

--- a/crates/lab/src/bin/celery-lab.rs
+++ b/crates/lab/src/bin/celery-lab.rs
@@ -2,7 +2,7 @@
 
 use {
     eyre::{Result, bail},
-    lab::{Arm, Experiment, PairPlan, SiteKind, plot, run_pair},
+    lab::{Arm, CostPlan, Experiment, PairPlan, SiteKind, measure_cost, plot, run_pair},
     pico_args::Arguments,
     std::{path::PathBuf, process::ExitCode},
 };
@@ -13,6 +13,8 @@
 Usage: celery-lab pair [--site malabar|grandformat] [--experiment NAME|all]... [--arm ARM]...
                        [--rounds N] [--seconds N] [--level X] [--seed N] [--json] [--plot FILE.svg]
 
+       celery-lab cost [--rounds N] [--seconds N] [--rate N] [--seed N] [--json]
+
   Each ARM is NAME=KEY:VALUE,... with settings of the entries; queue and picker go under policy.
   Without --arm: fifo with round robin, fifo with least outstanding, and the defaults.
   Experiments: steady, burst, straggler, crash, hang, eviction, heavy.
@@ -70,9 +72,7 @@
         level: args.opt_value_from_str("--level")?.unwrap_or(1.0),
         seed: args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED),
     };
-    if let Some(extra) = args.finish().first() {
-        bail!("unknown argument {extra:?}; see --help");
-    }
+    finish(args)?;
     let mut reports = Vec::new();
     for experiment in experiments {
         let report = run_pair(&PairPlan {
@@ -99,6 +99,34 @@
     })
 }
 
+fn cost(mut args: Arguments) -> Result<ExitCode> {
+    let json = args.contains("--json");
+    let plan = CostPlan {
+        seconds: args.opt_value_from_str("--seconds")?.unwrap_or(8.0),
+        rounds: args.opt_value_from_str("--rounds")?.unwrap_or(2),
+        rate: args.opt_value_from_str("--rate")?.unwrap_or(200.0),
+        seed: args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED),
+    };
+    finish(args)?;
+    show(&measure_cost(&plan)?, json)
+}
+
+fn finish(args: Arguments) -> Result<()> {
+    match args.finish().first() {
+        Some(extra) => bail!("unknown argument {extra:?}; see --help"),
+        None => Ok(()),
+    }
+}
+
+fn show(report: &(impl serde::Serialize + std::fmt::Display), json: bool) -> Result<ExitCode> {
+    if json {
+        println!("{}", serde_json::to_string_pretty(report)?);
+    } else {
+        println!("{report}");
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn run() -> Result<ExitCode> {
     let mut args = Arguments::from_env();
     if args.contains(["-h", "--help"]) {
@@ -107,7 +135,8 @@
     }
     match args.subcommand()?.as_deref() {
         Some("pair") => pair(args),
-        _ => bail!("accepted is pair; see --help"),
+        Some("cost") => cost(args),
+        _ => bail!("accepted are pair and cost; see --help"),
     }
 }
 
--- /dev/null
+++ b/crates/lab/src/cost/measure.rs
@@ -0,0 +1,146 @@
+//! Sends the same load through one entry and straight to the endpoints, in turns.
+
+use {
+    super::{CostReport, LoadCost},
+    crate::{pair::run_round, shape::SiteKind},
+    conf::Item,
+    eyre::{Result, ensure},
+    harness::{Cluster, Shape, ZoneShape},
+    load::{Flow, Lengths, Plan, Report, Work},
+    std::net::SocketAddr,
+};
+
+const ENGINES: usize = 4;
+/// Slots of an engine: more than the load ever fills, so that nothing waits.
+const SLOTS: u32 = 256;
+const STEP_US: u64 = 20_000;
+const SHORT_TOKENS: u64 = 1;
+const LONG_TOKENS: u64 = 100;
+/// Targets do not matter here.
+const ANY_MS: u64 = 60_000;
+
+/// A measurement of the path's cost.
+#[derive(Debug, Clone, Copy)]
+pub struct CostPlan {
+    /// Length of one load.
+    pub seconds: f64,
+    /// How often each load is sent each way.
+    pub rounds: u64,
+    /// Requests a second of the short load and of the plain service.
+    pub rate: f64,
+    /// Seed.
+    pub seed: u64,
+}
+
+struct Load {
+    name: &'static str,
+    work: Work,
+    rate: f64,
+}
+
+fn loads(plan: &CostPlan, shape: &Shape) -> Vec<Load> {
+    let chat = |tokens: u64| Work::Chat {
+        model: shape.model.clone(),
+        lengths: Lengths {
+            median: tokens as f64,
+            spread: 0.0,
+            longest: tokens,
+        },
+        prompt: 480,
+        prefixes: 1,
+    };
+    let load = |name, work, rate| Load { name, work, rate };
+    vec![
+        load("one token", chat(SHORT_TOKENS), plan.rate),
+        load("100 tokens", chat(LONG_TOKENS), plan.rate / 4.0),
+        load(
+            "plain GET",
+            Work::Get {
+                path: "/permits/item".into(),
+            },
+            plan.rate,
+        ),
+    ]
+}
+
+fn shape() -> Result<Shape> {
+    let site = SiteKind::Malabar.site();
+    let mut shape = site.shape("")?;
+    shape.zones = vec![ZoneShape {
+        zone: "ernakulam".parse()?,
+        vms: 1,
+        engines: ENGINES,
+        cheap: 0,
+        services: 1,
+    }];
+    for item in &mut shape.items {
+        match item {
+            Item::Model(model) => model.slots = SLOTS,
+            Item::Route(route) => route.slots = SLOTS,
+            _ => {}
+        }
+    }
+    let speed = [
+        ("--slots", u64::from(SLOTS)),
+        ("--step-us", STEP_US),
+        ("--crowd-us", 0),
+        ("--prefill-us", 0),
+    ];
+    let speed = speed
+        .into_iter()
+        .flat_map(|(k, v)| [k.into(), v.to_string()]);
+    shape.engine = speed.collect();
+    Ok(shape)
+}
+
+/// Measures the cost of the path through one entry.
+pub fn measure_cost(plan: &CostPlan) -> Result<CostReport> {
+    let shape = shape()?;
+    let key = SiteKind::Malabar.site().first_key();
+    let mut cluster = Cluster::start(shape.clone())?;
+    let mut report = CostReport::default();
+    for load in loads(plan, &shape) {
+        let direct = match load.work {
+            Work::Chat { .. } => cluster.engines(),
+            Work::Get { .. } | Work::Post { .. } => cluster.services(),
+        };
+        let direct: Vec<SocketAddr> = direct.iter().map(|e| e.addr).collect();
+        let mut cost = LoadCost::new(load.name);
+        for round in 0..plan.rounds {
+            eprintln!("{}: round {} of {}", load.name, round + 1, plan.rounds);
+            for entries in [cluster.entries(), direct.clone()] {
+                let through = entries == cluster.entries();
+                let flow = flow(&load, &key)?;
+                let sent = Plan {
+                    entries,
+                    seconds: plan.seconds,
+                    seed: plan.seed + round,
+                    flows: vec![flow],
+                };
+                let before = cluster.vms[0].entry.cpu_micros()?;
+                let seen = run_round(&mut cluster, &sent, &[])?;
+                let spent = cluster.vms[0].entry.cpu_micros()? - before;
+                let figures = Report::of(&sent, &seen.samples);
+                ensure!(figures.broken() == 0, "an answer was not whole: {figures}");
+                cost.add(&seen.samples, through.then_some(spent));
+            }
+        }
+        report.loads.push(cost);
+    }
+    cluster.stop()?;
+    Ok(report)
+}
+
+fn flow(load: &Load, key: &str) -> Result<Flow> {
+    Ok(Flow {
+        org: "rubber-board".parse()?,
+        key: key.into(),
+        class: "summary".parse()?,
+        first_ms: ANY_MS,
+        between_ms: ANY_MS,
+        rate: load.rate,
+        from_s: 0.0,
+        until_s: None,
+        work: load.work.clone(),
+    })
+}
--- /dev/null
+++ b/crates/lab/src/cost/report.rs
@@ -0,0 +1,118 @@
+//! Figures of the path's cost.
+
+use {
+    compact_str::CompactString,
+    load::{Outcome, Sample},
+    serde::Serialize,
+    std::{fmt, time::Duration},
+};
+
+/// Cost of one load.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct LoadCost {
+    /// Name of the load.
+    pub name: CompactString,
+    /// Whole answers that came through the entry.
+    pub answers: u64,
+    /// Tokens in them.
+    pub tokens: u64,
+    /// Processor time of the entry, in microseconds.
+    pub spent: u64,
+    #[serde(skip)]
+    through: Vec<Duration>,
+    #[serde(skip)]
+    direct: Vec<Duration>,
+}
+
+/// Cost of the path.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct CostReport {
+    /// By load.
+    pub loads: Vec<LoadCost>,
+}
+
+impl LoadCost {
+    pub(super) fn new(name: &str) -> Self {
+        Self {
+            name: name.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Adds a round; `spent` is given when the load went through the entry.
+    pub(super) fn add(&mut self, samples: &[Sample], spent: Option<u64>) {
+        let whole = samples.iter().filter(|s| s.outcome == Outcome::Whole);
+        let firsts = whole.clone().filter_map(|s| s.first);
+        match spent {
+            Some(micros) => {
+                self.through.extend(firsts);
+                self.answers += whole.clone().count() as u64;
+                self.tokens += whole.map(|s| s.tokens).sum::<u64>();
+                self.spent += micros;
+            }
+            None => self.direct.extend(firsts),
+        }
+    }
+
+    /// Microseconds of the entry's processor time for each answer.
+    pub fn micros(&self) -> f64 {
+        self.spent as f64 / self.answers.max(1) as f64
+    }
+
+    /// First token, or whole answer of a plain service, at a quantile: through the entry and direct,
+    /// in milliseconds.
+    pub fn latency(&self, quantile: f64) -> (f64, f64) {
+        (at(&self.through, quantile), at(&self.direct, quantile))
+    }
+}
+
+fn at(times: &[Duration], quantile: f64) -> f64 {
+    let mut sorted = times.to_vec();
+    sorted.sort_unstable();
+    let index = (sorted.len().saturating_sub(1) as f64 * quantile).round() as usize;
+    sorted
+        .get(index)
+        .map_or(f64::NAN, |t| t.as_secs_f64() * 1000.0)
+}
+
+impl CostReport {
+    /// Microseconds of the entry's processor time for each token: what long answers cost beyond short
+    /// ones.
+    pub fn token_micros(&self) -> Option<f64> {
+        let [short, long, ..] = self.loads.as_slice() else {
+            return None;
+        };
+        let tokens = |l: &LoadCost| l.tokens as f64 / l.answers.max(1) as f64;
+        Some((long.micros() - short.micros()) / (tokens(long) - tokens(short)))
+    }
+}
+
+impl fmt::Display for CostReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<12} {:>8} {:>8} {:>14} {:>28} {:>28}",
+            "load", "answers", "tokens", "entry us each", "p50 ms: entry/direct/added", "p99"
+        )?;
+        for load in &self.loads {
+            let [p50, p99] = [0.5, 0.99].map(|q| {
+                let (through, direct) = load.latency(q);
+                format!("{through:.2}/{direct:.2}/{:+.2}", through - direct)
+            });
+            writeln!(
+                f,
+                "{:<12} {:>8} {:>8} {:>14.0} {:>28} {:>28}",
+                load.name.as_str(),
+                load.answers,
+                load.tokens,
+                load.micros(),
+                p50,
+                p99
+            )?;
+        }
+        if let Some(micros) = self.token_micros() {
+            writeln!(f, "each further token: {micros:.1} us in the entry")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,10 +1,12 @@
 //! Experiments on whole systems on loopback: paired policies, cost of the path, cost of control, soak.
 
+mod cost;
 mod figures;
 mod pair;
 mod shape;
 
 pub use {
+    cost::{CostPlan, CostReport, LoadCost, measure_cost},
     figures::{ArmFigures, ClassFigures, Observed, PairReport, fair_shares, plot, worst_share},
     pair::{Arm, Experiment, PairPlan, run_pair},
     shape::{Site, SiteKind},
--- a/crates/lab/src/shape/config.rs
+++ b/crates/lab/src/shape/config.rs
@@ -34,6 +34,11 @@
         format!("ck-lab-{}-{org}", self.name)
     }
 
+    /// Key of the first organisation.
+    pub(crate) fn first_key(&self) -> String {
+        self.key_text(self.orgs[0])
+    }
+
     /// Classes, organisations with a key each, the model and the route.
     pub(super) fn items(&self) -> Result<Vec<Item>> {
         let mut items: Vec<Item> = self.classes.iter().map(class).collect::<Result<_>>()?;
--- a/crates/load/src/drive/send.rs
+++ b/crates/load/src/drive/send.rs
@@ -19,6 +19,8 @@
     head: Duration::from_secs(120),
     gap: Duration::from_secs(60),
 };
+/// Names a request. Entries replace it; an endpoint that is called directly needs it.
+const ID_HEADER: &str = "x-request-id";
 const MAX_ANSWER: Bytes = Bytes(16 * 1024 * 1024);
 
 #[derive(Deserialize)]
@@ -66,7 +68,7 @@
         tokens: 0,
     };
     if let Ok(mut reply) = client.send(call(flow, arrival, entry)).await {
-        sample.id = reply.header("x-request-id").and_then(|v| v.parse().ok());
+        sample.id = reply.header(ID_HEADER).and_then(|v| v.parse().ok());
         let mut reading = Reading {
             clock,
             due,
@@ -108,6 +110,8 @@
     };
     call.request
         .insert_header("authorization", format!("Bearer {}", flow.key));
+    let id = RequestId::from_bits(u128::from(arrival.serial));
+    call.request.insert_header(ID_HEADER, id.to_string());
     call.request
         .insert_header("x-celerystage-class", flow.class.as_str());
     call.request
