Counters for the bytes of control

Cause: the budget of control is in bytes a second for each node, which the kernel does not count by process. Change: celerystage_mesh_messages_total and celerystage_mesh_bytes_total by path and way (bodies, without HTTP heads), celerystage_platform_calls_total and celerystage_platform_bytes_total (bodies received). Conclusion: additive only.

--- a/crates/entry/src/process/links.rs
+++ b/crates/entry/src/process/links.rs
@@ -4,7 +4,7 @@
     super::App,
     clock::SharedClock,
     http_types::{Request, Response, StatusCode},
-    mesh::{DEMAND_PATH, LINK_PATH, LinkBatch, Node, SYNC_PATH},
+    mesh::{DEMAND_PATH, LINK_PATH, LinkBatch, Node, SYNC_PATH, Way, count_message},
     std::{sync::Arc, time::Duration},
     types::Bytes,
     wire::{Handled, Handler, from_rmp, read_body, to_rmp},
@@ -38,15 +38,17 @@
         let Ok(bytes) = read_body(body, MAX_MESSAGE, MESSAGE_GAP, &*self.clock).await else {
             return Response::new(StatusCode::BadRequest);
         };
-        let answer = match path.as_str() {
-            SYNC_PATH => self.node.answer_bytes(&bytes),
-            LINK_PATH => self.link(&bytes),
-            DEMAND_PATH => to_rmp(&self.app.scheduler.demand()).ok(),
+        let (path, answer) = match path.as_str() {
+            SYNC_PATH => (SYNC_PATH, self.node.answer_bytes(&bytes)),
+            LINK_PATH => (LINK_PATH, self.link(&bytes)),
+            DEMAND_PATH => (DEMAND_PATH, to_rmp(&self.app.scheduler.demand()).ok()),
             _ => return Response::new(StatusCode::NotFound),
         };
         let Some(answer) = answer else {
             return Response::new(StatusCode::BadRequest);
         };
+        count_message(path, Way::Received, bytes.len());
+        count_message(path, Way::Sent, answer.len());
         let mut response = Response::new(StatusCode::Ok);
         response.set_body(answer);
         response
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -4,6 +4,7 @@
 mod demand;
 mod link;
 mod members;
+mod meter;
 mod node;
 mod rank;
 mod store;
@@ -16,6 +17,7 @@
         TicketNo,
     },
     members::{Heard, Members},
+    meter::{Way, count_message},
     node::{AUTH_HEADER, Authenticator, Node, PeerList},
     rank::rank_homes,
     store::{Changed, ConfigRecord, Delta, Store, Summary},
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Changed, Heard, LINK_PATH, LinkAnswer, LinkBatch, LinkMsg, Members, Packed, SYNC_PATH,
-        Store, SyncAnswer, SyncRequest,
+        Store, SyncAnswer, SyncRequest, Way, count_message,
     },
     clock::SharedClock,
     compact_str::CompactString,
@@ -225,15 +225,19 @@
             incarnation: self.incarnation,
             msgs: packed,
         };
+        let body = to_rmp(&batch).ok()?;
+        count_message(LINK_PATH, Way::Sent, body.len());
         let mut call = Call::new(addr, Method::Post, LINK_PATH)
-            .body(to_rmp(&batch).ok()?)
+            .body(body)
             .limits(LINK_LIMITS);
         self.auth.sign(&mut call.request);
         let mut reply = self.client.send(call).await.ok()?;
         if reply.status() != 200 {
             return None;
         }
-        let answer: LinkAnswer = reply.rmp(MAX_MESSAGE).await.ok()?;
+        let bytes = reply.bytes(MAX_MESSAGE).await.ok()?;
+        count_message(LINK_PATH, Way::Received, bytes.len());
+        let answer: LinkAnswer = from_rmp(&bytes).ok()?;
         (answer.from == *to).then_some(answer)
     }
 
@@ -267,12 +271,16 @@
     /// Exchanges with one peer; the answer's state has been taken in.
     pub async fn exchange(&self, peer: SocketAddr) -> Option<SyncAnswer> {
         let request = self.request(peer);
+        let body = to_rmp(&request).ok()?;
+        count_message(SYNC_PATH, Way::Sent, body.len());
         let mut call = Call::new(peer, Method::Post, SYNC_PATH)
-            .body(to_rmp(&request).ok()?)
+            .body(body)
             .limits(CALL_LIMITS);
         self.auth.sign(&mut call.request);
         let mut reply = self.client.send(call).await.ok()?;
-        let mut answer: SyncAnswer = reply.rmp(MAX_MESSAGE).await.ok()?;
+        let bytes = reply.bytes(MAX_MESSAGE).await.ok()?;
+        count_message(SYNC_PATH, Way::Received, bytes.len());
+        let mut answer: SyncAnswer = from_rmp(&bytes).ok()?;
         self.apply(std::mem::take(&mut answer.delta));
         self.lacks.lock().insert(peer, answer.have.clone());
         Some(answer)
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -66,10 +66,11 @@
             status @ 400..=499 => return Err(PlatformError::Refused(status)),
             _ => return Err(PlatformError::Unreachable(Verdict::MayHaveRun)),
         }
-        reply
-            .json(MAX_ANSWER)
-            .await
-            .map_err(|_| PlatformError::BadAnswer)
+        let bytes = reply.bytes(MAX_ANSWER).await;
+        let bytes = bytes.map_err(|_| PlatformError::BadAnswer)?;
+        metrics::counter!("celerystage_platform_calls_total").increment(1);
+        metrics::counter!("celerystage_platform_bytes_total").increment(bytes.len() as u64);
+        serde_json::from_slice(&bytes).map_err(|_| PlatformError::BadAnswer)
     }
 }
 
