--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -4,6 +4,7 @@
 mod demand;
 mod link;
 mod members;
+mod meter;
 mod node;
 mod rank;
 mod slack;
@@ -17,6 +18,7 @@
         TicketNo,
     },
     members::{Heard, Members},
+    meter::{Way, count_message},
     node::{AUTH_HEADER, Authenticator, Node, PeerList},
     rank::rank_homes,
     slack::Slack,
--- a/crates/mesh/tests/fuzz.rs
+++ b/crates/mesh/tests/fuzz.rs
@@ -3,8 +3,9 @@
 use {
     clock::SystemClock,
     mesh::{
-        AdoptMsg, Authenticator, ConfigRecord, Delta, DemandAnswer, DemandLine, LinkAnswer,
-        LinkBatch, LinkMsg, Node, Packed, ProgressMsg, Summary, SyncAnswer, SyncRequest,
+        AdoptMsg, Authenticator, ConfigRecord, Delta, DemandAnswer, DemandLine, Headroom,
+        LinkAnswer, LinkBatch, LinkMsg, Node, Packed, ProgressMsg, Summary, SyncAnswer,
+        SyncRequest,
     },
     platform::{VmList, ZoneEndpoints},
     quickcheck::{Arbitrary, Gen, QuickCheck},
@@ -93,12 +94,24 @@
     }
 }
 
+fn headroom() -> Vec<Headroom> {
+    vec![Headroom {
+        zone: "a".parse().unwrap(),
+        serves: "m".parse().unwrap(),
+        free: 3,
+        waiting: 1,
+        age: Duration::from_millis(250),
+    }]
+}
+
 fn sync_request() -> SyncRequest {
     SyncRequest {
         from: vm(),
         incarnation: Incarnation(1),
         have: summary(),
         delta: delta(),
+        contact: Some(Duration::from_secs(3)),
+        headroom: headroom(),
     }
 }
 
@@ -196,11 +209,13 @@
             incarnation: Incarnation(1),
             have: summary(),
             delta: delta(),
+            contact: Some(Duration::from_secs(3)),
+            headroom: headroom(),
         });
         if let Ok(answer) = from_rmp::<SyncAnswer>(&bad.bytes(&sync.unwrap())) {
             node().apply(answer.delta);
         }
-        let link = to_rmp(&node().link_answer(1)).unwrap();
+        let link = to_rmp(&node().link_answer(1, headroom())).unwrap();
         let _ = from_rmp::<LinkAnswer>(&bad.bytes(&link));
         let demand = to_rmp(&DemandAnswer {
             lines: vec![DemandLine {
--- a/crates/proof/src/run/peek.rs
+++ b/crates/proof/src/run/peek.rs
@@ -25,6 +25,8 @@
         incarnation: Incarnation(0),
         have: Summary::default(),
         delta: Delta::default(),
+        contact: None,
+        headroom: Vec::new(),
     };
     let mut call = Call::new(mesh, Method::Post, SYNC_PATH)
         .body(to_rmp(&request)?)
