An unreachable home is found out in 250 ms, and tried again by probes only

Cause: with all links between VMs held, requests were refused as overloaded: a batch took 0.8 s to fail, and after 2 s the suspected home was tried again with a request, which then was too late for its target. Change: a batch inside an availability zone has 250 ms, one beyond it 1 s; a time-out is enough for suspicion, a failure at once is retried; suspicion ends only by an answered probe of the beat each second; a request that lost time so is not refused for lateness.

--- a/crates/entry/src/sched/lease.rs
+++ b/crates/entry/src/sched/lease.rs
@@ -28,7 +28,8 @@
     pub(crate) prompt: Tokens,
     /// What the request needs of its endpoint.
     pub(crate) need: Need,
-    /// Whether the request was dispatched before.
+    /// Whether the request was dispatched before, or lost time with a scheduler that went away. It is
+    /// not refused for lateness.
     pub(crate) resumed: bool,
 }
 
--- a/crates/entry/src/sched/links.rs
+++ b/crates/entry/src/sched/links.rs
@@ -3,7 +3,7 @@
 use {
     async_channel::{Receiver, Sender, unbounded},
     async_executor::Executor,
-    mesh::{Heard, LinkMsg, Node},
+    mesh::{Heard, LinkMsg, Missed, Node},
     parking_lot::Mutex,
     std::{
         collections::BTreeMap,
@@ -14,8 +14,6 @@
 
 /// Messages of one batch at most.
 const MAX_BATCH: usize = 256;
-/// Times that a batch is sent before its VM counts as unreachable.
-const MAX_SENDS: u32 = 2;
 
 /// Sends messages to other entries.
 pub(crate) trait Post: Send + Sync {
@@ -84,13 +82,13 @@
         let mut batch = vec![first];
         fill(&mut batch, &receiver, MAX_BATCH);
         match send(&links, &to, &batch).await {
-            Some(Heard::Started) => {
+            Ok(Heard::Started) => {
                 if let Some(watch) = links.watch() {
                     watch.restarted(&to);
                 }
             }
-            Some(Heard::Same | Heard::Stale) => {}
-            None => {
+            Ok(Heard::Same | Heard::Stale) => {}
+            Err(_) => {
                 fill(&mut batch, &receiver, usize::MAX);
                 if let Some(watch) = links.watch() {
                     watch.undelivered(&to, &batch);
@@ -100,13 +98,13 @@
     }
 }
 
-async fn send(links: &Links, to: &VmId, batch: &[LinkMsg]) -> Option<Heard> {
-    for _ in 0..MAX_SENDS {
-        if let Some(heard) = links.node.send_batch(to, batch).await {
-            return Some(heard);
-        }
+async fn send(links: &Links, to: &VmId, batch: &[LinkMsg]) -> Result<Heard, Missed> {
+    let first = links.node.send_batch(to, batch).await;
+    match first {
+        // A connection that was about to close fails at once; a new one may not.
+        Err(Missed::Failed) => links.node.send_batch(to, batch).await,
+        Ok(_) | Err(Missed::TimedOut) => first,
     }
-    None
 }
 
 fn fill(batch: &mut Vec<LinkMsg>, receiver: &Receiver<LinkMsg>, most: usize) {
--- a/crates/entry/src/sched/remote.rs
+++ b/crates/entry/src/sched/remote.rs
@@ -170,7 +170,7 @@
         }
     }
 
-    async fn get_here(self: &Arc<Self>, ask: Ask) -> Result<Lease, Refusal> {
+    async fn get_here(self: &Arc<Self>, mut ask: Ask) -> Result<Lease, Refusal> {
         for _ in 0..MAX_HOMES {
             let home = self.home_of(&ask.serves);
             if home == *self.node.vm() {
@@ -182,7 +182,10 @@
                     return self.scheduler.decide(ask).await;
                 }
                 Asked::Refused(refusal) => return Err(refusal),
-                Asked::Lost => metrics::counter!("celerystage_homes_lost_total").increment(1),
+                Asked::Lost => {
+                    metrics::counter!("celerystage_homes_lost_total").increment(1);
+                    ask.resumed = true;
+                }
             }
         }
         self.scheduler.decide(ask).await
@@ -316,8 +319,8 @@
         }
     }
 
-    /// Lists the running requests to the VMs that schedule their models now, and shows the VMs at which
-    /// requests wait that this one is alive.
+    /// Lists the running requests to the VMs that schedule their models now, shows the VMs at which
+    /// requests wait that this one is alive, and tries suspected VMs again.
     pub(crate) fn beat(&self) {
         let mut lists: BTreeMap<VmId, Vec<TicketNo>> = BTreeMap::new();
         for pending in self.pending.lock().values() {
@@ -328,6 +331,9 @@
                 lists.entry(home).or_default().push(ticket);
             }
         }
+        for vm in self.node.suspected() {
+            lists.entry(vm).or_default();
+        }
         for (home, tickets) in lists {
             self.send(&home, LinkMsg::Held(tickets));
         }
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -2,15 +2,12 @@
 //! hold depends on equal views.
 
 use {
-    clock::Stamp,
-    std::{collections::BTreeMap, time::Duration},
+    std::collections::BTreeMap,
     types::{Incarnation, VmId},
 };
 
 /// Failed calls in a row after which a VM is suspected.
 const MAX_FAILURES: u32 = 2;
-/// Time after which a suspected VM is tried again.
-const RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// What a call's answer tells of a VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,11 +20,20 @@
     Stale,
 }
 
+/// How a call to a VM failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Missed {
+    /// At once: no connection, a closed one, or an answer that is not valid.
+    Failed,
+    /// After its time limit.
+    TimedOut,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Member {
     incarnation: Incarnation,
     failures: u32,
-    suspected: Option<Stamp>,
+    suspected: bool,
     leaving: bool,
 }
 
@@ -61,33 +67,35 @@
             && let Some(member) = self.known.get_mut(vm)
         {
             member.failures = 0;
-            member.suspected = None;
+            member.suspected = false;
             member.leaving = leaving;
         }
         heard
     }
 
-    /// Takes in a failed call; `true` when the VM becomes suspected by it.
-    pub fn failed(&mut self, now: Stamp, vm: &VmId) -> bool {
+    /// Takes in a failed call; `true` when the VM becomes suspected by it. A call that timed out is
+    /// enough; one that failed at once may have met a closing connection.
+    pub fn failed(&mut self, vm: &VmId, missed: Missed) -> bool {
         let member = self.known.entry(vm.clone()).or_default();
         member.failures += 1;
-        if member.failures < MAX_FAILURES {
+        if member.failures < MAX_FAILURES && missed == Missed::Failed {
             return false;
         }
-        let fresh = member.suspected.is_none();
-        member.suspected = Some(now);
-        fresh
+        !std::mem::replace(&mut member.suspected, true)
     }
 
-    /// Whether a VM can be given work: not known to be leaving, and not suspected of late.
-    pub fn is_usable(&self, now: Stamp, vm: &VmId) -> bool {
+    /// Whether a VM can be given work: neither suspected nor known to be leaving.
+    pub fn is_usable(&self, vm: &VmId) -> bool {
         let Some(member) = self.known.get(vm) else {
             return true;
         };
-        let suspected = member
-            .suspected
-            .is_some_and(|at| now.since(at) < RETRY_AFTER);
-        !member.leaving && !suspected
+        !member.leaving && !member.suspected
+    }
+
+    /// Suspected VMs, to be tried again.
+    pub fn suspected(&self) -> Vec<VmId> {
+        let suspected = self.known.iter().filter(|(_, m)| m.suspected);
+        suspected.map(|(vm, _)| vm.clone()).collect()
     }
 
     /// Start of the VM's process, as last heard.
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         Changed, Delta, Headroom, Heard, LINK_PATH, LinkAnswer, LinkBatch, LinkMsg, Members,
-        Packed, SYNC_PATH, Slack, Store, Summary, SyncAnswer, SyncRequest, Way, count_message,
+        Missed, Packed, SYNC_PATH, Slack, Store, Summary, SyncAnswer, SyncRequest, Way,
+        count_message,
     },
     clock::{SharedClock, Stamp},
     compact_str::CompactString,
@@ -34,12 +35,10 @@
     gap: Duration::from_secs(1),
 };
 
-/// Limits of a message batch: a VM that takes longer is suspected.
-const LINK_LIMITS: CallLimits = CallLimits {
-    connect: Duration::from_millis(300),
-    head: Duration::from_millis(400),
-    gap: Duration::from_millis(400),
-};
+/// Time for a message batch to be answered inside an availability zone, and beyond it. A VM that takes
+/// longer is suspected.
+const NEAR_LIMIT: Duration = Duration::from_millis(250);
+const FAR_LIMIT: Duration = Duration::from_secs(1);
 
 /// Checks and adds the shared secret. Two secrets are valid at once, so that they can be rotated.
 #[derive(Debug, Clone)]
@@ -198,7 +197,7 @@
         if *vm == self.vm {
             return !self.is_leaving();
         }
-        self.members.lock().is_usable(self.clock.now(), vm)
+        self.members.lock().is_usable(vm)
     }
 
     /// Address of a listed VM.
@@ -239,27 +238,51 @@
         to_rmp(&self.answer(request)).ok()
     }
 
+    /// Suspected VMs, to be tried again.
+    pub fn suspected(&self) -> Vec<VmId> {
+        self.members.lock().suspected()
+    }
+
     /// Sends messages to a VM; tells whether its process was started anew since the last contact.
-    pub async fn send_batch(&self, to: &VmId, msgs: &[LinkMsg]) -> Option<Heard> {
-        let sent = self.try_batch(to, msgs).await;
+    pub async fn send_batch(&self, to: &VmId, msgs: &[LinkMsg]) -> Result<Heard, Missed> {
+        let start = self.clock.now();
+        let limit = self.link_limit(to);
+        let sent = self.try_batch(to, msgs, limit).await;
         let mut members = self.members.lock();
-        match sent {
-            Some(answer) => {
-                let heard = members.answered(to, answer.incarnation, answer.leaving);
-                drop(members);
-                self.slack.lock().hear(self.clock.now(), answer.headroom);
-                Some(heard)
-            }
-            None => {
-                if members.failed(self.clock.now(), to) {
-                    log::warn!(vm:% = to; "VM suspected");
-                }
-                None
-            }
+        if let Some(answer) = sent {
+            let heard = members.answered(to, answer.incarnation, answer.leaving);
+            drop(members);
+            self.slack.lock().hear(self.clock.now(), answer.headroom);
+            return Ok(heard);
+        }
+        let late = self.clock.now().since(start) >= limit;
+        let missed = if late {
+            Missed::TimedOut
+        } else {
+            Missed::Failed
+        };
+        if members.failed(to, missed) {
+            log::warn!(vm:% = to; "VM suspected");
         }
+        Err(missed)
+    }
+
+    /// Time for a batch to be answered: short inside an availability zone.
+    fn link_limit(&self, to: &VmId) -> Duration {
+        let store = self.store.lock();
+        let zone = |vm: &VmId| {
+            store
+                .vms()
+                .vms
+                .iter()
+                .find(|v| v.vm == *vm)
+                .map(|v| &v.zone)
+        };
+        let near = zone(to) == zone(&self.vm);
+        if near { NEAR_LIMIT } else { FAR_LIMIT }
     }
 
-    async fn try_batch(&self, to: &VmId, msgs: &[LinkMsg]) -> Option<LinkAnswer> {
+    async fn try_batch(&self, to: &VmId, msgs: &[LinkMsg], limit: Duration) -> Option<LinkAnswer> {
         let addr = self.addr_of(to)?;
         let packed = msgs
             .iter()
@@ -274,7 +297,11 @@
         count_message(LINK_PATH, Way::Sent, body.len());
         let mut call = Call::new(addr, Method::Post, LINK_PATH)
             .body(body)
-            .limits(LINK_LIMITS);
+            .limits(CallLimits {
+                connect: limit,
+                head: limit,
+                gap: limit,
+            });
         self.auth.sign(&mut call.request);
         let mut reply = self.client.send(call).await.ok()?;
         if reply.status() != 200 {
