Scenarios for endpoint orders and for repeated renewals

Change: `pool` steps publish bounds for a zone's engines, `stock` gives the platform engines to start, `stewards` adds settings; checks `orders fenced` and `started ZONE at most N` read the platform's record of orders.

--- a/crates/proof/src/run/bench.rs
+++ b/crates/proof/src/run/bench.rs
@@ -23,7 +23,7 @@
     types::{EndpointId, RequestId, ZoneId},
 };
 
-const MODEL: &str = "surveyor-llm";
+pub(super) const MODEL: &str = "surveyor-llm";
 const SERVICE: &str = "permit-desk";
 
 /// An endpoint's place and its own address, whatever link stands before it.
@@ -66,6 +66,7 @@
     pub(super) started: u64,
     pub(super) cluster: Cluster,
     _proxy_proc: Proc,
+    _stock: Vec<Proc>,
 }
 
 impl Bench {
@@ -87,7 +88,8 @@
             });
             Ok(opened.addr)
         })?;
-        let sites = sites(&cluster);
+        let mut sites = sites(&cluster);
+        let stock = stock(&script, &cluster, &mut sites)?;
         let relisted = relist(&cluster, &proxy, &wanted, &mut links)?;
         let members = members(&cluster, &proxy, &wanted, &mut links)?;
         let balancer = Balancer::start(cluster.http.clone(), proxy.clone(), members)?;
@@ -107,6 +109,7 @@
             started: 0,
             cluster,
             _proxy_proc: proc,
+            _stock: stock,
         };
         bench.wait_listed(&relisted)?;
         Ok(bench)
@@ -155,7 +158,7 @@
         items: demo_config()?,
         engine: script.engines.clone(),
         entry: String::new(),
-        steward: String::new(),
+        steward: script.stewards.clone(),
     })
 }
 
@@ -193,6 +196,30 @@
     .collect()
 }
 
+/// Starts the engines that the platform hands out on order.
+fn stock(script: &Script, cluster: &Cluster, sites: &mut Vec<Site>) -> Result<Vec<Proc>> {
+    let mut procs = Vec::new();
+    for zone in script.zones.iter().filter(|z| z.stock > 0) {
+        let count = zone.stock.to_string();
+        let mut args = vec!["--count", &count];
+        args.extend(script.engines.iter().map(String::as_str));
+        let proc = Proc::start("standin-engine", &args)?;
+        let addrs = proc.wait_addrs("engine", zone.stock)?;
+        for (i, addr) in addrs.iter().enumerate() {
+            sites.push(Site {
+                line: Line::Engine,
+                zone: zone.zone.clone(),
+                index: zone.engines + i + 1,
+                id: format!("stock-{}-{}", zone.zone, i + 1).parse()?,
+                addr: *addr,
+            });
+        }
+        cluster.control(&Control::Stock(zone.zone.clone(), addrs))?;
+        procs.push(proc);
+    }
+    Ok(procs)
+}
+
 /// Lists endpoints and VMs to the system under their links' addresses.
 fn relist(
     cluster: &Cluster,
--- a/crates/proof/src/run/check.rs
+++ b/crates/proof/src/run/check.rs
@@ -8,8 +8,10 @@
     crate::script::ast::{Check, Line, Place},
     eyre::{Result, bail, ensure, eyre},
     load::{Outcome, Work},
+    platform::{OrderAction, OrderId},
+    standin::platform::Record,
     std::collections::BTreeMap,
-    types::{OrgId, RequestId, Verdict},
+    types::{Epoch, OrgId, RequestId, Verdict, VmId, ZoneId},
 };
 
 /// How a caller's key begins.
@@ -57,6 +59,8 @@
             ensure!(reverts.is_empty(), "{}", reverts.join("; "));
             Ok(())
         }
+        Check::OrdersFenced => orders_fenced(&platform_record(bench)?),
+        Check::Started(zone, most) => started(&platform_record(bench)?, zone, *most),
         Check::OneWinner => bench.one_winner(),
     }
 }
@@ -176,6 +180,61 @@
     Ok(())
 }
 
+fn platform_record(bench: &Bench) -> Result<Record> {
+    let addr = bench.cluster.platform_addr;
+    bench.cluster.http.get(addr, "/control/record")
+}
+
+/// In each availability zone the fencing number never falls, and each number is one sender's; an order
+/// that comes again asks for the same.
+fn orders_fenced(record: &Record) -> Result<()> {
+    ensure!(!record.orders.is_empty(), "no order came");
+    let mut newest: BTreeMap<&ZoneId, Epoch> = BTreeMap::new();
+    let mut senders: BTreeMap<(&ZoneId, Epoch), &VmId> = BTreeMap::new();
+    let mut actions: BTreeMap<OrderId, &OrderAction> = BTreeMap::new();
+    for seen in &record.orders {
+        let order = &seen.order;
+        let last = newest.entry(&order.zone).or_default();
+        ensure!(
+            order.epoch >= *last,
+            "{} ordered under {} after another under {last}",
+            order.sender,
+            order.epoch
+        );
+        *last = order.epoch;
+        let sender = senders.entry((&order.zone, order.epoch));
+        let sender = *sender.or_insert(&order.sender);
+        ensure!(
+            *sender == order.sender,
+            "{sender} and {} both ordered under {}",
+            order.sender,
+            order.epoch
+        );
+        let action = *actions.entry(order.id).or_insert(&order.action);
+        ensure!(*action == order.action, "order {} was changed", order.id);
+    }
+    Ok(())
+}
+
+fn started(record: &Record, zone: &ZoneId, most: usize) -> Result<()> {
+    let mut ids: Vec<OrderId> = record
+        .orders
+        .iter()
+        .filter(|s| s.order.zone == *zone)
+        .filter(|s| matches!(s.order.action, OrderAction::Start { .. }))
+        .map(|s| s.order.id)
+        .collect();
+    ids.sort();
+    ids.dedup();
+    ensure!(!ids.is_empty(), "no engine was ordered in {zone}");
+    ensure!(
+        ids.len() <= most,
+        "{} engines ordered in {zone}, wanted at most {most}",
+        ids.len()
+    );
+    Ok(())
+}
+
 fn idle(bench: &Bench, line: Line, place: &Place, name: &str) -> Result<()> {
     let before = marked(bench, name)?;
     let now = bench.record()?;
--- a/crates/proof/src/run/config.rs
+++ b/crates/proof/src/run/config.rs
@@ -1,12 +1,15 @@
 //! Changes of the configuration, and what the log folds to.
 
 use {
-    super::{bench::Bench, peek::peek},
-    conf::{Change, Config, Item, ItemKey, Op, Org, Outcome},
+    super::{
+        bench::{Bench, MODEL},
+        peek::peek,
+    },
+    conf::{Change, Config, Item, ItemKey, Op, Org, Outcome, Pool},
     eyre::{Result, ensure, eyre},
     mesh::Store,
     platform::Page,
-    types::{OrgId, RequestId},
+    types::{OrgId, RequestId, ZoneId},
 };
 
 const OPERATOR: &str = "prover";
@@ -28,6 +31,26 @@
         Ok(&self.folded)
     }
 
+    /// Publishes bounds for the engines of an availability zone.
+    pub(super) fn pool(&mut self, zone: &ZoneId, min: u32, max: u32) -> Result<()> {
+        let item = Item::Pool(Pool {
+            serves: MODEL.parse()?,
+            zone: zone.clone(),
+            min,
+            max,
+            cheap: 0.0,
+            spare: 0,
+        });
+        let seen = self.oracle()?.get(&item.key()).map(|e| e.version);
+        let base = seen.unwrap_or_default();
+        let id = RequestId::from_bits(u128::from(self.folded.version().0) << 64);
+        self.cluster.append_change(&Change {
+            id,
+            by: OPERATOR.parse()?,
+            ops: vec![Op::Put { base, item }],
+        })
+    }
+
     /// Publishes changes of an organisation's weight, all based on the same version.
     pub(super) fn weight(&mut self, org: &OrgId, weights: &[u32]) -> Result<()> {
         let key = ItemKey::Org(org.clone());
--- a/crates/proof/src/run/perform.rs
+++ b/crates/proof/src/run/perform.rs
@@ -47,6 +47,7 @@
                 let weights: Vec<u32> = (2..operators + 2).collect();
                 self.weight(org, &weights)
             }
+            Step::Pool(zone, min, max) => self.pool(zone, *min, *max),
             Step::Settle => self.settle(),
             Step::Mark(name) => {
                 let mark = self.record()?;
@@ -82,7 +83,7 @@
         for index in self.some_vms(place)? {
             let vm = &mut self.cluster.vms[index];
             if act == Act::Start {
-                vm.start_steward(vm.platform, "")?;
+                vm.start_steward(vm.platform, &self.script.stewards)?;
                 continue;
             }
             let steward = vm.steward.as_mut();
--- a/crates/proof/src/script/ast.rs
+++ b/crates/proof/src/script/ast.rs
@@ -35,6 +35,8 @@
     pub(crate) engines: usize,
     pub(crate) cheap: usize,
     pub(crate) services: usize,
+    /// Engines that the platform can start on order.
+    pub(crate) stock: usize,
 }
 
 /// A named flow of requests.
@@ -122,6 +124,10 @@
     Config,
     /// No ready entry went back to an earlier configuration.
     Forward,
+    /// At least one order came, and an availability zone's orders came from one holder after another.
+    OrdersFenced,
+    /// At most so many engines were started in an availability zone.
+    Started(ZoneId, usize),
     /// The last race let exactly one operator through.
     OneWinner,
 }
@@ -142,6 +148,8 @@
     Withdraw(OrgId),
     Weight(OrgId, u32),
     Race(OrgId, u32),
+    /// Publishes bounds for the engines of an availability zone.
+    Pool(ZoneId, u32, u32),
     Settle,
     Mark(CompactString),
     Check(Check),
@@ -161,6 +169,8 @@
     pub(crate) seed: u64,
     pub(crate) zones: Vec<ZoneSpec>,
     pub(crate) engines: Vec<String>,
+    /// Further lines of the stewards' settings.
+    pub(crate) stewards: String,
     pub(crate) flows: Vec<FlowSpec>,
     pub(crate) steps: Vec<Placed>,
 }
--- a/crates/proof/src/script/parse.rs
+++ b/crates/proof/src/script/parse.rs
@@ -20,7 +20,7 @@
 const PROMPT_CHARS: usize = 400;
 const PREFIXES: u64 = 4;
 const MODEL: &str = "surveyor-llm";
-const HEADS: &str = "scenario, seed, zone, engines, flow, or a step";
+const HEADS: &str = "scenario, seed, zone, engines, stewards, flow, or a step";
 
 /// Where and why a scenario is not understood.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -51,6 +51,7 @@
     Seed(u64),
     Zone(ZoneSpec),
     Engines(Vec<String>),
+    Stewards(String),
     Flow(FlowSpec),
     Step(Step),
 }
@@ -69,6 +70,10 @@
             Statement::Seed(seed) => script.seed = seed,
             Statement::Zone(zone) => script.zones.push(zone),
             Statement::Engines(args) => script.engines = args,
+            Statement::Stewards(line) => {
+                script.stewards.push_str(&line);
+                script.stewards.push('\n');
+            }
             Statement::Flow(flow) => script.flows.push(flow),
             Statement::Step(step) => script.steps.push(Placed { line, step }),
         }
@@ -129,6 +134,7 @@
         "seed" => cut_err(number.map(Statement::Seed)).parse_next(input),
         "zone" => cut_err(zone.map(Statement::Zone)).parse_next(input),
         "engines" => cut_err(text.map(engines)).parse_next(input),
+        "stewards" => cut_err(text.map(|t| Statement::Stewards(t.into()))).parse_next(input),
         "flow" => cut_err(flow.map(Statement::Flow)).parse_next(input),
         name if STEPS.contains(&name) => {
             cut_err(|i: &mut Input<'_>| step(name, i).map(Statement::Step)).parse_next(input)
@@ -151,12 +157,14 @@
     let engines = preceded(keyword("engines"), number).parse_next(input)?;
     let cheap = opt(preceded(keyword("cheap"), number)).parse_next(input)?;
     let services = preceded(keyword("services"), number).parse_next(input)?;
+    let stock = opt(preceded(keyword("stock"), number)).parse_next(input)?;
     Ok(ZoneSpec {
         zone,
         vms,
         engines,
         cheap: cheap.unwrap_or_default(),
         services,
+        stock: stock.unwrap_or_default(),
     })
 }
 
--- a/crates/proof/src/script/step.rs
+++ b/crates/proof/src/script/step.rs
@@ -16,9 +16,10 @@
 };
 
 /// Words that begin a step.
-pub(super) const STEPS: [&str; 20] = [
+pub(super) const STEPS: [&str; 21] = [
     "load", "finish", "sleep", "stop", "kill", "pause", "continue", "start", "platform", "engine",
     "service", "link", "leave", "remove", "withdraw", "weight", "race", "settle", "mark", "check",
+    "pool",
 ];
 
 /// Parses what follows the word that begins a step.
@@ -55,6 +56,13 @@
         "race" => (parsed, number)
             .map(|(o, n)| Step::Race(o, n))
             .parse_next(input),
+        "pool" => (
+            parsed,
+            preceded(keyword("min"), number),
+            preceded(keyword("max"), number),
+        )
+            .map(|(zone, min, max)| Step::Pool(zone, min, max))
+            .parse_next(input),
         "settle" => Ok(Step::Settle),
         "mark" => name.map(Step::Mark).parse_next(input),
         "check" => check.map(Step::Check).parse_next(input),
@@ -185,6 +193,7 @@
         preceded(keyword("config"), keyword("everywhere")).value(Check::Config),
         preceded(keyword("config"), keyword("forward")).value(Check::Forward),
         preceded(keyword("one"), keyword("winner")).value(Check::OneWinner),
+        preceded(keyword("orders"), keyword("fenced")).value(Check::OrdersFenced),
     ));
     let flow = alt((
         preceded(keyword("refused"), (name, name)).map(|(f, code)| Check::Refused(f, code)),
@@ -195,14 +204,19 @@
         .map(|(f, share)| Check::Served(f, share)),
         preceded(keyword("hurt"), name).map(Check::Hurt),
     ));
+    let started = preceded(
+        keyword("started"),
+        (parsed, preceded((keyword("at"), keyword("most")), number)),
+    )
+    .map(|(zone, n)| Check::Started(zone, n));
     let silent = preceded(keyword("silent"), (parsed, since)).map(|(o, m)| Check::Silent(o, m));
     let busy = preceded(keyword("busy"), (parsed, since)).map(|(o, m)| Check::Busy(o, m));
     let idle =
         preceded(keyword("idle"), (line, place, since)).map(|(l, p, m)| Check::Idle(l, p, m));
-    alt((answers, plain, flow, silent, busy, idle))
+    alt((answers, plain, flow, started, silent, busy, idle))
         .context(expected(
             "answers whole, answers own, refusals true, once, keys hidden, orgs right, config \
-             everywhere, config forward, one winner, refused, served, hurt, silent, busy or idle",
+             everywhere, config forward, one winner, orders fenced, started, refused, served, hurt, silent, busy or idle",
         ))
         .parse_next(input)
 }
--- a/crates/proof/tests/script.rs
+++ b/crates/proof/tests/script.rs
@@ -9,7 +9,7 @@
 
 #[test]
 fn errors_name_line_column_and_what_is_expected() {
-    let heads = "expected scenario, seed, zone, engines, flow, or a step";
+    let heads = "expected scenario, seed, zone, engines, stewards, flow, or a step";
     assert_eq!(place("seed 1\n  flurb\n"), (2, 3, heads.into()));
     let number = "expected a whole number";
     assert_eq!(place("zone a vms x"), (1, 12, number.into()));
