The scenario of tiers compares the waits of two classes

Cause: it held on a first-in-first-out queue too.

Change: check 'sooner A B': the median time to the first token of A is below half that of B.

--- a/crates/proof/src/run/check.rs
+++ b/crates/proof/src/run/check.rs
@@ -10,7 +10,7 @@
     load::{Outcome, Work},
     platform::{OrderAction, OrderId},
     standin::platform::Record,
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
     types::{Epoch, OrgId, RequestId, Verdict, VmId, ZoneId},
 };
 
@@ -30,6 +30,11 @@
             |o| matches!(o, Outcome::Refused { code: c, .. } if c == code),
         ),
         Check::Served(flow, share) => served(&of_flow(bench, flow)?, *share),
+        Check::Sooner(flow, other) => {
+            let (a, b) = (median_first(bench, flow)?, median_first(bench, other)?);
+            ensure!(a * 2 < b, "median of {flow} {a:?}, of {other} {b:?}");
+            Ok(())
+        }
         Check::Hurt(flow) => {
             let sent = of_flow(bench, flow)?;
             let hurt = sent.iter().any(|s| s.sample.outcome != Outcome::Whole);
@@ -88,6 +93,16 @@
     Ok(())
 }
 
+/// Median time to the first token of a flow's whole answers.
+fn median_first(bench: &Bench, flow: &str) -> Result<Duration> {
+    let sent = of_flow(bench, flow)?;
+    let whole = sent.iter().filter(|s| s.sample.outcome == Outcome::Whole);
+    let mut times: Vec<Duration> = whole.filter_map(|s| s.sample.first).collect();
+    times.sort();
+    let median = times.get(times.len() / 2).copied();
+    median.ok_or_else(|| eyre!("no whole answer of {flow}"))
+}
+
 fn served(sent: &[Sent], share: u32) -> Result<()> {
     let whole = sent
         .iter()
--- a/crates/proof/src/script/ast.rs
+++ b/crates/proof/src/script/ast.rs
@@ -112,6 +112,8 @@
     Refused(CompactString, CompactString),
     /// A share of a flow, in percent, was answered whole.
     Served(CompactString, u32),
+    /// The median time to the first token of one flow is below half that of another.
+    Sooner(CompactString, CompactString),
     /// Some request of a flow was cut or refused.
     Hurt(CompactString),
     /// Nothing new ran at endpoints since a mark.
--- a/crates/proof/src/script/step.rs
+++ b/crates/proof/src/script/step.rs
@@ -202,6 +202,7 @@
             (name, terminated(number, keyword("percent"))),
         )
         .map(|(f, share)| Check::Served(f, share)),
+        preceded(keyword("sooner"), (name, name)).map(|(f, other)| Check::Sooner(f, other)),
         preceded(keyword("hurt"), name).map(Check::Hurt),
     ));
     let started = preceded(
@@ -216,7 +217,7 @@
     alt((answers, plain, flow, started, silent, busy, idle))
         .context(expected(
             "answers whole, answers own, refusals true, once, keys hidden, orgs right, config \
-             everywhere, config forward, one winner, orders fenced, started, refused, served, hurt, silent, busy or idle",
+             everywhere, config forward, one winner, orders fenced, started, refused, served, sooner, hurt, silent, busy or idle",
         ))
         .parse_next(input)
 }
