--- a/crates/coord/src/lease/keeper.rs
+++ b/crates/coord/src/lease/keeper.rs
@@ -3,7 +3,7 @@
 use {
     super::{Contender, Decision, Holder, LeaseId, LeaseRecord, LeaseTimes},
     crate::{Batch, Follower, Tenure},
-    clock::SharedClock,
+    clock::{SharedClock, Stamp},
     event_listener::Event,
     futures_lite::FutureExt,
     parking_lot::Mutex,
@@ -23,6 +23,8 @@
 struct Seat {
     clock: SharedClock,
     contender: Mutex<Contender>,
+    /// Fencing number that was last logged. Lock order: after `contender`.
+    logged: Mutex<Option<Epoch>>,
     news: Event,
 }
 
@@ -55,6 +57,7 @@
             let seat = Seat {
                 clock: clock.clone(),
                 contender: Mutex::new(contender),
+                logged: Mutex::default(),
                 news: Event::new(),
             };
             (lease, Arc::new(seat))
@@ -143,7 +146,6 @@
     fn take(&self, batch: Option<&Batch>) {
         let mut contender = self.contender.lock();
         let now = self.clock.now();
-        let before = contender.epoch(now);
         match batch {
             None => contender.unread(),
             Some(Batch::Lost(first)) => contender.lose(now, *first),
@@ -156,15 +158,22 @@
                 contender.read(now);
             }
         }
-        let after = contender.epoch(now);
-        if before != after {
-            let lease = contender.lease();
-            match after {
-                Some(epoch) => log::info!(lease:% = lease, epoch = epoch.0; "lease held"),
-                None => log::info!(lease:% = lease; "lease no longer held"),
-            }
-        }
+        self.log_change(&contender, now);
         drop(contender);
         self.news.notify(usize::MAX);
     }
+
+    fn log_change(&self, contender: &Contender, now: Stamp) {
+        let mut logged = self.logged.lock();
+        let (before, after) = (*logged, contender.epoch(now));
+        if before == after {
+            return;
+        }
+        *logged = after;
+        let lease = contender.lease();
+        match after {
+            Some(epoch) => log::info!(lease:% = lease, epoch = epoch.0; "lease held"),
+            None => log::info!(lease:% = lease; "lease no longer held"),
+        }
+    }
 }
--- a/crates/steward/src/orders/desk.rs
+++ b/crates/steward/src/orders/desk.rs
@@ -7,9 +7,9 @@
     event_listener::Event,
     fleet::{Ledger, OrderOutcome, OrderRecord},
     futures_lite::FutureExt,
-    mesh::Node,
+    mesh::{Delta, Node},
     parking_lot::Mutex,
-    platform::{Log, Order, OrderAction, OrderId, Ordering, PlatformError, Stream},
+    platform::{Directory, Log, Order, OrderAction, OrderId, Ordering, PlatformError, Stream},
     std::{sync::Arc, time::Duration},
     types::Epoch,
     wire::Stop,
@@ -33,13 +33,14 @@
     tenure: Arc<dyn Tenure>,
     log: Arc<dyn Log>,
     ordering: Arc<dyn Ordering>,
+    directory: Arc<dyn Directory>,
     ledger: Mutex<Ledger>,
     read: Event,
 }
 
 impl Orders {
     /// Orders under `tenure` until `stop`.
-    pub(crate) fn new<P: Log + Ordering + 'static>(
+    pub(crate) fn new<P: Log + Ordering + Directory + 'static>(
         settings: StewardSettings,
         node: Arc<Node>,
         tenure: Arc<dyn Tenure>,
@@ -53,7 +54,8 @@
             stop,
             tenure,
             log: platform.clone(),
-            ordering: platform,
+            ordering: platform.clone(),
+            directory: platform,
             ledger: Mutex::default(),
             read: Event::new(),
         })
@@ -115,6 +117,21 @@
         Ok(())
     }
 
+    /// Takes the platform's endpoint list, so that what former holders ordered is counted.
+    pub(super) async fn refresh_list(&self, epoch: Epoch) -> Result<(), Ended> {
+        loop {
+            self.guard(epoch)?;
+            if let Ok(zones) = self.directory.endpoints().await {
+                self.node.apply(Delta {
+                    zones,
+                    ..Delta::default()
+                });
+                return Ok(());
+            }
+            self.pause(self.settings.fleet.round()).await;
+        }
+    }
+
     async fn wait_for(&self, holds: impl Fn(&Ledger) -> bool) -> bool {
         let waiting = async {
             loop {
--- a/crates/steward/src/orders/govern.rs
+++ b/crates/steward/src/orders/govern.rs
@@ -46,7 +46,12 @@
             demand: DemandBook::default(),
             outcomes: BTreeMap::new(),
         };
+        while !self.settle(&mut reign).await? {
+            self.pause(self.settings.fleet.round()).await;
+        }
+        self.refresh_list(epoch).await?;
         loop {
+            self.guard(epoch)?;
             if self.settle(&mut reign).await? {
                 self.plan(&mut reign).await?;
             }
--- /dev/null
+++ b/crates/steward/tests/snapshots.rs
@@ -0,0 +1,54 @@
+//! A VM that starts after the oldest configuration records are gone.
+
+use {
+    eyre::Result,
+    harness::{Cluster, Shape, ZoneShape, demo_config, wait_until},
+    platform::{Page, Stream},
+    standin::platform::Control,
+};
+
+#[test]
+fn a_new_vm_starts_from_a_snapshot_and_the_tail() -> Result<()> {
+    let zone = ZoneShape {
+        zone: "ernakulam".parse()?,
+        vms: 1,
+        engines: 1,
+        cheap: 0,
+        services: 0,
+    };
+    let mut cluster = Cluster::start(Shape {
+        zones: vec![zone],
+        model: "surveyor-llm".parse()?,
+        service: "permit-desk".parse()?,
+        items: demo_config()?,
+        engine: Vec::new(),
+        entry: String::new(),
+        steward: "leases: {spread_ms: 0}\n".into(),
+    })?;
+    let platform = cluster.platform_addr;
+    wait_until("a snapshot is in the log", || {
+        let page = cluster.http.get::<Page>(platform, "/log/snapshots?from=0");
+        page.is_ok_and(|p| !p.records.is_empty())
+    })?;
+    cluster.append_change(&conf::Change {
+        id: types::RequestId::from_bits(7),
+        by: "harness".parse()?,
+        ops: Vec::new(),
+    })?;
+    cluster.control(&Control::Retain(Stream::Config, 1))?;
+    let page: Page = cluster.http.get(platform, "/log/config?from=0")?;
+    assert!(page.first > 0, "the oldest records are gone");
+    let vm = &mut cluster.vms[0];
+    let mut steward = vm.steward.take().expect("the steward runs");
+    assert!(steward.stop()?.success());
+    assert!(vm.entry.stop()?.success());
+    vm.restart_entry()?;
+    vm.start_steward(platform, "")?;
+    let vm = &cluster.vms[0];
+    vm.wait_ready(&cluster.http)?;
+    wait_until("the tail is in force", || {
+        let version = cluster.http.metric(vm.admin, "celerystage_config_version");
+        version.is_ok_and(|v| v >= page.next as f64)
+    })?;
+    cluster.stop()
+}
