celeryctl show leases; appends of a fleet in simulated time

Cause: operators ask who is in charge since when and which orders are open; the budget of the log must be known before the fleet grows.

--- /dev/null
+++ b/crates/coord/examples/appends.rs
@@ -0,0 +1,160 @@
+//! Appends to the lease stream, by kind, of a fleet in simulated time.
+//!
+//!     cargo run -p coord --example appends -- NODES ZONES
+
+use {
+    clock::Stamp,
+    coord::{Contender, Decision, Holder, LeaseId, LeaseRecord, LeaseStep, LeaseTimes},
+    fastrand::Rng,
+    std::{collections::BTreeMap, env, time::Duration},
+    types::{Incarnation, ParseIdError},
+};
+
+const STEP: Duration = Duration::from_millis(5);
+const ROUND: Duration = Duration::from_secs(60);
+/// Longest time from an append to its reading.
+const LAG_STEPS: u64 = 20;
+const ROLES: [&str; 2] = ["orders", "usage"];
+
+struct Node {
+    contenders: Vec<Contender>,
+    zone: usize,
+    read: usize,
+    lag: u64,
+}
+
+struct Fleet {
+    rng: Rng,
+    now: Stamp,
+    step: u64,
+    nodes: Vec<Node>,
+    /// Records with the step at which they were appended.
+    log: Vec<(u64, LeaseRecord)>,
+}
+
+impl Fleet {
+    fn new(nodes: usize, zones: usize) -> Result<Self, ParseIdError> {
+        let mut rng = Rng::with_seed(6);
+        let node = |i: usize| node(i, i % zones, 1, &mut rng);
+        Ok(Self {
+            nodes: (0..nodes).map(node).collect::<Result<_, _>>()?,
+            rng,
+            now: Stamp::default(),
+            step: 0,
+            log: Vec::new(),
+        })
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.step += 1;
+            for node in &mut self.nodes {
+                node.read(&self.log, self.step, self.now);
+                node.append(&mut self.log, self.step, self.now);
+            }
+        }
+    }
+
+    /// All processes of the fleet start anew.
+    fn restart(&mut self, zones: usize) -> Result<(), ParseIdError> {
+        for (i, old) in self.nodes.iter_mut().enumerate() {
+            *old = node(i, i % zones, 2, &mut self.rng)?;
+        }
+        Ok(())
+    }
+
+    /// All holders release at once.
+    fn release(&mut self) {
+        for contender in self.nodes.iter_mut().flat_map(|n| &mut n.contenders) {
+            if contender.epoch(self.now).is_some()
+                && let Some(record) = contender.close(self.now)
+            {
+                self.log.push((self.step, record));
+            }
+        }
+    }
+
+    fn print(&self, what: &str, from: usize, span: Duration) {
+        let mut kinds: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut peak: BTreeMap<u64, usize> = BTreeMap::new();
+        let steps = (Duration::from_secs(1).as_nanos() / STEP.as_nanos()) as u64;
+        for (step, record) in &self.log[from..] {
+            let kind = match record.step {
+                LeaseStep::Claim => "claim",
+                LeaseStep::Renew(_) => "renew",
+                LeaseStep::Release(_) => "release",
+            };
+            *kinds.entry(kind).or_default() += 1;
+            *peak.entry(step / steps).or_default() += 1;
+        }
+        let peak = peak.values().max().copied().unwrap_or_default();
+        let mean = (self.log.len() - from) as f64 / span.as_secs_f64();
+        println!("{what}: {mean:.1} appends a second, at most {peak} in one second; {kinds:?}");
+    }
+}
+
+impl Node {
+    fn read(&mut self, log: &[(u64, LeaseRecord)], step: u64, now: Stamp) {
+        for (offset, (at, record)) in log.iter().enumerate().skip(self.read) {
+            if at + self.lag > step {
+                break;
+            }
+            self.read = offset + 1;
+            for contender in &mut self.contenders {
+                contender.fold(now, offset as u64, record);
+            }
+        }
+        self.contenders.iter_mut().for_each(|c| c.read(now));
+    }
+
+    fn append(&mut self, log: &mut Vec<(u64, LeaseRecord)>, step: u64, now: Stamp) {
+        for contender in &mut self.contenders {
+            if let Decision::Append(record) = contender.poll(now) {
+                log.push((step, record));
+            }
+        }
+    }
+}
+
+fn node(index: usize, zone: usize, start: u64, rng: &mut Rng) -> Result<Node, ParseIdError> {
+    let holder = Holder {
+        vm: format!("vm-{index}").parse()?,
+        incarnation: Incarnation(start),
+    };
+    let zone_id: types::ZoneId = format!("zone-{zone}").parse()?;
+    let zonal = ROLES.map(|role| LeaseId::zonal(role, zone_id.clone()));
+    let leases = zonal.into_iter().chain([LeaseId::global("snapshots")]);
+    let times = LeaseTimes::default();
+    let contender = |lease| Contender::new(lease, holder.clone(), times, rng.u64(..));
+    Ok(Node {
+        contenders: leases.map(contender).collect(),
+        zone,
+        read: 0,
+        lag: 1 + index as u64 % LAG_STEPS,
+    })
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let mut args = env::args().skip(1);
+    let nodes: usize = args.next().as_deref().unwrap_or("16").parse()?;
+    let zones: usize = args.next().as_deref().unwrap_or("4").parse()?;
+    let mut fleet = Fleet::new(nodes, zones)?;
+    let used = fleet.nodes.iter().map(|n| n.zone).max().unwrap_or_default() + 1;
+    println!("{nodes} nodes in {used} availability zones");
+    fleet.run(ROUND);
+    fleet.print("start", 0, ROUND);
+    let from = fleet.log.len();
+    fleet.run(ROUND);
+    fleet.print("steady", from, ROUND);
+    let from = fleet.log.len();
+    fleet.release();
+    fleet.run(ROUND);
+    fleet.print("all holders release", from, ROUND);
+    let from = fleet.log.len();
+    fleet.restart(zones)?;
+    fleet.run(ROUND);
+    fleet.print("all processes start anew", from, ROUND);
+    Ok(())
+}
--- a/crates/ctl/src/command/cli.rs
+++ b/crates/ctl/src/command/cli.rs
@@ -14,6 +14,7 @@
 
   publish FILE     publish the items of a YAML file as one change; --remove KEY removes items
   show [KIND]      print the folded configuration, or the items of one kind (class, org, key, ...)
+  show leases      print who holds which lease since when, and orders without a result
   key give         make a key: --org ORG --class CLASS; prints it once, only its digest is kept
   key withdraw     withdraw a key: --key KEY or --digest DIGEST; while the
                    log is away: --entry ADDR (its mesh address) --secret-file FILE
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod key;
+mod leases;
 mod publish;
 mod session;
 mod show;
--- a/crates/ctl/src/command/session.rs
+++ b/crates/ctl/src/command/session.rs
@@ -8,7 +8,7 @@
     http_types::Method,
     mesh::{Authenticator, REVOKE_PATH, RevokeRequest},
     pico_args::Arguments,
-    platform::{HttpPlatform, Log, Stream},
+    platform::{HttpPlatform, Log, Record, Stream},
     std::{fs, net::SocketAddr, path::Path, time::Duration},
     types::{KeyDigest, OperatorId, RequestId, Verdict},
     wire::{Call, Client, to_rmp},
@@ -73,6 +73,29 @@
         }
     }
 
+    /// Reads all kept records of a stream; the first kept offset comes with them.
+    pub(super) async fn records(&self, stream: Stream) -> Result<(u64, Vec<Record>)> {
+        let mut records: Vec<Record> = Vec::new();
+        let mut from = 0;
+        loop {
+            let page = self.platform.read(stream, from, Duration::ZERO).await;
+            let page = page.wrap_err_with(|| format!("cannot read the {stream} stream"))?;
+            let Some(last) = page.records.last() else {
+                return Ok((page.first, records));
+            };
+            from = last.offset + 1;
+            records.extend(page.records);
+            if from >= page.next {
+                return Ok((page.first, records));
+            }
+        }
+    }
+
+    /// Milliseconds since the Unix epoch.
+    pub(super) fn unix_ms(&self) -> u64 {
+        u64::try_from(self.clock.unix().as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Publishes items and removals as one change based on `config`.
     pub(super) async fn publish(
         &self,
--- a/crates/ctl/src/command/show.rs
+++ b/crates/ctl/src/command/show.rs
@@ -1,15 +1,21 @@
 //! `celeryctl show`.
 
 use {
-    super::{ExitReason, cli::finish, session::Session},
+    super::{ExitReason, cli::finish, leases, session::Session},
     conf::{Config, Item},
     eyre::Result,
     pico_args::Arguments,
 };
 
+/// Kind that names no items of the configuration.
+const LEASES: &str = "leases";
+
 pub(super) async fn run(session: &Session, mut args: Arguments) -> Result<ExitReason> {
     let kind: Option<String> = args.opt_free_from_str()?;
     finish(args)?;
+    if kind.as_deref() == Some(LEASES) {
+        return leases::run(session).await;
+    }
     let config = session.config().await?;
     let prefix = kind.unwrap_or_default();
     if session.json {
--- a/crates/steward/tests/common/mod.rs
+++ b/crates/steward/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A zone whose pool is to be filled by orders.
 
+#![allow(dead_code)]
+
 use {
     conf::{Item, Pool},
     coord::{LeaseRecord, LeaseStep},
--- a/crates/steward/tests/leases.rs
+++ b/crates/steward/tests/leases.rs
@@ -35,7 +35,14 @@
     zone.wait_orders("two orders", 2)?;
     zone.signal(&old, Signal::STOP)?;
     let paused = zone.orders()?.len();
-    zone.next_renewal(&old)?;
+    let claimed = zone.next_renewal(&old)?;
+    let records = zone.leases()?;
+    let last = records.iter().rev().find(|(_, r)| r.holder.vm == old);
+    let (last, _) = last.expect("the holder renewed");
+    println!(
+        "pause: claim {} ms after the last renewal",
+        claimed - last.at_ms
+    );
     wait_until("the successor orders", || {
         zone.orders()
             .is_ok_and(|o| o.len() > paused && o.last().is_some_and(|o| o.order.sender != old))
