--- /dev/null
+++ b/crates/coord/examples/keeper.rs
@@ -0,0 +1,99 @@
+//! Two keepers contend for a lease on a log in memory; the first one stops, the second takes over.
+
+use {
+    async_executor::Executor,
+    async_io::block_on,
+    clock::{SharedClock, SystemClock},
+    coord::{Holder, Keeper, LeaseId, LeaseTimes, Tenure},
+    event_listener::Event,
+    futures_lite::FutureExt,
+    parking_lot::Mutex,
+    platform::{Appended, Asked, Log, Page, Record, Stream},
+    std::{error::Error, sync::Arc, time::Duration},
+    types::Incarnation,
+};
+
+/// A log of one stream.
+struct MemoryLog {
+    clock: SharedClock,
+    records: Mutex<Vec<Record>>,
+    appended: Event,
+}
+
+impl Log for MemoryLog {
+    fn append<'a>(&'a self, _: Stream, record: &'a str) -> Asked<'a, Appended> {
+        Box::pin(async move {
+            let offset = {
+                let mut records = self.records.lock();
+                let offset = records.len() as u64;
+                records.push(Record {
+                    offset,
+                    at_ms: 0,
+                    data: record.into(),
+                });
+                offset
+            };
+            self.appended.notify(usize::MAX);
+            Ok(Appended { offset })
+        })
+    }
+
+    fn read(&self, _: Stream, from: u64, wait: Duration) -> Asked<'_, Page> {
+        Box::pin(async move {
+            let appended = self.appended.listen();
+            if self.records.lock().len() as u64 <= from {
+                appended.or(self.clock.sleep(wait)).await;
+            }
+            let records = self.records.lock();
+            let from = usize::try_from(from).unwrap_or(usize::MAX);
+            Ok(Page {
+                first: 0,
+                next: records.len() as u64,
+                records: records.iter().skip(from).cloned().collect(),
+            })
+        })
+    }
+}
+
+async fn wait_held(clock: &SharedClock, tenure: &dyn Tenure, name: &str) {
+    while tenure.epoch().is_none() {
+        clock.sleep(Duration::from_millis(10)).await;
+    }
+    println!("{name} holds the lease: {:?}", tenure.epoch());
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let clock = SystemClock::shared();
+    let log = Arc::new(MemoryLog {
+        clock: clock.clone(),
+        records: Mutex::default(),
+        appended: Event::new(),
+    });
+    let lease = LeaseId::global("janitor");
+    let keeper = |name: &str| -> Result<_, Box<dyn Error>> {
+        let holder = Holder {
+            vm: name.parse()?,
+            incarnation: Incarnation(1),
+        };
+        let times = LeaseTimes::default();
+        let leases = [lease.clone()];
+        let keeper = Keeper::new(log.clone(), clock.clone(), &holder, times, leases);
+        Ok(Arc::new(keeper))
+    };
+    let (first, second) = (keeper("first")?, keeper("second")?);
+    let tenure = |k: &Keeper| k.tenure(&lease).ok_or("no such lease");
+    let (held_first, held_second) = (tenure(&first)?, tenure(&second)?);
+    let ex = Executor::new();
+    let run = |k: &Arc<Keeper>| {
+        let k = k.clone();
+        ex.spawn(async move { k.run().await })
+    };
+    block_on(ex.run(async {
+        let _first = run(&first);
+        wait_held(&clock, &*held_first, "first").await;
+        let _second = run(&second);
+        first.release().await;
+        wait_held(&clock, &*held_second, "second").await;
+    }));
+    Ok(())
+}
