--- a/crates/steward/tests/common/mod.rs
+++ b/crates/steward/tests/common/mod.rs
@@ -38,6 +38,11 @@
 impl Zone {
     /// Starts `vms` VMs in one zone with a pool that wants nothing yet.
     pub(crate) fn start(vms: usize, term_ms: u64) -> Result<Self> {
+        Self::start_with(vms, term_ms, &[])
+    }
+
+    /// As [`Zone::start`], with further arguments of the engines.
+    pub(crate) fn start_with(vms: usize, term_ms: u64, engine: &[&str]) -> Result<Self> {
         let zone = ZoneShape {
             zone: "ernakulam".parse()?,
             vms,
@@ -50,7 +55,7 @@
             model: "surveyor-llm".parse()?,
             service: "permit-desk".parse()?,
             items: demo_config()?,
-            engine: Vec::new(),
+            engine: engine.iter().map(|a| (*a).to_owned()).collect(),
             entry: String::new(),
             steward: steward_settings(term_ms),
         };
@@ -61,14 +66,19 @@
 
     /// Publishes a pool that wants [`WANTED`] endpoints, with addresses in stock.
     pub(crate) fn want(&self) -> Result<()> {
+        self.want_between(WANTED, WANTED)
+    }
+
+    /// Publishes a pool, with addresses in stock.
+    pub(crate) fn want_between(&self, min: u32, max: u32) -> Result<()> {
         let (zone, engine) = &self.cluster.endpoints[0];
         let stock = vec![engine.addr; 2 * WANTED as usize];
         self.cluster.control(&Control::Stock(zone.clone(), stock))?;
         self.cluster.publish(vec![Item::Pool(Pool {
             serves: engine.serves.clone(),
             zone: zone.clone(),
-            min: WANTED,
-            max: WANTED,
+            min,
+            max,
             cheap: 0.0,
             spare: 0,
         })])
@@ -93,6 +103,14 @@
         self.wait_orders("the pool is filled", WANTED as usize - ENGINES)
     }
 
+    /// Runs on for a while, so that a late order would be seen.
+    pub(crate) fn run_on(&self) -> Result<()> {
+        let before = self.leases()?.len();
+        wait_until("three more lease records", || {
+            self.leases().is_ok_and(|l| l.len() >= before + 3)
+        })
+    }
+
     /// Lease records of the zone's orders, with what the platform says of them.
     pub(crate) fn leases(&self) -> Result<Vec<(LogRecord, LeaseRecord)>> {
         let addr = self.cluster.platform_addr;
--- a/crates/steward/tests/leases.rs
+++ b/crates/steward/tests/leases.rs
@@ -18,14 +18,6 @@
     }
 }
 
-/// Runs on after the pool is filled, so that a late order would be seen.
-fn run_on(zone: &Zone) -> Result<()> {
-    let before = zone.leases()?.len();
-    wait_until("three more renewals", || {
-        zone.leases().is_ok_and(|l| l.len() >= before + 3)
-    })
-}
-
 #[test]
 fn a_holder_paused_amid_orders_orders_nothing_after_its_successor() -> Result<()> {
     let zone = Zone::start(2, TERM_MS)?;
@@ -49,7 +41,7 @@
     })?;
     zone.signal(&old, Signal::CONT)?;
     zone.wait_filled()?;
-    run_on(&zone)?;
+    zone.run_on()?;
     check_orders(&zone.orders()?);
     zone.cluster.stop()
 }
@@ -69,7 +61,7 @@
     zone.wait_orders("one order", 1)?;
     zone.fault(losing(6))?;
     zone.wait_filled()?;
-    run_on(&zone)?;
+    zone.run_on()?;
     let orders = zone.orders()?;
     check_orders(&orders);
     assert!(
@@ -98,7 +90,7 @@
     })?;
     zone.fault(Fault::default())?;
     zone.wait_filled()?;
-    run_on(&zone)?;
+    zone.run_on()?;
     check_orders(&zone.orders()?);
     zone.cluster.stop()
 }
@@ -126,7 +118,7 @@
     assert!(gap < TERM_MS, "{gap} ms");
     zone.want()?;
     zone.wait_filled()?;
-    run_on(&zone)?;
+    zone.run_on()?;
     check_orders(&zone.orders()?);
     zone.cluster.stop()
 }
