Cost of control and soak

Cause: the budget of control at the target size, and leaks under faults, have to be measured. Change: celery-lab control brings up nodes without traffic, reads processor time, memory and bytes, and fits slopes; celery-lab soak sends mixed load under random faults from a seed and checks records, memory, descriptors and drained queues. The load tool can pass a refused connection to the next entry, as a balancer does.

--- a/crates/harness/src/cluster/vm.rs
+++ b/crates/harness/src/cluster/vm.rs
@@ -99,10 +99,13 @@
     extra: &str,
 ) -> Result<Proc> {
     let path = folder.join(format!("{vm}-entry.yaml"));
-    let text = format!(
+    let mut text = format!(
         "process:\n  admin: {admin}\n  threads: 2\nvm: {vm}\nzone: {zone}\ncallers: {callers}\n\
-         mesh: {mesh}\nsecrets: [{MESH_SECRET}]\ngossip_ms: 250\ndrain_ms: 200\n{extra}\n"
+         mesh: {mesh}\nsecrets: [{MESH_SECRET}]\ndrain_ms: 200\n{extra}\n"
     );
+    if !extra.contains("gossip_ms:") {
+        text.push_str("gossip_ms: 250\n");
+    }
     fs::write(&path, text)?;
     let path = path.display().to_string();
     Proc::start("celery-entry", &["--settings", &path])
--- a/crates/harness/src/process/child.rs
+++ b/crates/harness/src/process/child.rs
@@ -156,6 +156,11 @@
         Ok((ticks(11) + ticks(12)) * 1_000_000 / TICKS_PER_SECOND)
     }
 
+    /// Open file descriptors.
+    pub fn open_files(&self) -> Result<usize> {
+        Ok(std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))?.count())
+    }
+
     /// Resident memory, in kilobytes.
     pub fn memory_kb(&self) -> Result<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
--- a/crates/lab/src/bin/celery-lab.rs
+++ b/crates/lab/src/bin/celery-lab.rs
@@ -2,7 +2,10 @@
 
 use {
     eyre::{Result, bail},
-    lab::{Arm, CostPlan, Experiment, PairPlan, SiteKind, measure_cost, plot, run_pair},
+    lab::{
+        Arm, ControlPlan, CostPlan, Experiment, PairPlan, SiteKind, SoakPlan, measure_control,
+        measure_cost, plot, run_pair, run_soak,
+    },
     pico_args::Arguments,
     std::{path::PathBuf, process::ExitCode},
 };
@@ -14,13 +17,15 @@
                        [--rounds N] [--seconds N] [--level X] [--seed N] [--json] [--plot FILE.svg]
 
        celery-lab cost [--rounds N] [--seconds N] [--rate N] [--seed N] [--json]
+       celery-lab control [--nodes N,N,...] [--orgs N,N,...] [--keys N] [--seconds N] [--rate N] [--json]
+       celery-lab soak [--site malabar|grandformat] [--seed N] [--seconds N] [--loads N]
 
   Each ARM is NAME=KEY:VALUE,... with settings of the entries; queue and picker go under policy.
   Without --arm: fifo with round robin, fifo with least outstanding, and the defaults.
   Experiments: steady, burst, straggler, crash, hang, eviction, heavy.
 
-Exit codes: 0 done; 1 a request that may not be repeated ran twice, or a refusal was untrue;
-2 bad command line or a failure to run.
+Exit codes: 0 done; 1 something that must hold did not: a request that may not be repeated ran twice,
+a refusal was untrue, or a soak's check failed; 2 bad command line or a failure to run.
 ";
 
 const DEFAULT_ARMS: [&str; 3] = [
@@ -28,6 +33,8 @@
     "fifo-least=queue:fifo,picker:least_outstanding",
     "defaults",
 ];
+const DEFAULT_NODES: [usize; 5] = [4, 8, 16, 32, 64];
+const DEFAULT_ORGS: [usize; 3] = [30, 330, 3_300];
 const DEFAULT_ROUNDS: u64 = 2;
 const DEFAULT_SECONDS: f64 = 20.0;
 const DEFAULT_SEED: u64 = 1;
@@ -111,6 +118,47 @@
     show(&measure_cost(&plan)?, json)
 }
 
+fn numbers(args: &mut Arguments, key: &'static str, default: &[usize]) -> Result<Vec<usize>> {
+    let text: Option<String> = args.opt_value_from_str(key)?;
+    let Some(text) = text else {
+        return Ok(default.to_vec());
+    };
+    text.split(',').map(|n| Ok(n.parse()?)).collect()
+}
+
+fn control(mut args: Arguments) -> Result<ExitCode> {
+    let json = args.contains("--json");
+    let plan = ControlPlan {
+        nodes: numbers(&mut args, "--nodes", &DEFAULT_NODES)?,
+        orgs: numbers(&mut args, "--orgs", &DEFAULT_ORGS)?,
+        keys: args.opt_value_from_str("--keys")?.unwrap_or(4),
+        seconds: args.opt_value_from_str("--seconds")?.unwrap_or(15.0),
+        rate: args.opt_value_from_str("--rate")?.unwrap_or(1.0),
+    };
+    finish(args)?;
+    show(&measure_control(&plan)?, json)
+}
+
+fn soak(mut args: Arguments) -> Result<ExitCode> {
+    let site: Option<String> = args.opt_value_from_str("--site")?;
+    let plan = SoakPlan {
+        site: site.as_deref().unwrap_or("malabar").parse()?,
+        seed: args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED),
+        seconds: args.opt_value_from_str("--seconds")?.unwrap_or(60.0),
+        loads: args.opt_value_from_str("--loads")?.unwrap_or(10),
+    };
+    finish(args)?;
+    let report = run_soak(&plan)?;
+    println!("{report}");
+    let faults = report.violations();
+    faults.iter().for_each(|f| println!("violated: {f}"));
+    Ok(if faults.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(1)
+    })
+}
+
 fn finish(args: Arguments) -> Result<()> {
     match args.finish().first() {
         Some(extra) => bail!("unknown argument {extra:?}; see --help"),
@@ -136,7 +184,9 @@
     match args.subcommand()?.as_deref() {
         Some("pair") => pair(args),
         Some("cost") => cost(args),
-        _ => bail!("accepted are pair and cost; see --help"),
+        Some("control") => control(args),
+        Some("soak") => soak(args),
+        _ => bail!("accepted are pair, cost, control and soak; see --help"),
     }
 }
 
--- /dev/null
+++ b/crates/lab/src/control/measure.rs
@@ -0,0 +1,233 @@
+//! Brings up nodes without traffic and reads what they spend.
+
+use {
+    super::{
+        ControlPoint, ControlReport,
+        spread::{Forced, spread},
+    },
+    crate::shape::{Site, SiteKind},
+    async_io::block_on,
+    clock::SystemClock,
+    conf::{Change, Op},
+    eyre::{Result, eyre},
+    harness::{Cluster, Http, Proc, Shape, Vm, ZoneShape, wait_until},
+    platform::{Endpoint, EndpointState},
+    standin::platform::Control,
+    std::{net::SocketAddr, time::Duration},
+    types::{RequestId, Version, ZoneId},
+};
+
+const ZONE: &str = "ernakulam";
+/// Items of one published change.
+const BATCH: usize = 200;
+/// Availability zones that the endpoints are listed in, as at the target size.
+const ZONES: usize = 13;
+/// Endpoints for each node, as at the target size.
+const ENDPOINTS: usize = 14;
+/// Nobody calls the endpoints of this experiment.
+const NOBODY: &str = "127.0.0.1:9";
+/// Time after the start until the figures are taken.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Settings of the product, in place of the harness's quick ones.
+const ENTRY_LINES: &str = "gossip_ms: 1000";
+
+/// A measurement of control.
+#[derive(Debug, Clone)]
+pub struct ControlPlan {
+    /// Numbers of nodes; each node is an entry and a steward.
+    pub nodes: Vec<usize>,
+    /// Organisations besides the usual ten, one run for each at the first number of nodes.
+    pub orgs: Vec<usize>,
+    /// Keys of each organisation.
+    pub keys: usize,
+    /// Length of each measurement.
+    pub seconds: f64,
+    /// Changes of configuration a second.
+    pub rate: f64,
+}
+
+/// What one process had spent at a time.
+struct Spent {
+    cpu: u64,
+    mesh: f64,
+    messages: f64,
+    platform: f64,
+}
+
+/// Measures the cost of control.
+pub fn measure_control(plan: &ControlPlan) -> Result<ControlReport> {
+    let few = plan.orgs.first().copied().unwrap_or_default();
+    let first = plan.nodes.first().copied().unwrap_or(1);
+    let mut report = ControlReport::default();
+    for nodes in &plan.nodes {
+        report.by_nodes.push(point(plan, *nodes, few)?);
+    }
+    for orgs in &plan.orgs {
+        report.by_orgs.push(point(plan, first, *orgs)?);
+    }
+    Ok(report)
+}
+
+fn point(plan: &ControlPlan, nodes: usize, orgs: usize) -> Result<ControlPoint> {
+    eprintln!("{nodes} nodes, {orgs} organisations: starting");
+    let site = SiteKind::Malabar.site();
+    let mut cluster = start(&site, nodes)?;
+    let version = load_config(&cluster, &site, orgs, plan.keys)?;
+    block_on(SystemClock::shared().sleep(SETTLE));
+    let before = read(&cluster)?;
+    eprintln!(
+        "{nodes} nodes, {orgs} organisations: measuring {} s",
+        plan.seconds
+    );
+    let changes = make_changes(&cluster, &site, plan, version)?;
+    let after = read(&cluster)?;
+    let newest = version + changes.len() as u64;
+    wait_version(&cluster, newest)?;
+    let forced: Vec<Forced> = cluster.vms.iter().map(|v| Forced::of(&v.entry)).collect();
+    let mut point = ControlPoint {
+        nodes,
+        keys: orgs * plan.keys,
+        changes: changes.len() as u64,
+        ..ControlPoint::default()
+    };
+    point.set_spread(spread(&forced, &changes));
+    sum_up(&mut point, plan.seconds, &before, &after);
+    point.memory(&cluster)?;
+    cluster.vms.iter_mut().try_for_each(stop)?;
+    Ok(point)
+}
+
+fn start(site: &Site, nodes: usize) -> Result<Cluster> {
+    let mut shape: Shape = site.shape(ENTRY_LINES)?;
+    shape.zones = vec![ZoneShape {
+        zone: ZONE.parse()?,
+        vms: nodes,
+        engines: 0,
+        cheap: 0,
+        services: 0,
+    }];
+    let cluster = Cluster::start(shape)?;
+    let addr: SocketAddr = NOBODY.parse()?;
+    let endpoint = |i: usize| -> Result<Endpoint> {
+        Ok(Endpoint {
+            id: format!("{}-{i}", site.model).parse()?,
+            serves: site.model.parse()?,
+            cheap: false,
+            addr,
+            state: EndpointState::Live,
+        })
+    };
+    for zone in 0..ZONES {
+        let own = (0..nodes * ENDPOINTS).filter(|i| i % ZONES == zone);
+        let endpoints = own.map(endpoint).collect::<Result<_>>()?;
+        let zone: ZoneId = match zone {
+            0 => ZONE.parse()?,
+            _ => format!("zone-{zone}").parse()?,
+        };
+        cluster.control(&Control::Endpoints(zone, endpoints))?;
+    }
+    Ok(cluster)
+}
+
+/// Publishes the organisations and keys; the version once all entries have it in force.
+fn load_config(cluster: &Cluster, site: &Site, orgs: usize, keys: usize) -> Result<u64> {
+    let items = site.more_orgs(orgs, keys)?;
+    let mut records = 1;
+    for batch in items.chunks(BATCH) {
+        cluster.publish(batch.to_vec())?;
+        records += 1;
+    }
+    wait_version(cluster, records)?;
+    Ok(records)
+}
+
+fn wait_version(cluster: &Cluster, version: u64) -> Result<()> {
+    wait_until("every entry has the newest configuration in force", || {
+        let newest = |vm: &Vm| Forced::of(&vm.entry).newest();
+        cluster.vms.iter().all(|vm| newest(vm) >= version)
+    })
+}
+
+/// Publishes changes at an even rate; each version with the time at which it was sent.
+fn make_changes(
+    cluster: &Cluster,
+    site: &Site,
+    plan: &ControlPlan,
+    mut version: u64,
+) -> Result<Vec<(u64, Duration)>> {
+    let clock = SystemClock::shared();
+    let start = clock.now();
+    let count = (plan.seconds * plan.rate).floor() as u32;
+    let mut changes = Vec::new();
+    for turn in 0..count {
+        let due = start + Duration::from_secs_f64(f64::from(turn) / plan.rate);
+        block_on(clock.sleep(due.since(clock.now())));
+        let item = site.key(site.orgs[0], &format!("change-{turn}"))?;
+        let sent = clock.unix();
+        let op = Op::Put {
+            base: Version(0),
+            item,
+        };
+        cluster.append_change(&Change {
+            id: RequestId::from_bits(u128::from(turn) + 1),
+            by: "lab".parse()?,
+            ops: vec![op],
+        })?;
+        version += 1;
+        changes.push((version, sent));
+    }
+    let end = start + Duration::from_secs_f64(plan.seconds);
+    block_on(clock.sleep(end.since(clock.now())));
+    Ok(changes)
+}
+
+fn spent(http: &Http, proc: &Proc) -> Result<Spent> {
+    let admin = proc.wait_addr("admin")?;
+    let cpu = proc.cpu_micros()?;
+    let metric = |name: &str| http.metric(admin, name);
+    Ok(Spent {
+        cpu,
+        mesh: metric("celerystage_mesh_bytes_total")?,
+        messages: metric("celerystage_mesh_messages_total")?,
+        platform: metric("celerystage_platform_bytes_total")?,
+    })
+}
+
+/// Figures of all entries, then of all stewards.
+fn read(cluster: &Cluster) -> Result<[Vec<Spent>; 2]> {
+    let steward = |v: &Vm| {
+        let proc = v.steward.as_ref().ok_or_else(|| eyre!("no steward"))?;
+        spent(&cluster.http, proc)
+    };
+    let entries = cluster.vms.iter().map(|v| spent(&cluster.http, &v.entry));
+    Ok([
+        entries.collect::<Result<_>>()?,
+        cluster.vms.iter().map(steward).collect::<Result<_>>()?,
+    ])
+}
+
+fn sum_up(
+    point: &mut ControlPoint,
+    seconds: f64,
+    before: &[Vec<Spent>; 2],
+    after: &[Vec<Spent>; 2],
+) {
+    let mean = |role: usize, get: fn(&Spent) -> f64| {
+        let sum = |all: &[Vec<Spent>; 2]| all[role].iter().map(get).sum::<f64>();
+        (sum(after) - sum(before)) / seconds / after[role].len().max(1) as f64
+    };
+    let core = |s: &Spent| s.cpu as f64 / 1e6;
+    point.entry_core = mean(0, core);
+    point.steward_core = mean(1, core);
+    point.entry_bytes = mean(0, |s| s.mesh);
+    point.steward_bytes = mean(1, |s| s.mesh);
+    point.messages = mean(0, |s| s.messages);
+    point.platform_bytes = mean(1, |s| s.platform);
+}
+
+fn stop(vm: &mut Vm) -> Result<()> {
+    if let Some(steward) = &mut vm.steward {
+        steward.kill()?;
+    }
+    vm.entry.kill()
+}
--- /dev/null
+++ b/crates/lab/src/control/report.rs
@@ -0,0 +1,143 @@
+//! Figures of control.
+
+use {
+    super::fit_line,
+    eyre::Result,
+    harness::{Cluster, Proc},
+    serde::Serialize,
+    std::{fmt, time::Duration},
+};
+
+/// Nodes at the target size.
+const TARGET_NODES: f64 = 400.0;
+
+/// Figures of one size: means over all nodes.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct ControlPoint {
+    /// Nodes.
+    pub nodes: usize,
+    /// Keys in the configuration.
+    pub keys: usize,
+    /// Changes made.
+    pub changes: u64,
+    /// Processor time of an entry, as a share of a core.
+    pub entry_core: f64,
+    /// Processor time of a steward, as a share of a core.
+    pub steward_core: f64,
+    /// Resident memory of an entry, in kilobytes.
+    pub entry_kb: f64,
+    /// Resident memory of a steward, in kilobytes.
+    pub steward_kb: f64,
+    /// Bytes a second in bodies between an entry and other processes, both ways.
+    pub entry_bytes: f64,
+    /// Bytes a second in bodies between a steward and other processes, both ways.
+    pub steward_bytes: f64,
+    /// Messages a second of an entry, both ways, answers included.
+    pub messages: f64,
+    /// Bytes a second that a steward receives from the platform.
+    pub platform_bytes: f64,
+    /// Time until a change is in force everywhere: median, in milliseconds.
+    pub force_ms: f64,
+    /// The longest such time, in milliseconds.
+    pub slowest_ms: f64,
+}
+
+/// Figures of all sizes.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct ControlReport {
+    /// By number of nodes, with few keys.
+    pub by_nodes: Vec<ControlPoint>,
+    /// By number of keys, with few nodes.
+    pub by_orgs: Vec<ControlPoint>,
+}
+
+impl ControlPoint {
+    pub(super) fn set_spread(&mut self, mut times: Vec<Duration>) {
+        times.sort_unstable();
+        let ms = |t: Option<&Duration>| t.map_or(f64::NAN, |t| t.as_secs_f64() * 1000.0);
+        self.force_ms = ms(times.get(times.len() / 2));
+        self.slowest_ms = ms(times.last());
+    }
+
+    pub(super) fn memory(&mut self, cluster: &Cluster) -> Result<()> {
+        let mean = |procs: Vec<&Proc>| -> Result<f64> {
+            let sizes: Vec<u64> = procs.iter().map(|p| p.memory_kb()).collect::<Result<_>>()?;
+            Ok(sizes.iter().sum::<u64>() as f64 / sizes.len().max(1) as f64)
+        };
+        self.entry_kb = mean(cluster.vms.iter().map(|v| &v.entry).collect())?;
+        self.steward_kb = mean(
+            cluster
+                .vms
+                .iter()
+                .filter_map(|v| v.steward.as_ref())
+                .collect(),
+        )?;
+        Ok(())
+    }
+}
+
+/// A quantity and its name.
+type Quantity = (&'static str, fn(&ControlPoint) -> f64);
+
+const QUANTITIES: [Quantity; 10] = [
+    ("entry, % of a core", |p| 100.0 * p.entry_core),
+    ("steward, % of a core", |p| 100.0 * p.steward_core),
+    ("entry, MB", |p| p.entry_kb / 1024.0),
+    ("steward, MB", |p| p.steward_kb / 1024.0),
+    ("entry, bytes/s in the mesh", |p| p.entry_bytes),
+    ("steward, bytes/s in the mesh", |p| p.steward_bytes),
+    ("entry, bytes/s with other VMs", |p| {
+        p.entry_bytes - p.steward_bytes
+    }),
+    ("entry, messages/s", |p| p.messages),
+    ("steward, bytes/s from the platform", |p| p.platform_bytes),
+    ("change in force everywhere, ms", |p| p.force_ms),
+];
+
+impl fmt::Display for ControlReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        table(
+            f,
+            "nodes",
+            &self.by_nodes,
+            |p| p.nodes as f64,
+            Some(TARGET_NODES),
+        )?;
+        table(f, "keys", &self.by_orgs, |p| p.keys as f64, None)?;
+        let slowest = self.by_nodes.iter().chain(&self.by_orgs);
+        let slowest = slowest.map(|p| p.slowest_ms).fold(0.0, f64::max);
+        writeln!(f, "slowest change of all: {slowest:.0} ms")
+    }
+}
+
+fn table(
+    f: &mut fmt::Formatter<'_>,
+    name: &str,
+    points: &[ControlPoint],
+    x: fn(&ControlPoint) -> f64,
+    target: Option<f64>,
+) -> fmt::Result {
+    write!(f, "{name:<36}")?;
+    for point in points {
+        write!(f, " {:>9}", x(point))?;
+    }
+    write!(f, " {:>11}", "slope")?;
+    if let Some(target) = target {
+        write!(f, " {:>11}", format!("at {target}"))?;
+    }
+    writeln!(f)?;
+    for (what, get) in QUANTITIES {
+        write!(f, "{what:<36}")?;
+        let line: Vec<(f64, f64)> = points.iter().map(|p| (x(p), get(p))).collect();
+        for (_, y) in &line {
+            write!(f, " {y:>9.2}")?;
+        }
+        let (start, slope) = fit_line(&line);
+        write!(f, " {slope:>11.5}")?;
+        if let Some(target) = target {
+            write!(f, " {:>11.1}", start + slope * target)?;
+        }
+        writeln!(f)?;
+    }
+    writeln!(f)
+}
--- /dev/null
+++ b/crates/lab/src/control/spread.rs
@@ -0,0 +1,52 @@
+//! How long changes take until they are in force at every entry, from the entries' logs.
+
+use {harness::Proc, serde::Deserialize, std::time::Duration};
+
+const IN_FORCE: &str = "configuration in force";
+
+#[derive(Deserialize)]
+struct Line {
+    ts: f64,
+    msg: String,
+    version: Option<u64>,
+}
+
+/// When an entry had each version in force, in seconds since the Unix epoch.
+pub(super) struct Forced(Vec<(u64, f64)>);
+
+impl Forced {
+    pub(super) fn of(entry: &Proc) -> Self {
+        let lines = entry.lines();
+        let parsed = lines
+            .iter()
+            .filter(|l| l.contains(IN_FORCE))
+            .filter_map(|l| serde_json::from_str::<Line>(l).ok());
+        let forced = parsed.filter(|l| l.msg == IN_FORCE);
+        Self(forced.filter_map(|l| Some((l.version?, l.ts))).collect())
+    }
+
+    /// Newest version in force.
+    pub(super) fn newest(&self) -> u64 {
+        self.0.iter().map(|(v, _)| *v).max().unwrap_or_default()
+    }
+
+    /// When this version, or a newer one, came into force.
+    fn at(&self, version: u64) -> Option<f64> {
+        self.0
+            .iter()
+            .find(|(v, _)| *v >= version)
+            .map(|(_, ts)| *ts)
+    }
+}
+
+/// Time from each change to the last entry that has it in force. Log lines round to milliseconds.
+pub(super) fn spread(entries: &[Forced], changes: &[(u64, Duration)]) -> Vec<Duration> {
+    let last = |&(version, sent): &(u64, Duration)| {
+        let times: Option<Vec<f64>> = entries.iter().map(|e| e.at(version)).collect();
+        let last = times?.into_iter().fold(0.0, f64::max);
+        Some(Duration::from_secs_f64(
+            (last - sent.as_secs_f64()).max(0.0),
+        ))
+    };
+    changes.iter().filter_map(last).collect()
+}
--- a/crates/lab/src/pair/fault.rs
+++ b/crates/lab/src/pair/fault.rs
@@ -3,11 +3,13 @@
 use {
     async_io::block_on,
     clock::{SharedClock, Stamp},
-    eyre::Result,
-    harness::Cluster,
+    eyre::{Result, ensure},
+    harness::{Cluster, Vm},
+    rustix::process::Signal,
     standin::{
         engine::{Control, Executed},
-        platform::Control as PlatformControl,
+        platform::{Control as PlatformControl, Fault as PlatformFault},
+        service::Control as ServiceControl,
     },
     std::time::Duration,
     types::EndpointId,
@@ -22,6 +24,18 @@
     Crash(usize, bool),
     /// The engine with this index stops making tokens, or goes on.
     Hang(usize, bool),
+    /// The platform fails every call, or recovers.
+    PlatformDown(bool),
+    /// The platform answers after this many milliseconds.
+    PlatformSlow(u64),
+    /// The service replica with this index executes its next request and never answers it.
+    LoseAnswer(usize),
+    /// The entry of the VM with this index is stopped gracefully and started again.
+    RestartEntry(usize),
+    /// The entry of the VM with this index is frozen, or goes on.
+    PauseEntry(usize, bool),
+    /// The steward of the VM with this index is killed and started again.
+    RestartSteward(usize),
     /// Cheap endpoints of the first availability zone are marked as leaving.
     Notice,
     /// These endpoints are removed from the list and killed.
@@ -69,11 +83,61 @@
             )
         }
         Act::Hang(engine, on) => tell(cluster, engine, &[Control::Hang(on)]),
+        Act::PlatformDown(down) => fault(
+            cluster,
+            PlatformFault {
+                down,
+                ..PlatformFault::default()
+            },
+        ),
+        Act::PlatformSlow(delay_ms) => fault(
+            cluster,
+            PlatformFault {
+                delay_ms,
+                ..PlatformFault::default()
+            },
+        ),
+        Act::LoseAnswer(service) => {
+            let services = cluster.services();
+            let addr = services[service % services.len()].addr;
+            cluster.control_endpoint(addr, &ServiceControl::LoseAnswers(1))
+        }
+        Act::RestartEntry(vm) => {
+            let vm = vm_at(cluster, vm);
+            let status = vm.entry.stop()?;
+            ensure!(
+                status.success(),
+                "the entry of {} did not stop cleanly",
+                vm.vm
+            );
+            vm.restart_entry()
+        }
+        Act::PauseEntry(vm, on) => {
+            let signal = if on { Signal::STOP } else { Signal::CONT };
+            vm_at(cluster, vm).entry.signal(signal)
+        }
+        Act::RestartSteward(vm) => {
+            let platform = cluster.platform_addr;
+            let vm = vm_at(cluster, vm);
+            if let Some(steward) = &mut vm.steward {
+                steward.kill()?;
+            }
+            vm.start_steward(platform, "")
+        }
         Act::Notice => cluster.control(&PlatformControl::Leave(evicted(cluster))),
         Act::Evict => evict(cluster, lost),
     }
 }
 
+fn fault(cluster: &Cluster, fault: PlatformFault) -> Result<()> {
+    cluster.control(&PlatformControl::Fault(fault))
+}
+
+fn vm_at(cluster: &mut Cluster, index: usize) -> &mut Vm {
+    let count = cluster.vms.len();
+    &mut cluster.vms[index % count]
+}
+
 fn tell(cluster: &Cluster, engine: usize, controls: &[Control]) -> Result<()> {
     let engines = cluster.engines();
     let addr = engines[engine % engines.len()].addr;
--- a/crates/lab/src/pair/round.rs
+++ b/crates/lab/src/pair/round.rs
@@ -17,7 +17,7 @@
 pub(crate) fn run_round(cluster: &mut Cluster, plan: &Plan, faults: &[Fault]) -> Result<Observed> {
     let clock = SystemClock::shared();
     let ex = Arc::new(Executor::new());
-    let driver = Driver::new(clock.clone(), ex.clone());
+    let driver = Driver::new(clock.clone(), ex.clone()).balanced();
     let start = clock.now();
     let (quit, helper_end) = bounded::<()>(1);
     let (samples, lost) = thread::scope(|scope| {
--- a/crates/lab/src/shape/config.rs
+++ b/crates/lab/src/shape/config.rs
@@ -39,6 +39,33 @@
         self.key_text(self.orgs[0])
     }
 
+    /// Further organisations, each with `keys` keys.
+    pub(crate) fn more_orgs(&self, orgs: usize, keys: usize) -> Result<Vec<Item>> {
+        let mut items = Vec::new();
+        for org in 0..orgs {
+            let id = format!("org-{org}");
+            items.push(Item::Org(Org {
+                id: id.parse()?,
+                weight: 1,
+            }));
+            for key in 0..keys {
+                items.push(self.key(&id, &format!("{id}-{key}"))?);
+            }
+        }
+        Ok(items)
+    }
+
+    /// A key of an organisation, from its text.
+    pub(crate) fn key(&self, org: &str, text: &str) -> Result<Item> {
+        Ok(Item::Key(Key {
+            digest: KeyDigest::of_key(text.as_bytes()),
+            org: org.parse()?,
+            class: self.classes[0].name.parse()?,
+            classes: Vec::new(),
+            withdrawn: false,
+        }))
+    }
+
     /// Classes, organisations with a key each, the model and the route.
     pub(super) fn items(&self) -> Result<Vec<Item>> {
         let mut items: Vec<Item> = self.classes.iter().map(class).collect::<Result<_>>()?;
@@ -47,13 +74,7 @@
                 id: org.parse()?,
                 weight: 1,
             }));
-            items.push(Item::Key(Key {
-                digest: KeyDigest::of_key(self.key_text(org).as_bytes()),
-                org: org.parse()?,
-                class: self.classes[0].name.parse()?,
-                classes: Vec::new(),
-                withdrawn: false,
-            }));
+            items.push(self.key(org, &self.key_text(org))?);
         }
         items.push(Item::Model(Model {
             id: self.model.parse()?,
--- a/crates/load/src/drive/driver.rs
+++ b/crates/load/src/drive/driver.rs
@@ -17,13 +17,26 @@
     clock: SharedClock,
     ex: Arc<Executor<'static>>,
     client: Client,
+    balanced: bool,
 }
 
 impl Driver {
     /// A driver whose requests run on `ex`.
     pub fn new(clock: SharedClock, ex: Arc<Executor<'static>>) -> Self {
         let client = Client::new(clock.clone());
-        Self { clock, ex, client }
+        Self {
+            clock,
+            ex,
+            client,
+            balanced: false,
+        }
+    }
+
+    /// Passes a request to the next entry when one refuses the connection, as a balancer does.
+    #[must_use]
+    pub fn balanced(mut self) -> Self {
+        self.balanced = true;
+        self
     }
 
     /// Sends all arrivals and waits for their outcomes.
@@ -47,8 +60,8 @@
                     turn
                 );
             }
-            let entry = plan.entries[turn % plan.entries.len()];
-            tasks.push(self.ex.spawn(self.one(plan.clone(), arrival, entry, due)));
+            let entries = self.entries(&plan, turn);
+            tasks.push(self.ex.spawn(self.one(plan.clone(), arrival, entries, due)));
         }
         let mut samples = Vec::with_capacity(tasks.len());
         for task in tasks {
@@ -57,14 +70,23 @@
         samples
     }
 
+    /// Entries that the request of this turn may go to, in order.
+    fn entries(&self, plan: &Plan, turn: usize) -> Vec<SocketAddr> {
+        let count = if self.balanced { plan.entries.len() } else { 1 };
+        let turns = turn..turn + count;
+        turns
+            .map(|t| plan.entries[t % plan.entries.len()])
+            .collect()
+    }
+
     fn one(
         &self,
         plan: Arc<Plan>,
         arrival: Arrival,
-        entry: SocketAddr,
+        entries: Vec<SocketAddr>,
         due: Stamp,
     ) -> impl Future<Output = Sample> + Send + 'static {
         let (client, clock) = (self.client.clone(), self.clock.clone());
-        async move { send(&client, &clock, &plan, &arrival, entry, due).await }
+        async move { send(&client, &clock, &plan, &arrival, &entries, due).await }
     }
 }
--- a/crates/load/src/drive/send.rs
+++ b/crates/load/src/drive/send.rs
@@ -11,7 +11,7 @@
     standin::engine::token_text,
     std::{net::SocketAddr, time::Duration},
     types::{Bytes, RequestId},
-    wire::{Call, CallLimits, Client, Event, EventSplitter, Reply, VERDICT_HEADER},
+    wire::{Call, CallLimits, Client, Event, EventSplitter, Fault, Reply, VERDICT_HEADER},
 };
 
 const LIMITS: CallLimits = CallLimits {
@@ -53,7 +53,7 @@
     clock: &SharedClock,
     plan: &Plan,
     arrival: &Arrival,
-    entry: SocketAddr,
+    entries: &[SocketAddr],
     due: Stamp,
 ) -> Sample {
     let flow = &plan.flows[arrival.flow];
@@ -67,7 +67,7 @@
         total: Duration::ZERO,
         tokens: 0,
     };
-    if let Ok(mut reply) = client.send(call(flow, arrival, entry)).await {
+    if let Some(mut reply) = connect(client, flow, arrival, entries).await {
         sample.id = reply.header(ID_HEADER).and_then(|v| v.parse().ok());
         let mut reading = Reading {
             clock,
@@ -87,6 +87,23 @@
     sample
 }
 
+/// Sends the request to the first entry that takes the connection.
+async fn connect(
+    client: &Client,
+    flow: &Flow,
+    arrival: &Arrival,
+    entries: &[SocketAddr],
+) -> Option<Reply> {
+    for entry in entries {
+        match client.send(call(flow, arrival, *entry)).await {
+            Ok(reply) => return Some(reply),
+            Err(e) if e.fault == Fault::Connect => {}
+            Err(_) => return None,
+        }
+    }
+    None
+}
+
 fn call(flow: &Flow, arrival: &Arrival, entry: SocketAddr) -> Call {
     let serial = format!("{:016x}", arrival.serial);
     let mut call = match &flow.work {
