--- a/crates/entry/src/process/app.rs
+++ b/crates/entry/src/process/app.rs
@@ -1,7 +1,7 @@
 //! The process: its shared tables, servers and tasks.
 
 use {
-    super::{EntrySettings, KeyWatches, links::MeshHandler},
+    super::{Accounts, EntrySettings, KeyWatches, links::MeshHandler},
     crate::{
         request::Front,
         sched::{Dispatch, Scheduler, Share},
@@ -29,8 +29,8 @@
 
 /// Shared tables of the process.
 ///
-/// Lock order: the node's store, then `view`, then the scheduler's groups, then key watches. A lock is
-/// never held across an await.
+/// Lock order: the node's store, then `view`, then the scheduler's groups, then key watches, then
+/// accounts. A lock is never held across an await.
 pub(crate) struct App {
     pub(crate) settings: EntrySettings,
     pub(crate) clock: SharedClock,
@@ -42,6 +42,7 @@
     pub(crate) dispatch: Arc<dyn Dispatch>,
     pub(crate) keys: Arc<KeyWatches>,
     pub(crate) claimer: Option<Arc<Claimer>>,
+    pub(crate) accounts: Arc<Accounts>,
     view: RwLock<Arc<View>>,
 }
 
@@ -54,6 +55,7 @@
         let auth = Authenticator::new(settings.secrets.clone());
         let vm = settings.vm.clone();
         let node = Node::new(vm, incarnation, auth, client.clone(), clock.clone());
+        let accounts = Accounts::new(&settings, incarnation, clock.clone());
         let scheduler = Scheduler::new(clock.clone(), settings.policy);
         let platform = settings
             .platform
@@ -72,6 +74,7 @@
             scheduler,
             keys: Arc::default(),
             claimer,
+            accounts,
             view: RwLock::default(),
         })
     }
@@ -97,6 +100,7 @@
         let view = {
             let store = self.node.store();
             self.keys.sweep(&store);
+            self.accounts.look(&store);
             Arc::new(View::of(&store, &self.settings.zone))
         };
         let last = std::mem::replace(&mut *self.view.write(), view.clone());
@@ -163,6 +167,10 @@
         ]
     });
     let claims: Vec<_> = claims.collect();
+    let shown = app.clone();
+    process
+        .pages
+        .add("/slo", move || shown.accounts.page(&shown.view().config));
     let tasks = [
         process.ex.spawn(app.clone().follow(process.clone())),
         process.ex.spawn(app.clone().gossip()),
@@ -178,6 +186,7 @@
     callers_end.trigger();
     serving.await;
     app.finish_claims().await;
+    app.accounts.collected().await;
     mesh_end.trigger();
     mesh_task.await;
     drop((tasks, claims));
--- a/crates/entry/src/process/links.rs
+++ b/crates/entry/src/process/links.rs
@@ -7,6 +7,7 @@
     mesh::{DEMAND_PATH, LINK_PATH, LinkBatch, Node, SYNC_PATH},
     std::{sync::Arc, time::Duration},
     types::Bytes,
+    usage::PULL_PATH,
     wire::{Handled, Handler, from_rmp, read_body, to_rmp},
 };
 
@@ -42,6 +43,7 @@
             SYNC_PATH => self.node.answer_bytes(&bytes),
             LINK_PATH => self.link(&bytes),
             DEMAND_PATH => to_rmp(&self.app.scheduler.demand()).ok(),
+            PULL_PATH => self.app.accounts.answer(&bytes),
             _ => return Response::new(StatusCode::NotFound),
         };
         let Some(answer) = answer else {
