--- a/crates/steward/src/orders/govern.rs
+++ b/crates/steward/src/orders/govern.rs
@@ -47,6 +47,7 @@
             outcomes: BTreeMap::new(),
         };
         loop {
+            self.guard(epoch)?;
             if self.settle(&mut reign).await? {
                 self.plan(&mut reign).await?;
             }
