Usage windows: chunks, chain of seals, sealer

Cause: usage must be billed by window, and a window must never be reported with two figures, whoever seals it and whichever answers are lost. Change: crate usage. An entry closes its counts into numbered chunks whenever they are collected; a collector holds copies until the log has sealed them. A seal names the offset of the seal that it follows, so that the first by log order stands and others have no effect. Reports are made from the fold only, with the lease checked last thing before each. UsageLine marks late counts.

--- a/crates/platform/src/usage.rs
+++ b/crates/platform/src/usage.rs
@@ -15,6 +15,9 @@
     pub requests: u64,
     /// Tokens generated.
     pub tokens: Tokens,
+    /// Whether the counts belong to an earlier window, and came after it was sealed.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub late: bool,
 }
 
 /// Usage of one window. A window is reported with the same figures, however often.
--- /dev/null
+++ b/crates/usage/src/record.rs
@@ -0,0 +1,106 @@
+//! Records on the usage stream of the log.
+
+use {
+    crate::Source,
+    platform::{UsageLine, UsageReport},
+    serde::{Deserialize, Serialize},
+    std::{fmt, num::ParseIntError, str::FromStr, time::Duration},
+    types::{Epoch, VmId, ZoneId},
+};
+
+/// Start of a window, in milliseconds since the Unix epoch, a multiple of the window's length.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct WindowStart(pub u64);
+
+impl WindowStart {
+    /// The window of length `length` that `unix` lies in.
+    pub fn at(unix: Duration, length: Duration) -> Self {
+        let length = millis(length).max(1);
+        Self(millis(unix) / length * length)
+    }
+}
+
+impl fmt::Display for WindowStart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for WindowStart {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// A window of one availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct WindowId {
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Start.
+    pub start: WindowStart,
+}
+
+impl fmt::Display for WindowId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.zone, self.start)
+    }
+}
+
+/// How far an entry's chunks are sealed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The entry.
+    pub source: Source,
+    /// Number of its last sealed chunk.
+    pub through: u64,
+    /// Window that sealed it.
+    pub window: WindowStart,
+}
+
+/// Seals a window. The first valid seal by log order is the window's figure for ever.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seal {
+    /// The window.
+    pub window: WindowId,
+    /// Offset of the zone's seal that this one follows; a seal that follows another is not valid.
+    pub prev: Option<u64>,
+    /// Who sealed it.
+    pub sender: VmId,
+    /// Fencing number of the sender's lease.
+    pub epoch: Epoch,
+    /// How far every entry of the zone is sealed, this window included.
+    pub marks: Vec<Mark>,
+    /// The figures. Late counts stand in lines of their own.
+    pub lines: Vec<UsageLine>,
+}
+
+impl Seal {
+    /// The report of the sealed figures.
+    pub fn report(&self, sender: VmId) -> UsageReport {
+        UsageReport {
+            window: self.window.to_string().into(),
+            sender,
+            lines: self.lines.clone(),
+        }
+    }
+}
+
+/// A record on the usage stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UsageRecord {
+    /// Seals a window.
+    Seal(Seal),
+    /// The platform has taken the report of a window.
+    Reported(WindowId),
+}
--- /dev/null
+++ b/crates/usage/src/zone.rs
@@ -0,0 +1,53 @@
+//! Collects from the entries of a zone over their mesh addresses.
+
+use {
+    crate::{Collect, PULL_PATH, PullRequest, Pulled},
+    http_types::Method,
+    mesh::Node,
+    std::{sync::Arc, time::Duration},
+    types::{Bytes, VmId, ZoneId},
+    wire::{Call, CallLimits, to_rmp},
+};
+
+const MAX_ANSWER: Bytes = Bytes(16 * 1024 * 1024);
+const LIMITS: CallLimits = CallLimits {
+    connect: Duration::from_millis(250),
+    head: Duration::from_millis(750),
+    gap: Duration::from_millis(750),
+};
+
+/// Finds the entries of a zone on the VM list.
+pub struct ZoneCollector {
+    node: Arc<Node>,
+    zone: ZoneId,
+}
+
+impl ZoneCollector {
+    /// Collects from the VMs of `zone` that `node` knows.
+    pub fn new(node: Arc<Node>, zone: ZoneId) -> Self {
+        Self { node, zone }
+    }
+}
+
+impl Collect for ZoneCollector {
+    fn vms(&self) -> Vec<VmId> {
+        let store = self.node.store();
+        let own = store.vms().vms.iter().filter(|v| v.zone == self.zone);
+        own.map(|v| v.vm.clone()).collect()
+    }
+
+    fn pull(&self, vm: VmId, request: PullRequest) -> Pulled<'_> {
+        Box::pin(async move {
+            let addr = {
+                let store = self.node.store();
+                store.vms().vms.iter().find(|v| v.vm == vm)?.addr
+            };
+            let mut call = Call::new(addr, Method::Post, PULL_PATH)
+                .body(to_rmp(&request).ok()?)
+                .limits(LIMITS);
+            self.node.auth().sign(&mut call.request);
+            let mut reply = self.node.client().send(call).await.ok()?;
+            reply.rmp(MAX_ANSWER).await.ok()
+        })
+    }
+}
