Burn report: meter in the entry, celeryctl burn, picture

Cause: operators need to see how fast error budgets are used up and what service costs. Change: crate slo (targets met or missed by class and organisation over 5 min, 30 min, 1 h and 6 h in two rings; multi-window alerts; endpoint time by kind; table, JSON, SVG). The entry counts usage and targets where an answer ends and serves /slo on its admin address (daemon: processes can add JSON pages) and /mesh/usage to collectors. A planned stop waits up to 3 s until its usage is collected. Plain services' answers count as served. celeryctl burn merges entries; exit code 5 when an alert burns. The alert rule first paged for an objective of 0; a test holds it. Conclusion: alerts follow the two spans; real processes come with the steward's part.

--- /dev/null
+++ b/crates/ctl/src/command/burn.rs
@@ -0,0 +1,120 @@
+//! `celeryctl burn`.
+
+use {
+    super::{ExitReason, cli::finish},
+    clock::SystemClock,
+    eyre::{Result, WrapErr, bail, ensure},
+    http_types::Method,
+    pico_args::Arguments,
+    slo::{Alert, BurnReport, Delivery, Prices, Snapshot, draw_chart},
+    std::{fs, net::SocketAddr, path::PathBuf},
+    types::Bytes,
+    wire::{Call, Client},
+};
+
+const MAX_PAGE: Bytes = Bytes(64 * 1024 * 1024);
+/// Price of a cheap endpoint unless it is given, as a share of a steady one's.
+const CHEAP_PRICE: f64 = 0.35;
+
+struct Options {
+    entries: Vec<SocketAddr>,
+    stewards: Vec<SocketAddr>,
+    prices: Prices,
+    svg: Option<PathBuf>,
+    json: bool,
+}
+
+impl Options {
+    fn take(mut args: Arguments) -> Result<Self> {
+        let entries: Vec<SocketAddr> = args.values_from_str("--entry")?;
+        let stewards = args.values_from_str("--steward")?;
+        let cheap: Option<f64> = args.opt_value_from_str("--cheap-price")?;
+        let svg = args.opt_value_from_str("--svg")?;
+        let json = args.contains("--json");
+        finish(args)?;
+        ensure!(!entries.is_empty(), "--entry ADDR is missing; see --help");
+        let cheap = cheap.unwrap_or(CHEAP_PRICE);
+        ensure!(
+            (0.0..=1.0).contains(&cheap),
+            "--cheap-price: accepted is 0 to 1"
+        );
+        Ok(Self {
+            entries,
+            stewards,
+            prices: Prices { cheap },
+            svg,
+            json,
+        })
+    }
+}
+
+pub(super) async fn run(args: Arguments) -> Result<ExitReason> {
+    let options = Options::take(args)?;
+    let client = Client::new(SystemClock::shared());
+    match report(&client, &options).await {
+        Ok(report) => show(&report, &options),
+        Err(e) => {
+            eprintln!("celeryctl: {e:#}");
+            Ok(ExitReason::Failed)
+        }
+    }
+}
+
+/// Asks all entries; a report that lacks one of them would be wrong, so one failure fails the command.
+async fn report(client: &Client, options: &Options) -> Result<BurnReport> {
+    let mut parts: Vec<Snapshot> = Vec::new();
+    for entry in &options.entries {
+        let page = page(client, *entry, "/slo").await?;
+        let part = serde_json::from_slice(&page);
+        parts.push(part.wrap_err_with(|| format!("{entry}: /slo not understood"))?);
+    }
+    let mut usage = None;
+    for steward in &options.stewards {
+        let text = String::from_utf8(page(client, *steward, "/metrics").await?)?;
+        add_delivery(usage.get_or_insert_default(), &text);
+    }
+    let merged = Snapshot::merge(parts);
+    Ok(BurnReport::of(&merged, options.prices, usage))
+}
+
+async fn page(client: &Client, addr: SocketAddr, path: &str) -> Result<Vec<u8>> {
+    let asked = || format!("{addr}: cannot read {path}");
+    let sent = client.send(Call::new(addr, Method::Get, path)).await;
+    let mut reply = sent.wrap_err_with(asked)?;
+    if reply.status() != 200 {
+        bail!("{addr}: {path}: status {}", reply.status());
+    }
+    reply.bytes(MAX_PAGE).await.wrap_err_with(asked)
+}
+
+/// Adds the counters of one steward.
+fn add_delivery(sum: &mut Delivery, metrics: &str) {
+    let value = |name: &str| {
+        let lines = metrics.lines().filter_map(|l| l.rsplit_once(' '));
+        let found = lines.filter(|(key, _)| *key == name);
+        found
+            .filter_map(|(_, v)| v.parse::<u64>().ok())
+            .sum::<u64>()
+    };
+    sum.taken += value("celerystage_usage_reports_total");
+    sum.late += value("celerystage_usage_reports_late_total");
+    sum.retried += value("celerystage_usage_reports_retried_total");
+    sum.wrong += value("celerystage_usage_reports_wrong_total");
+    sum.moved += value("celerystage_usage_counts_late_total");
+}
+
+fn show(report: &BurnReport, options: &Options) -> Result<ExitReason> {
+    if let Some(path) = &options.svg {
+        let text = draw_chart(report)?;
+        fs::write(path, text).wrap_err_with(|| format!("cannot write {}", path.display()))?;
+    }
+    if options.json {
+        println!("{}", serde_json::to_string_pretty(report)?);
+    } else {
+        println!("{report}");
+    }
+    Ok(match report.alert() {
+        Alert::None => ExitReason::Done,
+        Alert::Ticket | Alert::Page => ExitReason::Burning,
+    })
+}
--- a/crates/ctl/src/command/cli.rs
+++ b/crates/ctl/src/command/cli.rs
@@ -1,7 +1,7 @@
 //! Command line and exit codes.
 
 use {
-    super::{key, publish, session::Session, show},
+    super::{burn, key, publish, session::Session, show},
     eyre::{Result, bail, eyre},
     pico_args::Arguments,
     std::process::ExitCode,
@@ -19,13 +19,22 @@
   key withdraw     withdraw a key: --key KEY or --digest DIGEST; while the
                    log is away: --entry ADDR (its mesh address) --secret-file FILE
 
-Options of all commands:
+  burn             print how fast error budgets are used up, what endpoints cost, how usage reports go
+
+Options of burn:
+  --entry ADDR     admin address of an entry; once for each entry
+  --steward ADDR   admin address of a steward, for usage reports; once for each
+  --cheap-price N  price of a cheap endpoint as a share of a steady one's; default: 0.35
+  --svg FILE       write a picture too
+
+Options of all other commands:
   --platform ADDR  address of the platform's service, as IP:PORT
   --by NAME        operator's name; default: operator
   --json           print JSON in place of tables
 
 Exit codes: 0 done, 1 failed, 2 bad command line or file, 3 refused: another operator came first or
-the change is not valid, 4 unknown outcome: the platform may have taken the change.
+the change is not valid, 4 unknown outcome: the platform may have taken the change, 5 an error budget
+burns so fast that an alert is raised.
 ";
 
 /// Why a command ended; each has its exit code.
@@ -41,6 +50,8 @@
     Refused,
     /// The change may have been taken.
     Unknown,
+    /// An error budget burns.
+    Burning,
 }
 
 impl From<ExitReason> for ExitCode {
@@ -51,6 +62,7 @@
             ExitReason::BadUse => Self::from(2),
             ExitReason::Refused => Self::from(3),
             ExitReason::Unknown => Self::from(4),
+            ExitReason::Burning => Self::from(5),
         }
     }
 }
@@ -74,6 +86,9 @@
     let command = args
         .subcommand()?
         .ok_or_else(|| eyre!("a command is missing; see --help"))?;
+    if command == "burn" {
+        return burn::run(args).await;
+    }
     let session = Session::take(&mut args)?;
     match command.as_str() {
         "publish" => publish::run(&session, args).await,
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! Commands, one module each.
 
+mod burn;
 mod cli;
 mod key;
 mod leases;
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -3,9 +3,13 @@
 use {
     http_types::{Request, Response, StatusCode},
     metrics_exporter_prometheus::PrometheusHandle,
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
+    parking_lot::RwLock,
+    std::{
+        collections::BTreeMap,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
     },
     wire::{Handled, Handler},
 };
@@ -26,16 +30,39 @@
     }
 }
 
-/// Serves `/metrics`, `/healthz` and `/readyz`.
+/// Makes the text of a JSON page.
+type Page = Box<dyn Fn() -> Vec<u8> + Send + Sync>;
+
+/// JSON pages that a process adds to its admin address.
+#[derive(Clone, Default)]
+pub struct Pages(Arc<RwLock<BTreeMap<&'static str, Page>>>);
+
+impl Pages {
+    /// Adds a page.
+    pub fn add(&self, path: &'static str, page: impl Fn() -> Vec<u8> + Send + Sync + 'static) {
+        self.0.write().insert(path, Box::new(page));
+    }
+
+    fn render(&self, path: &str) -> Option<Vec<u8>> {
+        self.0.read().get(path).map(|page| page())
+    }
+}
+
+/// Serves `/metrics`, `/healthz`, `/readyz` and the process's own pages.
 pub struct Admin {
     metrics: PrometheusHandle,
     ready: Readiness,
+    pages: Pages,
 }
 
 impl Admin {
     /// Pages for a process.
-    pub fn new(metrics: PrometheusHandle, ready: Readiness) -> Self {
-        Self { metrics, ready }
+    pub fn new(metrics: PrometheusHandle, ready: Readiness, pages: Pages) -> Self {
+        Self {
+            metrics,
+            ready,
+            pages,
+        }
     }
 
     fn page(&self, path: &str) -> Response {
@@ -47,7 +74,14 @@
             "/healthz" => text(StatusCode::Ok, "ok\n".into()),
             "/readyz" if self.ready.get() => text(StatusCode::Ok, "ready\n".into()),
             "/readyz" => text(StatusCode::ServiceUnavailable, "not ready\n".into()),
-            _ => text(
+            _ => self.own_page(path),
+        }
+    }
+
+    fn own_page(&self, path: &str) -> Response {
+        match self.pages.render(path) {
+            Some(body) => json(body),
+            None => text(
                 StatusCode::NotFound,
                 "pages: /metrics /healthz /readyz\n".into(),
             ),
@@ -55,6 +89,13 @@
     }
 }
 
+fn json(body: Vec<u8>) -> Response {
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(body);
+    response.set_content_type(http_types::mime::JSON);
+    response
+}
+
 fn text(status: StatusCode, body: String) -> Response {
     let mut response = Response::new(status);
     response.set_body(body);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,7 +7,7 @@
 mod settings;
 
 pub use {
-    admin::{Admin, Readiness},
+    admin::{Admin, Pages, Readiness},
     args::{Args, Usage},
     logs::init_logs,
     process::{Process, run, run_with},
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -1,7 +1,7 @@
 //! Runs a process: workers, signals, admin pages, exit code.
 
 use {
-    crate::{Admin, Args, ProcessSettings, Readiness, Settings, Usage, init_logs},
+    crate::{Admin, Args, Pages, ProcessSettings, Readiness, Settings, Usage, init_logs},
     async_executor::{Executor, Task},
     async_io::block_on,
     async_signal::{Signal, Signals},
@@ -29,6 +29,8 @@
     pub stop: Stop,
     /// Shown by `/readyz`.
     pub ready: Readiness,
+    /// Pages beside metrics and health.
+    pub pages: Pages,
 }
 
 impl Process {
@@ -122,6 +124,7 @@
         clock,
         stop: Stop::default(),
         ready: Readiness::default(),
+        pages: Pages::default(),
     };
     let metrics = PrometheusBuilder::new().install_recorder()?;
     let quit = Stop::default();
@@ -134,7 +137,11 @@
         .ex
         .spawn(watch_signals(signals, process.stop.clone()))
         .detach();
-    let admin = Arc::new(Admin::new(metrics, process.ready.clone()));
+    let admin = Arc::new(Admin::new(
+        metrics,
+        process.ready.clone(),
+        process.pages.clone(),
+    ));
     let limits = ServerLimits::default();
     let server = process.bind("admin", settings.admin, admin, limits, quit.clone())?;
     let admin_task = process.serve(server);
--- a/crates/entry/src/process/app.rs
+++ b/crates/entry/src/process/app.rs
@@ -1,7 +1,7 @@
 //! The process: its shared tables, servers and tasks.
 
 use {
-    super::{EntrySettings, KeyWatches, links::MeshHandler},
+    super::{Accounts, EntrySettings, KeyWatches, links::MeshHandler},
     crate::{
         request::Front,
         sched::{Dispatch, Scheduler, Share},
@@ -40,8 +40,8 @@
 
 /// Shared tables of the process.
 ///
-/// Lock order: the node's store, then `view`, then the scheduler's groups, then key watches. A lock is
-/// never held across an await.
+/// Lock order: the node's store, then `view`, then the scheduler's groups, then key watches, then
+/// accounts. A lock is never held across an await.
 pub(crate) struct App {
     pub(crate) settings: EntrySettings,
     pub(crate) clock: SharedClock,
@@ -59,6 +59,7 @@
     pub(crate) retries: Mutex<Budget>,
     /// Meters of organisations' limits. Its lock is taken alone.
     pub(crate) limiter: Mutex<Limiter>,
+    pub(crate) accounts: Arc<Accounts>,
     view: RwLock<Arc<View>>,
     /// Wakes when the view has changed.
     viewed: Event,
@@ -73,6 +74,7 @@
         let auth = Authenticator::new(settings.secrets.clone());
         let vm = settings.vm.clone();
         let node = Node::new(vm, incarnation, auth, client.clone(), clock.clone());
+        let accounts = Accounts::new(&settings, incarnation, clock.clone());
         let scheduler = Scheduler::new(clock.clone(), settings.policy);
         let platform = settings
             .platform
@@ -101,6 +103,7 @@
             caught_up: AtomicBool::new(false),
             limiter: Mutex::default(),
             retries: Mutex::new(Budget::new(RETRY_SHARE, RETRY_CAP)),
+            accounts,
             view: RwLock::default(),
             viewed: Event::new(),
         })
@@ -153,6 +156,7 @@
         let (view, share) = {
             let store = self.node.store();
             self.keys.sweep(&store);
+            self.accounts.look(&store);
             let view = Arc::new(View::of(&store, &self.settings.zone));
             (view, limit_share(&store, &self.settings.vm))
         };
@@ -234,6 +238,10 @@
         ]
     });
     let claims: Vec<_> = claims.collect();
+    let shown = app.clone();
+    process
+        .pages
+        .add("/slo", move || shown.accounts.page(&shown.view().config));
     let tasks = [
         process.ex.spawn(app.clone().follow(process.clone())),
         process.ex.spawn(app.clone().gossip()),
@@ -249,6 +257,7 @@
     callers_end.trigger();
     serving.await;
     app.finish_claims().await;
+    app.accounts.collected().await;
     mesh_end.trigger();
     mesh_task.await;
     drop((tasks, claims));
--- a/crates/entry/src/process/links.rs
+++ b/crates/entry/src/process/links.rs
@@ -10,6 +10,7 @@
     },
     std::{sync::Arc, time::Duration},
     types::Bytes,
+    usage::PULL_PATH,
     wire::{Handled, Handler, from_rmp, read_body, to_rmp},
 };
 
@@ -46,6 +47,7 @@
             LINK_PATH => (LINK_PATH, self.link(&bytes)),
             REVOKE_PATH => (REVOKE_PATH, self.revoke(&bytes)),
             DEMAND_PATH => (DEMAND_PATH, to_rmp(&self.app.scheduler.demand()).ok()),
+            PULL_PATH => (PULL_PATH, self.app.accounts.answer(&bytes)),
             _ => return Response::new(StatusCode::NotFound),
         };
         let Some(answer) = answer else {
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for the process: settings, shared state, servers and tasks.
 
+mod accounts;
 mod app;
 mod keys;
 mod links;
@@ -7,6 +8,7 @@
 mod settings;
 
 pub(crate) use {
+    accounts::Accounts,
     app::App,
     keys::{KeyWatch, KeyWatches},
 };
--- a/crates/entry/src/process/settings.rs
+++ b/crates/entry/src/process/settings.rs
@@ -26,6 +26,10 @@
     1000
 }
 
+fn default_slo_ms() -> u64 {
+    60_000
+}
+
 fn default_drain_ms() -> u64 {
     1000
 }
@@ -72,6 +76,9 @@
     /// How the entries of an availability zone share its endpoints.
     #[serde(default)]
     pub sharing: Sharing,
+    /// Unit of the spans that burn rates are taken over, in milliseconds.
+    #[serde(default = "default_slo_ms")]
+    pub slo_ms: u64,
     /// Scheduling policies.
     #[serde(default)]
     pub policy: PolicySettings,
@@ -114,6 +121,9 @@
         if !(60..=7 * 24 * 3600).contains(&self.claim_s) {
             return Err("claim_s: accepted is 60 to 604800".into());
         }
+        if !(10..=3_600_000).contains(&self.slo_ms) {
+            return Err("slo_ms: accepted is 10 to 3600000".into());
+        }
         if self.drain_ms > 600_000 {
             return Err("drain_ms: accepted is 0 to 600000".into());
         }
--- a/crates/entry/src/request/model.rs
+++ b/crates/entry/src/request/model.rs
@@ -14,6 +14,7 @@
     crate::{sched::Lease, version::View},
     http_types::{Request, Response},
     route::Ending,
+    slo::Timing,
     std::{sync::Arc, time::Duration},
     types::{Bytes, Reason, Refusal, Tokens, Verdict},
     wire::{Call, CallLimits, Fault, Reply, SendError},
@@ -116,8 +117,12 @@
         let bytes = reply.bytes(MAX_ANSWER).await?;
         let tokens = Tokens(completion_tokens(&bytes));
         self.permit.spend(tokens);
-        lease.progress(tokens, self.app.clock.now().since(sent));
-        self.count_served(tokens);
+        let now = self.app.clock.now();
+        lease.progress(tokens, now.since(sent));
+        self.count_served(Timing::Whole {
+            total: now.since(self.arrived),
+            tokens,
+        });
         let mut response = Response::new(reply.head().status());
         to_caller(reply.head(), &mut response);
         let mime = response.content_type();
@@ -158,17 +163,6 @@
             }),
         }
     }
-
-    /// Counts a request that was answered whole.
-    pub(super) fn count_served(&self, tokens: Tokens) {
-        self.app.retries.lock().earn();
-        let class = self.caller.class.id.to_string();
-        let org = self.caller.org.to_string();
-        metrics::counter!("celerystage_served_total", "class" => class.clone(), "org" => org.clone())
-            .increment(1);
-        metrics::counter!("celerystage_tokens_total", "class" => class, "org" => org)
-            .increment(tokens.0);
-    }
 }
 
 async fn pass_on(mut reply: Reply, work: &Work) -> Result<Response, SendError> {
--- a/crates/entry/src/request/plain.rs
+++ b/crates/entry/src/request/plain.rs
@@ -15,6 +15,7 @@
     http_types::{Method, Request, Response},
     once::Print,
     route::Ending,
+    slo::Timing,
     std::{sync::Arc, time::Duration},
     types::{Bytes, OrgId, Reason, Refusal, Tokens, Verdict},
     wire::{Call, CallLimits, Reply, SendError},
@@ -38,6 +39,7 @@
         let permit = Permit::take(&self.app, &view, &caller, Some(&route.id))?;
         let body = self.body(&mut request).await?;
         let safe = matches!(request.method(), Method::Get | Method::Head);
+        let (class, org) = (caller.class.id.clone(), caller.org.clone());
         let mut work = Work {
             app: self.app.clone(),
             caller,
@@ -66,7 +68,10 @@
         };
         Ok(match answered {
             Ok(response) => response,
-            Err(refusal) => refuse(id, &refusal),
+            Err(refusal) => {
+                self.app.accounts.refused(&class, &org, refusal.reason);
+                refuse(id, &refusal)
+            }
         })
     }
 
@@ -119,7 +124,10 @@
             let (endpoint, failed) = match self.attempt(&lease, plain).await {
                 Ok(response) => {
                     lease.end(Ending::Whole);
-                    self.app.retries.lock().earn();
+                    self.count_served(Timing::Whole {
+                        total: self.app.clock.now().since(self.arrived),
+                        tokens: Tokens(0),
+                    });
                     return Ok(response);
                 }
                 Err(failed) => {
--- a/crates/entry/src/request/stream.rs
+++ b/crates/entry/src/request/stream.rs
@@ -14,6 +14,7 @@
     http_types::{Mime, Request, Response, StatusCode},
     route::Ending,
     serde_json::json,
+    slo::Timing,
     std::{str::FromStr, time::Duration},
     types::{Reason, Refusal, Tokens, Verdict},
     wire::{BodySender, Event, EventSplitter, Fault, Reply, SendError, body_channel},
@@ -31,6 +32,8 @@
     prompt: Prompt,
     /// Tokens passed to the caller.
     delivered: u64,
+    /// When the first of them was passed on, and the last.
+    first: Stamp,
     last: Stamp,
 }
 
@@ -73,6 +76,7 @@
             request,
             prompt,
             delivered: 0,
+            first: last,
             last,
         };
         let source = match this.open().await {
@@ -173,15 +177,21 @@
             let broken = match self.pass(&mut source, &sender).await {
                 Ok(()) => {
                     source.lease.end(Ending::Whole);
-                    self.work.count_served(Tokens(self.delivered));
+                    self.work.count_served(self.timing());
                     sender.finish().await;
                     return;
                 }
                 Err(broken) => broken,
             };
             let refusal = match broken {
-                Broken::Caller => return,
-                Broken::Refused(refusal) => refusal,
+                Broken::Caller => {
+                    self.work.count_broken_off(Tokens(self.delivered));
+                    return;
+                }
+                Broken::Refused(refusal) => {
+                    self.work.count_broken_off(Tokens(self.delivered));
+                    refusal
+                }
                 Broken::Evicted => {
                     metrics::counter!("celerystage_moves_total").increment(1);
                     self.work.avoid.push(source.lease.endpoint.clone());
@@ -207,6 +217,7 @@
                     }
                 }
             };
+            self.work.count_failed(refusal.reason);
             let _ = sender.send(error_event(&self.work.refusal(refusal))).await;
             return;
         }
@@ -287,12 +298,24 @@
             self.delivered += 1;
             let now = self.work.app.clock.now();
             self.work.permit.spend(Tokens(1));
+            if self.delivered == 1 {
+                self.first = now;
+            }
             lease.progress(Tokens(1), now.since(self.last));
             self.last = now;
         }
         Ok(if done { Step::Done } else { Step::More })
     }
 
+    /// Times of the whole answer.
+    fn timing(&self) -> Timing {
+        Timing::Stream {
+            first: self.first.since(self.work.arrived),
+            rest: self.last.since(self.first),
+            tokens: Tokens(self.delivered),
+        }
+    }
+
     /// Whether an event names this request, or no request.
     fn is_own(&self, event: &Event) -> bool {
         #[derive(serde::Deserialize)]
--- a/crates/entry/src/request/work.rs
+++ b/crates/entry/src/request/work.rs
@@ -6,8 +6,9 @@
     clock::Stamp,
     http_types::Response,
     route::Need,
+    slo::Timing,
     std::sync::Arc,
-    types::{Attempt, EndpointId, ModelId, Refusal, RequestId, Tokens, Verdict},
+    types::{Attempt, EndpointId, ModelId, Reason, Refusal, RequestId, Tokens, Verdict},
     wire::refusal_response,
 };
 
@@ -81,7 +82,33 @@
 
     /// Counts and answers a refusal, with the verdict of all attempts.
     pub(super) fn refuse(&self, refusal: Refusal) -> Response {
-        refuse(self.id, &self.refusal(refusal))
+        let refusal = self.refusal(refusal);
+        self.count_failed(refusal.reason);
+        refuse(self.id, &refusal)
+    }
+
+    /// Counts a request that was answered whole.
+    pub(super) fn count_served(&self, timing: Timing) {
+        let (Timing::Stream { tokens, .. } | Timing::Whole { tokens, .. }) = timing;
+        let (class, org) = (&self.caller.class, &self.caller.org);
+        let labels = [("class", class.id.to_string()), ("org", org.to_string())];
+        metrics::counter!("celerystage_served_total", &labels).increment(1);
+        metrics::counter!("celerystage_tokens_total", &labels).increment(tokens.0);
+        self.app.accounts.served(class, org, timing);
+        self.app.retries.lock().earn();
+    }
+
+    /// Counts the tokens of a request that its caller broke off.
+    pub(super) fn count_broken_off(&self, tokens: Tokens) {
+        if tokens.0 > 0 {
+            self.app.accounts.taken(&self.caller.org, tokens);
+        }
+    }
+
+    /// Counts a request that was refused, or cut off by a failure.
+    pub(super) fn count_failed(&self, reason: Reason) {
+        let (class, org) = (&self.caller.class.id, &self.caller.org);
+        self.app.accounts.refused(class, org, reason);
     }
 }
 
--- /dev/null
+++ b/crates/slo/src/judge.rs
@@ -0,0 +1,65 @@
+//! Whether one request met the targets of its class.
+
+use {
+    conf::Targets,
+    std::time::Duration,
+    types::{Reason, Tokens},
+};
+
+/// Times of an answer that came whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Timing {
+    /// Token by token.
+    Stream {
+        /// From arrival to the first token.
+        first: Duration,
+        /// From the first token to the last.
+        rest: Duration,
+        /// Tokens.
+        tokens: Tokens,
+    },
+    /// At once: from arrival to the end.
+    Whole {
+        /// From arrival to the end.
+        total: Duration,
+        /// Tokens, 0 for a plain service.
+        tokens: Tokens,
+    },
+}
+
+/// Whether an answer met the targets. An answer that came at once has the time of its first token and
+/// the time between all others.
+pub fn meets(targets: &Targets, timing: Timing) -> bool {
+    let gaps = |tokens: Tokens| u32::try_from(tokens.0.saturating_sub(1)).unwrap_or(u32::MAX);
+    match timing {
+        Timing::Stream {
+            first,
+            rest,
+            tokens,
+        } => first <= targets.first() && rest <= targets.between().saturating_mul(gaps(tokens)),
+        Timing::Whole { total, tokens } => {
+            let rest = targets.between().saturating_mul(gaps(tokens));
+            total <= targets.first().saturating_add(rest)
+        }
+    }
+}
+
+/// Whether a refusal counts against the targets: those for reasons of the caller's own do not.
+pub fn burns_budget(reason: Reason) -> bool {
+    match reason {
+        Reason::Overloaded
+        | Reason::Unavailable
+        | Reason::EndpointFailed
+        | Reason::EndpointTimeout
+        | Reason::Stopping => true,
+        Reason::BadRequest
+        | Reason::TooLarge
+        | Reason::TooSlow
+        | Reason::NoKey
+        | Reason::KeyWithdrawn
+        | Reason::Forbidden
+        | Reason::NotFound
+        | Reason::OverLimit
+        | Reason::Conflict => false,
+    }
+}
