Steward: seals and reports usage windows under the zone's usage lease

Cause: usage must reach the platform, once for each window, whoever is in charge. Change: lease usage/<zone>; the steward runs usage::Sealer over its node, the log and the reports. Settings usage.*. Gauge of requests held in copies; collection every 250 ms.

--- a/crates/steward/src/process/app.rs
+++ b/crates/steward/src/process/app.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         StewardSettings,
-        lease::{contended, orders_lease, snapshots_lease},
+        lease::{contended, orders_lease, snapshots_lease, usage_lease},
         revoked::publish_revoked,
     },
     crate::{
@@ -19,6 +19,7 @@
     platform::{Directory, HttpPlatform, Stream},
     std::sync::Arc,
     types::Incarnation,
+    usage::{Sealer, SealerParts, ZoneCollector},
     wire::Client,
 };
 
@@ -146,6 +147,24 @@
         publish_revoked(self.node.clone(), self.platform.clone(), self.clock.clone())
     }
 
+    /// What seals and reports the zone's usage windows.
+    fn sealer(&self, keeper: &Keeper) -> Result<Sealer> {
+        let zone = self.settings.zone.clone();
+        let lease = usage_lease(&zone);
+        let tenure = keeper.tenure(&lease);
+        let entries = ZoneCollector::new(self.node.clone(), zone.clone());
+        Ok(Sealer::new(SealerParts {
+            vm: self.settings.vm.clone(),
+            zone,
+            log: self.platform.clone(),
+            reports: self.platform.clone(),
+            tenure: tenure.ok_or_else(|| eyre!("no contender for the lease {lease}"))?,
+            entries: Arc::new(entries),
+            clock: self.clock.clone(),
+            settings: self.settings.usage,
+        }))
+    }
+
     /// Takes the platform's lists.
     async fn poll_lists(self: Arc<Self>) {
         loop {
@@ -176,6 +195,7 @@
     let steward = Steward::new(&process, settings);
     let keeper = Arc::new(steward.keeper());
     let (orders, snapshots) = steward.guarded(&process, &keeper)?;
+    let sealer = steward.sealer(&keeper)?;
     let running = keeper.clone();
     let tasks = [
         process.ex.spawn(async move { running.run().await }),
@@ -188,6 +208,7 @@
     let guarded = [
         process.ex.spawn(orders.govern()),
         process.ex.spawn(snapshots.run()),
+        process.ex.spawn(sealer.run(process.stop.clone())),
     ];
     process.ready.set(true);
     process.stop.wait().await;
--- a/crates/steward/src/process/lease.rs
+++ b/crates/steward/src/process/lease.rs
@@ -4,6 +4,8 @@
 
 /// Role of the process that orders endpoints for a zone.
 const ORDERS_ROLE: &str = "orders";
+/// Role of the process that seals and reports a zone's usage windows.
+const USAGE_ROLE: &str = "usage";
 /// Role of the process that writes snapshots of the configuration.
 const SNAPSHOTS_ROLE: &str = "snapshots";
 
@@ -12,6 +14,11 @@
     LeaseId::zonal(ORDERS_ROLE, zone.clone())
 }
 
+/// The lease to seal and report usage windows of `zone`.
+pub(crate) fn usage_lease(zone: &ZoneId) -> LeaseId {
+    LeaseId::zonal(USAGE_ROLE, zone.clone())
+}
+
 /// The lease to write snapshots of the configuration.
 pub(crate) fn snapshots_lease() -> LeaseId {
     LeaseId::global(SNAPSHOTS_ROLE)
@@ -19,5 +26,9 @@
 
 /// All leases that a steward with these settings contends for.
 pub(crate) fn contended(settings: &StewardSettings) -> Vec<LeaseId> {
-    vec![orders_lease(&settings.zone), snapshots_lease()]
+    vec![
+        orders_lease(&settings.zone),
+        usage_lease(&settings.zone),
+        snapshots_lease(),
+    ]
 }
--- a/crates/steward/src/process/settings.rs
+++ b/crates/steward/src/process/settings.rs
@@ -8,6 +8,7 @@
     serde::Deserialize,
     std::{net::SocketAddr, time::Duration},
     types::{VmId, ZoneId},
+    usage::UsageSettings,
 };
 
 fn default_exchange_ms() -> u64 {
@@ -50,6 +51,9 @@
     /// Rules of endpoint orders.
     #[serde(default)]
     pub fleet: FleetSettings,
+    /// Usage windows.
+    #[serde(default)]
+    pub usage: UsageSettings,
     /// Longest time between two snapshots of the configuration, in milliseconds.
     #[serde(default = "default_snapshot_ms")]
     pub snapshot_ms: u64,
@@ -77,6 +81,7 @@
         self.process.check()?;
         self.leases.check()?;
         self.fleet.check()?;
+        self.usage.check()?;
         if self.secrets.is_empty() || self.secrets.iter().any(|s| s.len() < 16) {
             return Err("secrets: accepted is one or more, each of 16 characters or more".into());
         }
--- a/crates/usage/src/held.rs
+++ b/crates/usage/src/held.rs
@@ -68,6 +68,13 @@
         self.sources.values().all(|c| c.chunks.is_empty())
     }
 
+    /// Requests counted in the held chunks.
+    pub fn requests(&self) -> u64 {
+        let chunks = self.sources.values().flat_map(|c| &c.chunks);
+        let counts = chunks.flat_map(|c| c.counts.values());
+        counts.map(|c| c.requests).sum()
+    }
+
     /// Start of the window to be sealed next: that of the oldest chunk, or the one after the last
     /// sealed window when the chunk is late.
     pub fn next_window(&self, last: Option<WindowStart>, length: Duration) -> Option<WindowStart> {
--- a/crates/usage/src/sealer.rs
+++ b/crates/usage/src/sealer.rs
@@ -153,6 +153,8 @@
             let sealed = self.windows.through(&self.parts.zone, &answer.source);
             self.held.take(answer, sealed);
         }
+        let held = self.held.requests() as f64;
+        metrics::gauge!("celerystage_usage_held_requests").set(held);
     }
 
     fn request(&self, vm: &VmId, window: WindowStart) -> PullRequest {
--- a/crates/usage/src/settings.rs
+++ b/crates/usage/src/settings.rs
@@ -19,7 +19,7 @@
         Self {
             window_ms: 60_000,
             grace_ms: 2_000,
-            pull_ms: 1_000,
+            pull_ms: 250,
         }
     }
 }
