--- /dev/null
+++ b/crates/ctl/tests/burn.rs
@@ -0,0 +1,124 @@
+//! `celeryctl burn` against running entries.
+
+use {
+    eyre::{Result, ensure, eyre},
+    harness::{Cluster, Proc, Shape, ZoneShape, demo_config, wait_until},
+    http_types::Method,
+    serde_json::json,
+    slo::{Alert, BurnReport},
+    standin::engine::Control,
+    std::{env, fs, process},
+    wire::Call,
+};
+
+const MODEL: &str = "surveyor-llm";
+const REQUESTS: u64 = 12;
+
+fn start() -> Result<Cluster> {
+    let zone = ZoneShape {
+        zone: "ernakulam".parse()?,
+        vms: 2,
+        engines: 2,
+        cheap: 1,
+        services: 0,
+    };
+    Cluster::start(Shape {
+        zones: vec![zone],
+        model: MODEL.parse()?,
+        service: "permit-desk".parse()?,
+        items: demo_config()?,
+        engine: Vec::new(),
+        entry: "slo_ms: 10000".into(),
+        steward: String::new(),
+    })
+}
+
+/// Sends requests of class `urgent` to all entries in turn.
+fn send(cluster: &Cluster) -> Result<()> {
+    let prompt = json!({
+        "model": MODEL,
+        "messages": [{ "role": "user", "content": "certificate len=5" }],
+    });
+    for (_, entry) in (0..REQUESTS).zip(cluster.entries().into_iter().cycle()) {
+        let mut call = Call::new(entry, Method::Post, "/v1/chat/completions")
+            .body(serde_json::to_vec(&prompt)?);
+        call.request
+            .insert_header("authorization", "Bearer ck-demo-rice-mill");
+        call.request.insert_header("x-celerystage-class", "urgent");
+        let (reply, _) = cluster.http.send(call)?;
+        ensure!(reply.status() == 200, "status {}", reply.status());
+    }
+    Ok(())
+}
+
+/// Runs `celeryctl burn` over all entries; its exit code and output.
+fn burn(cluster: &Cluster, more: &[&str]) -> Result<(Option<i32>, String)> {
+    let admins: Vec<_> = cluster.vms.iter().map(|v| v.admin.to_string()).collect();
+    let mut args = vec!["burn"];
+    for admin in &admins {
+        args.extend(["--entry", admin]);
+    }
+    args.extend(more);
+    let mut proc = Proc::start("celeryctl", &args)?;
+    let status = proc.wait()?;
+    wait_until("output", || !proc.lines().is_empty())?;
+    Ok((status.code(), proc.lines().join("\n")))
+}
+
+fn report(cluster: &Cluster) -> Result<(Option<i32>, BurnReport)> {
+    let mut found = None;
+    wait_until("a report that can be read", || {
+        found = burn(cluster, &["--json"])
+            .ok()
+            .and_then(|(code, text)| Some((code, serde_json::from_str(&text).ok()?)));
+        found.is_some()
+    })?;
+    found.ok_or_else(|| eyre!("no report"))
+}
+
+/// Healthy service exits with 0; missed targets raise a page, exit with 5 and stand in the picture.
+#[test]
+fn burn_shows_missed_targets() -> Result<()> {
+    let cluster = start()?;
+    send(&cluster)?;
+    let (code, healthy) = report(&cluster)?;
+    assert_eq!((code, healthy.alert()), (Some(0), Alert::None));
+    assert_eq!(healthy.classes[0].requests, REQUESTS);
+    assert_eq!(healthy.classes[0].tokens.0, 5 * REQUESTS);
+    for (_, engine) in &cluster.endpoints {
+        cluster.control_endpoint(engine.addr, &Control::Slow(20.0))?;
+    }
+    send(&cluster)?;
+    send(&cluster)?;
+    let (code, burning) = report(&cluster)?;
+    assert_eq!((code, burning.alert()), (Some(5), Alert::Page));
+    assert_eq!(burning.classes[0].attainment, 1.0 / 3.0);
+    let spending = &burning.spending[0];
+    assert!(spending.steady > 0.0 && spending.cheap > 0.0);
+    let file = env::temp_dir().join(format!("celerystage-burn-{}.svg", process::id()));
+    let path = file.display().to_string();
+    let steward = cluster.vms[0].steward.as_ref();
+    let steward = steward
+        .ok_or_else(|| eyre!("no steward"))?
+        .wait_addr("admin")?;
+    let steward = steward.to_string();
+    let (code, table) = burn(&cluster, &["--svg", &path, "--steward", &steward])?;
+    assert_eq!(code, Some(5));
+    assert!(
+        table.contains("PAGE") && table.contains("usage reports:"),
+        "{table}"
+    );
+    assert!(fs::read_to_string(&file)?.contains("urgent"));
+    fs::remove_file(&file)?;
+    cluster.stop()
+}
+
+/// A report that lacks an entry would be wrong: one that does not answer fails the command.
+#[test]
+fn burn_fails_without_an_entry() -> Result<()> {
+    let mut proc = Proc::start("celeryctl", &["burn", "--entry", "127.0.0.1:1"])?;
+    assert_eq!(proc.wait()?.code(), Some(1));
+    let mut proc = Proc::start("celeryctl", &["burn"])?;
+    assert_eq!(proc.wait()?.code(), Some(2));
+    Ok(())
+}
--- a/crates/slo/src/chart.rs
+++ b/crates/slo/src/chart.rs
@@ -80,7 +80,7 @@
                 Rectangle::new([(0.0, upper), (rate, upper - BAR)], colour.filled())
             });
             chart.draw_series(bars).map_err(failed)?;
-            let y = i32::try_from(TOP / 2 + ROW * u32::try_from(index).unwrap_or(0)).unwrap_or(0);
+            let (_, y) = chart.backend_coord(&(0.0, top));
             label(&area, row, y)?;
         }
         legend(&area, report, height)?;
@@ -98,11 +98,11 @@
         Alert::Ticket | Alert::Page => COLOURS[0],
     };
     let style = ("sans-serif", 13).into_font().color(&colour);
-    area.draw_text(row.class.as_str(), &style, (10, y + 12))
+    area.draw_text(row.class.as_str(), &style, (10, y + 8))
         .map_err(failed)?;
     let detail = format!("{:.2}%  {}", row.attainment * 100.0, row.alert);
     let small = ("sans-serif", 11).into_font().color(&colour);
-    area.draw_text(&detail, &small, (10, y + 28))
+    area.draw_text(&detail, &small, (10, y + 26))
         .map_err(failed)
 }
 
