--- a/crates/entry/src/request/work.rs
+++ b/crates/entry/src/request/work.rs
@@ -89,13 +89,13 @@
 
     /// Counts a request that was answered whole.
     pub(super) fn count_served(&self, timing: Timing) {
-        self.app.retries.lock().earn();
         let (Timing::Stream { tokens, .. } | Timing::Whole { tokens, .. }) = timing;
         let (class, org) = (&self.caller.class, &self.caller.org);
         let labels = [("class", class.id.to_string()), ("org", org.to_string())];
         metrics::counter!("celerystage_served_total", &labels).increment(1);
         metrics::counter!("celerystage_tokens_total", &labels).increment(tokens.0);
         self.app.accounts.served(class, org, timing);
+        self.app.retries.lock().earn();
     }
 
     /// Counts the tokens of a request that its caller broke off.
