--- a/crates/entry/src/request/stream.rs
+++ b/crates/entry/src/request/stream.rs
@@ -184,7 +184,7 @@
                 Broken::Refused(refusal) => refusal,
                 Broken::Evicted => {
                     metrics::counter!("celerystage_moves_total").increment(1);
-                    self.work.avoid.push(source.lease.endpoint.clone());
+                    self.work.avoid_next(source.lease.endpoint.clone());
                     source.lease.end(Ending::Cancelled);
                     match self.reopen().await {
                         Ok(next) => {
--- a/crates/entry/src/request/work.rs
+++ b/crates/entry/src/request/work.rs
@@ -56,10 +56,22 @@
     /// Records a failed attempt.
     pub(super) fn failed(&mut self, endpoint: EndpointId, verdict: Verdict) {
         self.attempts.record(verdict);
-        self.avoid.push(endpoint);
+        self.avoid_next(endpoint);
         metrics::counter!("celerystage_attempts_failed_total").increment(1);
     }
 
+    /// Avoids an endpoint in further attempts. When that leaves none, any may be tried again: the
+    /// request would wait for ever otherwise.
+    pub(super) fn avoid_next(&mut self, endpoint: EndpointId) {
+        self.avoid.push(endpoint);
+        let view = self.app.view();
+        let listed = view.local.get(&self.serves);
+        let left = listed.is_some_and(|l| l.iter().any(|e| !self.avoid.contains(&e.id)));
+        if !left {
+            self.avoid.clear();
+        }
+    }
+
     /// Whether another attempt may follow the failed ones. Takes it out of the budget for retries.
     pub(super) fn may_retry(&self) -> bool {
         let allowed = self.attempts.verdict().allows_retry(self.idempotent);
