A higher tier is not refused while a lower one runs on cheap endpoints

High tiers were let on cheap endpoints only up to a bound, so that all of them would fit on steady ones after an eviction; the bound shed a higher tier for a lower.

Change: high tiers overflow to cheap endpoints without a bound; the room after an eviction is kept from low tiers only.

--- a/crates/route/src/adaptive/choice.rs
+++ b/crates/route/src/adaptive/choice.rs
@@ -11,14 +11,10 @@
 /// Load of an endpoint that still takes requests for its cached prefixes, in mean loads; one request
 /// more is allowed.
 const AFFINITY: f64 = 1.25;
-/// Share of the steady slots that high tiers on cheap endpoints may need back on an eviction, beyond
-/// the steady slots that are free.
-const DISPLACED_SHARE: f64 = 0.25;
 
 /// Room on steady endpoints and high tiers on cheap ones.
 struct Price {
     steady_free: u32,
-    steady: u32,
     displaced: u32,
 }
 
@@ -33,12 +29,7 @@
         let (cheap, steady): (Vec<_>, Vec<_>) = fitting.iter().partition(|r| r.target.cheap);
         let price = self.price();
         let order = if is_high(need.tier) {
-            let over = if price.allows_cheap() {
-                cheap
-            } else {
-                Vec::new()
-            };
-            [steady, over]
+            [steady, cheap]
         } else {
             let over = if price.allows_steady() {
                 steady
@@ -87,14 +78,12 @@
     fn price(&self) -> Price {
         let mut price = Price {
             steady_free: 0,
-            steady: 0,
             displaced: 0,
         };
         for row in self.table.rows.values().filter(|r| r.open) {
             if row.target.cheap {
                 price.displaced += row.extra.high;
             } else if row.extra.health.is_up() {
-                price.steady += row.limit();
                 price.steady_free += row.limit().saturating_sub(row.flying);
             }
         }
@@ -103,12 +92,6 @@
 }
 
 impl Price {
-    /// Whether one more request of a high tier on a cheap endpoint would find room after an eviction.
-    fn allows_cheap(&self) -> bool {
-        let kept = (f64::from(self.steady) * DISPLACED_SHARE) as u32;
-        self.displaced < self.steady_free.max(kept)
-    }
-
     /// Whether one more request of a low tier on a steady endpoint leaves that room.
     fn allows_steady(&self) -> bool {
         self.displaced < self.steady_free
