HTTP/1.1 on httparse for the data path; the old platform crate is now ports

Cause: the users' rules need what async-h1 hides: answers that overtake an upload, bytes behind an answer, a reset told apart from an end, a caller's hang-up while its answer is awaited. Ruled out: hyper, which pulls in tokio; a second splitter of server-sent events (moved from wire).

--- a/crates/coord/examples/keeper.rs
+++ b/crates/coord/examples/keeper.rs
@@ -8,7 +8,7 @@
     event_listener::Event,
     futures_lite::FutureExt,
     parking_lot::Mutex,
-    platform::{Appended, Asked, Log, Page, Record, Stream},
+    ports::{Appended, Asked, Log, Page, Record, Stream},
     std::{error::Error, sync::Arc, time::Duration},
     types::Incarnation,
 };
--- a/crates/coord/src/follower.rs
+++ b/crates/coord/src/follower.rs
@@ -2,7 +2,7 @@
 
 use {
     clock::SharedClock,
-    platform::{Log, PlatformError, Record, Stream},
+    ports::{Log, PlatformError, Record, Stream},
     std::{sync::Arc, time::Duration},
 };
 
--- a/crates/coord/src/lease/keeper.rs
+++ b/crates/coord/src/lease/keeper.rs
@@ -7,7 +7,7 @@
     event_listener::Event,
     futures_lite::FutureExt,
     parking_lot::Mutex,
-    platform::{Log, Stream},
+    ports::{Log, Stream},
     std::{collections::BTreeMap, future::Future, pin::Pin, sync::Arc, time::Duration},
     types::Epoch,
 };
--- a/crates/coord/src/newest.rs
+++ b/crates/coord/src/newest.rs
@@ -1,7 +1,7 @@
 //! Reads the newest records of a stream without the ones before.
 
 use {
-    platform::{Log, PlatformError, Record, Stream},
+    ports::{Log, PlatformError, Record, Stream},
     std::time::Duration,
 };
 
--- a/crates/ctl/src/command/leases.rs
+++ b/crates/ctl/src/command/leases.rs
@@ -5,7 +5,7 @@
     coord::{LeaseId, LeaseState, LeaseTable},
     eyre::Result,
     fleet::{Ledger, OpenOrder},
-    platform::{Order, Stream},
+    ports::{Order, Stream},
     serde::Serialize,
     std::{collections::BTreeMap, fmt},
     types::{Epoch, Incarnation, VmId},
--- a/crates/ctl/src/command/session.rs
+++ b/crates/ctl/src/command/session.rs
@@ -8,7 +8,7 @@
     http_types::Method,
     mesh::{Authenticator, REVOKE_PATH, RevokeRequest},
     pico_args::Arguments,
-    platform::{HttpPlatform, Log, Record, Stream},
+    ports::{HttpPlatform, Log, Record, Stream},
     std::{fs, net::SocketAddr, path::Path, time::Duration},
     types::{KeyDigest, OperatorId, RequestId, Verdict},
     wire::{Call, Client, to_rmp},
--- a/crates/entry/src/process/app.rs
+++ b/crates/entry/src/process/app.rs
@@ -16,7 +16,7 @@
     mesh::{Authenticator, Headroom, Node, Store},
     once::Claimer,
     parking_lot::{Mutex, RwLock},
-    platform::{HttpPlatform, VmState},
+    ports::{HttpPlatform, VmState},
     route::{Budget, RETRY_CAP, RETRY_SHARE},
     std::{
         sync::{
--- a/crates/entry/src/process/peers.rs
+++ b/crates/entry/src/process/peers.rs
@@ -3,7 +3,7 @@
 use {
     super::App,
     futures_lite::FutureExt,
-    platform::VmState,
+    ports::VmState,
     std::{
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
--- a/crates/entry/src/sched/local.rs
+++ b/crates/entry/src/sched/local.rs
@@ -9,7 +9,7 @@
     conf::{Class, Item},
     mesh::{DemandAnswer, DemandLine, Headroom},
     parking_lot::Mutex,
-    platform::Endpoint,
+    ports::Endpoint,
     route::Target,
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     types::{EndpointId, ModelId, Reason, Refusal, ZoneId},
--- a/crates/entry/src/version/view.rs
+++ b/crates/entry/src/version/view.rs
@@ -4,7 +4,7 @@
     crate::sched::Homes,
     conf::{Config, Item},
     mesh::{Store, rank_homes},
-    platform::{Endpoint, EndpointState, VmState},
+    ports::{Endpoint, EndpointState, VmState},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
--- a/crates/entry/tests/failures/zones.rs
+++ b/crates/entry/tests/failures/zones.rs
@@ -7,7 +7,7 @@
     load::Outcome,
     standin::{
         engine::{Control as EngineControl, Executed},
-        platform::{Control, Fault},
+        ports::{Control, Fault},
     },
 };
 
--- a/crates/fleet/src/ledger/fold.rs
+++ b/crates/fleet/src/ledger/fold.rs
@@ -2,7 +2,7 @@
 
 use {
     super::OrderRecord,
-    platform::{Order, OrderId},
+    ports::{Order, OrderId},
     std::collections::{BTreeMap, VecDeque},
     types::{Epoch, ZoneId},
 };
--- a/crates/fleet/src/ledger/record.rs
+++ b/crates/fleet/src/ledger/record.rs
@@ -1,7 +1,7 @@
 //! Records of the order stream.
 
 use {
-    platform::{Order, OrderId},
+    ports::{Order, OrderId},
     serde::{Deserialize, Serialize},
     types::{Epoch, VmId, ZoneId},
 };
--- a/crates/fleet/src/size/planner.rs
+++ b/crates/fleet/src/size/planner.rs
@@ -4,7 +4,7 @@
     super::{Demand, Rules, Sizer, sizer::PoolView},
     clock::Stamp,
     conf::Pool,
-    platform::{Endpoint, EndpointState, OrderAction},
+    ports::{Endpoint, EndpointState, OrderAction},
     std::collections::BTreeMap,
     types::ModelId,
 };
--- a/crates/fleet/src/size/sizer.rs
+++ b/crates/fleet/src/size/sizer.rs
@@ -4,7 +4,7 @@
     super::{Demand, Rules},
     clock::Stamp,
     conf::Pool,
-    platform::{Endpoint, OrderAction},
+    ports::{Endpoint, OrderAction},
     std::collections::BTreeSet,
     types::EndpointId,
 };
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -2,7 +2,7 @@
 
 use {
     fleet::{Ledger, OrderOutcome, OrderRecord},
-    platform::{Order, OrderAction, OrderId},
+    ports::{Order, OrderAction, OrderId},
     types::Epoch,
 };
 
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -4,7 +4,7 @@
     clock::Stamp,
     conf::Pool,
     fleet::{Attained, Demand, Planner, Rules, ZoneView},
-    platform::{Endpoint, EndpointState, OrderAction},
+    ports::{Endpoint, EndpointState, OrderAction},
     quickcheck::{Gen, QuickCheck},
     std::{collections::BTreeMap, time::Duration},
     types::ModelId,
--- /dev/null
+++ b/crates/h1/src/conn.rs
@@ -0,0 +1,208 @@
+//! A TCP connection with a read buffer.
+
+use {
+    super::{HeadError, RequestHead, ResponseHead},
+    async_io::Async,
+    futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt},
+    rustix::net::sockopt,
+    std::{
+        future::poll_fn,
+        io,
+        net::{SocketAddr, TcpStream},
+        pin::{Pin, pin},
+        task::{Context, Poll},
+        time::Duration,
+    },
+    types::Bytes,
+};
+
+/// Bytes asked for in one read.
+const READ_SIZE: usize = 16 * 1024;
+/// Most unread bytes kept while an answer is awaited: a few pipelined heads.
+const PIPELINED: usize = 64 * 1024;
+/// Idle time before the first keep-alive probe, and time between probes.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Lost keep-alive probes after which the peer counts as gone.
+const KEEPALIVE_PROBES: u32 = 3;
+/// Time that sent bytes may stay without acknowledgement, in milliseconds: three keep-alive probes.
+const UNACKED_MS: u32 = 3_000;
+
+/// A connection with bytes that were read and not yet used.
+pub struct Conn {
+    io: Async<TcpStream>,
+    buf: Vec<u8>,
+    pos: usize,
+}
+
+impl Conn {
+    /// Wraps an accepted or connected socket.
+    pub fn new(io: Async<TcpStream>) -> io::Result<Self> {
+        let socket = io.get_ref();
+        socket.set_nodelay(true)?;
+        sockopt::set_socket_keepalive(socket, true)?;
+        sockopt::set_tcp_keepidle(socket, KEEPALIVE)?;
+        sockopt::set_tcp_keepintvl(socket, KEEPALIVE)?;
+        sockopt::set_tcp_keepcnt(socket, KEEPALIVE_PROBES)?;
+        sockopt::set_tcp_user_timeout(socket, UNACKED_MS)?;
+        Ok(Self {
+            io,
+            buf: Vec::new(),
+            pos: 0,
+        })
+    }
+
+    /// Connects to `addr`.
+    pub async fn connect(addr: SocketAddr) -> io::Result<Self> {
+        Self::new(Async::<TcpStream>::connect(addr).await?)
+    }
+
+    /// Bytes read and not yet used.
+    pub fn data(&self) -> &[u8] {
+        &self.buf[self.pos..]
+    }
+
+    /// Marks `size` bytes as used.
+    pub fn consume(&mut self, size: usize) {
+        self.pos = (self.pos + size).min(self.buf.len());
+        if self.pos == self.buf.len() {
+            self.buf.clear();
+            self.pos = 0;
+        }
+    }
+
+    fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        if self.pos > 0 {
+            self.buf.drain(..self.pos);
+            self.pos = 0;
+        }
+        let old = self.buf.len();
+        self.buf.resize(old + READ_SIZE, 0);
+        let polled = Pin::new(&mut &self.io).poll_read(cx, &mut self.buf[old..]);
+        let size = match &polled {
+            Poll::Ready(Ok(size)) => *size,
+            _ => 0,
+        };
+        self.buf.truncate(old + size);
+        polled
+    }
+
+    /// Reads more bytes; zero at the end of the stream.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        poll_fn(|cx| self.poll_fill(cx)).await
+    }
+
+    /// Writes all of `bytes`.
+    pub async fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
+        (&self.io).write_all(bytes).await
+    }
+
+    /// Whether nothing was received and the peer has not closed: fit for another request.
+    pub fn is_quiet(&self) -> bool {
+        if !self.data().is_empty() {
+            return false;
+        }
+        let mut byte = [0u8; 1];
+        let peeked = self.io.get_ref().peek(&mut byte);
+        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Resolves when the peer closes or resets the connection. Bytes that come meanwhile are kept.
+    pub async fn hung_up(&mut self) {
+        while self.data().len() < PIPELINED {
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+
+    /// Reads a request head; nothing when the peer closed before its first byte.
+    pub async fn request_head(
+        &mut self,
+        limit: Bytes,
+    ) -> io::Result<Result<Option<RequestHead>, HeadError>> {
+        loop {
+            match RequestHead::parse(self.data()) {
+                Ok(Some((_, size))) if size as u64 > limit.0 => return Ok(Err(HeadError::TooLarge)),
+                Ok(Some((head, size))) => {
+                    self.consume(size);
+                    return Ok(Ok(Some(head)));
+                }
+                Ok(None) if self.data().len() as u64 > limit.0 => {
+                    return Ok(Err(HeadError::TooLarge));
+                }
+                Ok(None) => {}
+                Err(e) => return Ok(Err(e)),
+            }
+            if self.fill().await? == 0 {
+                if self.data().is_empty() {
+                    return Ok(Ok(None));
+                }
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    /// Reads a response head, skipping interim responses.
+    pub async fn response_head(&mut self, limit: Bytes) -> io::Result<ResponseHead> {
+        loop {
+            match ResponseHead::parse(self.data()) {
+                Ok(Some((head, size))) => {
+                    self.consume(size);
+                    if head.status >= 200 {
+                        return Ok(head);
+                    }
+                    continue;
+                }
+                Ok(None) if self.data().len() as u64 > limit.0 => {
+                    return Err(io::Error::new(io::ErrorKind::InvalidData, HeadError::TooLarge));
+                }
+                Ok(None) => {}
+                Err(e) => return Err(io::Error::new(io::ErrorKind::InvalidData, e)),
+            }
+            if self.fill().await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    /// Writes a request and reads the head of its answer, which may come before all is written. The
+    /// flag tells whether all was written, as a later request on this connection needs.
+    pub async fn exchange(
+        &mut self,
+        request: &[u8],
+        limit: Bytes,
+    ) -> io::Result<(ResponseHead, bool)> {
+        let mut sent = 0;
+        let mut broken = false;
+        loop {
+            let wrote_all = sent == request.len();
+            if let Ok(Some((head, size))) = ResponseHead::parse(self.data())
+                && head.status >= 200
+            {
+                self.consume(size);
+                return Ok((head, wrote_all && !broken));
+            }
+            if wrote_all || broken {
+                let head = self.response_head(limit).await?;
+                return Ok((head, wrote_all && !broken));
+            }
+            let rest = &request[sent..];
+            let step = poll_fn(|cx| {
+                if let Poll::Ready(done) = Pin::new(&mut &self.io).poll_write(cx, rest) {
+                    return Poll::Ready(Ok(done));
+                }
+                self.poll_fill(cx).map(Err)
+            });
+            match pin!(step).await {
+                Ok(Ok(size)) => sent += size,
+                // A peer that closed its receiving side may still have answered.
+                Ok(Err(_)) => broken = true,
+                Err(Ok(0)) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Err(Ok(_)) => {}
+                Err(Err(e)) => return Err(e),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/h1/src/framing.rs
@@ -0,0 +1,80 @@
+//! How the length of a body is told, with the checks against request smuggling.
+
+use {
+    super::{Headers, RequestHead, ResponseHead},
+    std::{error::Error, fmt},
+};
+
+/// How a body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// After this many bytes.
+    Length(u64),
+    /// With a zero chunk.
+    Chunked,
+    /// With the connection.
+    Close,
+}
+
+/// A head whose body length is ambiguous or malformed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadFraming;
+
+impl fmt::Display for BadFraming {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ambiguous or malformed body length")
+    }
+}
+
+impl Error for BadFraming {}
+
+/// Framing of a request's body. A request with both a length and a transfer coding, with differing
+/// lengths, or with a coding other than `chunked` is refused: two readers could disagree on its end.
+pub fn request_framing(head: &RequestHead) -> Result<Framing, BadFraming> {
+    let length = length(&head.headers)?;
+    match (coding(&head.headers)?, length) {
+        (true, None) if head.minor > 0 => Ok(Framing::Chunked),
+        (true, _) => Err(BadFraming),
+        (false, length) => Ok(Framing::Length(length.unwrap_or(0))),
+    }
+}
+
+/// Framing of a response's body to a request of `method`.
+pub fn response_framing(head: &ResponseHead, method: &str) -> Result<Framing, BadFraming> {
+    let bodiless = head.status < 200 || matches!(head.status, 204 | 304) || method == "HEAD";
+    if bodiless {
+        return Ok(Framing::Length(0));
+    }
+    let length = length(&head.headers)?;
+    match (coding(&head.headers)?, length) {
+        (true, None) => Ok(Framing::Chunked),
+        (true, Some(_)) => Err(BadFraming),
+        (false, Some(length)) => Ok(Framing::Length(length)),
+        (false, None) => Ok(Framing::Close),
+    }
+}
+
+fn coding(headers: &Headers) -> Result<bool, BadFraming> {
+    let mut values = headers.all("transfer-encoding");
+    match (values.next(), values.next()) {
+        (None, _) => Ok(false),
+        (Some(v), None) if v.trim().eq_ignore_ascii_case("chunked") => Ok(true),
+        _ => Err(BadFraming),
+    }
+}
+
+fn length(headers: &Headers) -> Result<Option<u64>, BadFraming> {
+    let mut found = None;
+    for value in headers.all("content-length") {
+        let value = value.trim();
+        if value.is_empty() || !value.bytes().all(|b| b.is_ascii_digit()) {
+            return Err(BadFraming);
+        }
+        let number = value.parse().map_err(|_| BadFraming)?;
+        if found.is_some_and(|f| f != number) {
+            return Err(BadFraming);
+        }
+        found = Some(number);
+    }
+    Ok(found)
+}
--- /dev/null
+++ b/crates/h1/src/head.rs
@@ -0,0 +1,273 @@
+//! Request and response heads.
+
+use {
+    compact_str::CompactString,
+    std::{error::Error, fmt},
+};
+
+/// Most header fields in one head.
+pub const MAX_HEADERS: usize = 64;
+
+/// Why a head was not accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeadError {
+    /// Not HTTP/1.x, or a malformed line.
+    Malformed,
+    /// More bytes or fields than the limit.
+    TooLarge,
+}
+
+impl fmt::Display for HeadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Malformed => "malformed head",
+            Self::TooLarge => "head over the size limit",
+        })
+    }
+}
+
+impl Error for HeadError {}
+
+/// Header fields in the order received, with their case.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Headers(Vec<(CompactString, CompactString)>);
+
+impl Headers {
+    /// First value of a field.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let mut fields = self.0.iter();
+        let field = fields.find(|(n, _)| n.eq_ignore_ascii_case(name));
+        field.map(|(_, v)| v.as_str())
+    }
+
+    /// All values of a field.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        let fields = self.0.iter();
+        let same = fields.filter(move |(n, _)| n.eq_ignore_ascii_case(name));
+        same.map(|(_, v)| v.as_str())
+    }
+
+    /// Adds a field.
+    pub fn push(&mut self, name: impl Into<CompactString>, value: impl Into<CompactString>) {
+        self.0.push((name.into(), value.into()));
+    }
+
+    /// Removes all fields of a name.
+    pub fn remove(&mut self, name: &str) {
+        self.0.retain(|(n, _)| !n.eq_ignore_ascii_case(name));
+    }
+
+    /// Replaces all fields of a name by one.
+    pub fn set(&mut self, name: &str, value: impl Into<CompactString>) {
+        self.remove(name);
+        self.push(name, value);
+    }
+
+    /// Whether a comma-separated field holds `token`.
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
+        let mut parts = self.all(name).flat_map(|v| v.split(','));
+        parts.any(|p| p.trim().eq_ignore_ascii_case(token))
+    }
+
+    /// Keeps the fields that `keep` accepts by name.
+    pub fn retain(&mut self, mut keep: impl FnMut(&str) -> bool) {
+        self.0.retain(|(n, _)| keep(n));
+    }
+
+    /// Removes the fields that concern one connection only (RFC 9110, 7.6.1).
+    pub fn strip_hop_by_hop(&mut self) {
+        let named: Vec<CompactString> = self
+            .all("connection")
+            .flat_map(|v| v.split(','))
+            .map(|t| CompactString::from(t.trim()))
+            .collect();
+        self.retain(|n| {
+            let listed = named.iter().any(|t| n.eq_ignore_ascii_case(t));
+            !listed && !HOP_BY_HOP.iter().any(|h| n.eq_ignore_ascii_case(h))
+        });
+    }
+
+    /// Writes the fields in wire form.
+    pub fn write(&self, out: &mut Vec<u8>) {
+        for (name, value) in &self.0 {
+            out.extend_from_slice(name.as_bytes());
+            out.extend_from_slice(b": ");
+            out.extend_from_slice(value.as_bytes());
+            out.extend_from_slice(b"\r\n");
+        }
+    }
+
+    fn from_parsed(fields: &[httparse::Header<'_>]) -> Result<Self, HeadError> {
+        let mut headers = Vec::with_capacity(fields.len());
+        for field in fields {
+            let value = std::str::from_utf8(field.value).map_err(|_| HeadError::Malformed)?;
+            headers.push((field.name.into(), value.into()));
+        }
+        Ok(Self(headers))
+    }
+}
+
+const HOP_BY_HOP: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "transfer-encoding",
+    "content-length",
+    "te",
+    "trailer",
+    "upgrade",
+    "expect",
+    "proxy-authorization",
+];
+
+/// Head of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Method.
+    pub method: CompactString,
+    /// Target as sent.
+    pub target: CompactString,
+    /// Minor version of HTTP/1.
+    pub minor: u8,
+    /// Fields.
+    pub headers: Headers,
+}
+
+impl RequestHead {
+    /// Parses a head at the start of `data`; returns it with its length, or nothing while incomplete.
+    pub fn parse(data: &[u8]) -> Result<Option<(Self, usize)>, HeadError> {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut request = httparse::Request::new(&mut fields);
+        let size = match request.parse(data) {
+            Ok(httparse::Status::Complete(size)) => size,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
+            Err(_) => return Err(HeadError::Malformed),
+        };
+        let (Some(method), Some(target), Some(minor)) =
+            (request.method, request.path, request.version)
+        else {
+            return Err(HeadError::Malformed);
+        };
+        let head = Self {
+            method: method.into(),
+            target: target.into(),
+            minor,
+            headers: Headers::from_parsed(request.headers)?,
+        };
+        Ok(Some((head, size)))
+    }
+
+    /// The host without its port, in lower case.
+    pub fn host(&self) -> CompactString {
+        let host = self.headers.get("host").unwrap_or_default().trim();
+        let bare = match host.rsplit_once(':') {
+            Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+            _ => host,
+        };
+        CompactString::from(bare).to_ascii_lowercase().into()
+    }
+
+    /// The target without its query.
+    pub fn path(&self) -> &str {
+        let path = self.target.split(['?', '#']).next();
+        path.unwrap_or_default()
+    }
+
+    /// Whether the caller wants the connection kept.
+    pub fn keeps_alive(&self) -> bool {
+        if self.minor == 0 {
+            return self.headers.has_token("connection", "keep-alive");
+        }
+        !self.headers.has_token("connection", "close")
+    }
+
+    /// Writes the head in wire form, up to and with the empty line.
+    pub fn write(&self, out: &mut Vec<u8>) {
+        out.extend_from_slice(self.method.as_bytes());
+        out.push(b' ');
+        out.extend_from_slice(self.target.as_bytes());
+        out.extend_from_slice(b" HTTP/1.1\r\n");
+        self.headers.write(out);
+        out.extend_from_slice(b"\r\n");
+    }
+}
+
+/// Head of a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status code.
+    pub status: u16,
+    /// Minor version of HTTP/1.
+    pub minor: u8,
+    /// Fields.
+    pub headers: Headers,
+}
+
+impl ResponseHead {
+    /// A head without fields.
+    pub fn new(status: u16) -> Self {
+        Self {
+            status,
+            minor: 1,
+            headers: Headers::default(),
+        }
+    }
+
+    /// Parses a head at the start of `data`; returns it with its length, or nothing while incomplete.
+    pub fn parse(data: &[u8]) -> Result<Option<(Self, usize)>, HeadError> {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut response = httparse::Response::new(&mut fields);
+        let size = match response.parse(data) {
+            Ok(httparse::Status::Complete(size)) => size,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
+            Err(_) => return Err(HeadError::Malformed),
+        };
+        let (Some(status), Some(minor)) = (response.code, response.version) else {
+            return Err(HeadError::Malformed);
+        };
+        let head = Self {
+            status,
+            minor,
+            headers: Headers::from_parsed(response.headers)?,
+        };
+        Ok(Some((head, size)))
+    }
+
+    /// Whether the sender keeps the connection.
+    pub fn keeps_alive(&self) -> bool {
+        self.minor > 0 && !self.headers.has_token("connection", "close")
+    }
+
+    /// Writes the head in wire form, up to and with the empty line.
+    pub fn write(&self, out: &mut Vec<u8>) {
+        let line = format!("HTTP/1.1 {} {}\r\n", self.status, phrase(self.status));
+        out.extend_from_slice(line.as_bytes());
+        self.headers.write(out);
+        out.extend_from_slice(b"\r\n");
+    }
+}
+
+fn phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
+        204 => "No Content",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- a/crates/wire/src/sse.rs
+++ b/crates/h1/src/sse.rs
@@ -21,6 +21,13 @@
             .map(|line| line.trim_ascii())
     }
 
+    /// The event's id, if it is a number.
+    pub fn id(&self) -> Option<u64> {
+        let mut lines = self.raw.split(|b| *b == b'\n');
+        let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+        std::str::from_utf8(value.trim_ascii()).ok()?.parse().ok()
+    }
+
     /// Whether this event ends the stream.
     pub fn is_done(&self) -> bool {
         self.data() == Some(b"[DONE]")
--- a/crates/harness/src/cluster/start.rs
+++ b/crates/harness/src/cluster/start.rs
@@ -5,7 +5,7 @@
     crate::process::{Http, Proc, wait_until},
     conf::{Change, Item, Op},
     eyre::{Result, ensure, eyre},
-    platform::{AppendBody, Endpoint, EndpointState, Vm as ListedVm, VmState},
+    ports::{AppendBody, Endpoint, EndpointState, Vm as ListedVm, VmState},
     serde::Serialize,
     standin::platform::Control,
     std::{
--- a/crates/lab/src/control/measure.rs
+++ b/crates/lab/src/control/measure.rs
@@ -11,7 +11,7 @@
     conf::{Change, Op},
     eyre::{Result, eyre},
     harness::{Cluster, Http, Proc, Shape, Vm, ZoneShape, wait_until},
-    platform::{Endpoint, EndpointState},
+    ports::{Endpoint, EndpointState},
     standin::platform::Control,
     std::{net::SocketAddr, time::Duration},
     types::{RequestId, Version, ZoneId},
--- a/crates/mesh/src/store.rs
+++ b/crates/mesh/src/store.rs
@@ -3,7 +3,7 @@
 use {
     compact_str::CompactString,
     conf::Config,
-    platform::{VmList, ZoneEndpoints},
+    ports::{VmList, ZoneEndpoints},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
--- a/crates/mesh/tests/fuzz.rs
+++ b/crates/mesh/tests/fuzz.rs
@@ -7,7 +7,7 @@
         LinkAnswer, LinkBatch, LinkMsg, Node, Packed, ProgressMsg, Summary, SyncAnswer,
         SyncRequest,
     },
-    platform::{VmList, ZoneEndpoints},
+    ports::{VmList, ZoneEndpoints},
     quickcheck::{Arbitrary, Gen, QuickCheck},
     route::Ending,
     std::{sync::Arc, time::Duration},
--- a/crates/mesh/tests/spread.rs
+++ b/crates/mesh/tests/spread.rs
@@ -3,7 +3,7 @@
 use {
     conf::{Change, Item, Op, Org},
     mesh::{ConfigRecord, Delta, Store, Summary},
-    platform::{VmList, ZoneEndpoints},
+    ports::{VmList, ZoneEndpoints},
     quickcheck::{Arbitrary, Gen, QuickCheck, Testable},
     types::{KeyDigest, RequestId},
 };
--- a/crates/once/src/claimer.rs
+++ b/crates/once/src/claimer.rs
@@ -7,7 +7,7 @@
     coord::{Batch, Follower},
     event_listener::Event,
     parking_lot::Mutex,
-    platform::{Log, Stream},
+    ports::{Log, Stream},
     std::{
         error::Error,
         fmt,
--- a/crates/proof/src/run/bench.rs
+++ b/crates/proof/src/run/bench.rs
@@ -13,7 +13,7 @@
     eyre::Result,
     harness::{Cluster, Http, Proc, Shape, ZoneShape, demo_config, wait_until},
     load::{Flow, Sample},
-    platform::{Endpoint, Vm as ListedVm, VmState},
+    ports::{Endpoint, Vm as ListedVm, VmState},
     standin::platform::{Control, Fault},
     std::{
         collections::{BTreeMap, BTreeSet},
--- a/crates/proof/src/run/check.rs
+++ b/crates/proof/src/run/check.rs
@@ -8,7 +8,7 @@
     crate::script::ast::{Check, Line, Place},
     eyre::{Result, bail, ensure, eyre},
     load::{Outcome, Work},
-    platform::{OrderAction, OrderId},
+    ports::{OrderAction, OrderId},
     standin::platform::Record,
     std::{collections::BTreeMap, time::Duration},
     types::{Epoch, OrgId, RequestId, Verdict, VmId, ZoneId},
--- a/crates/proof/src/run/config.rs
+++ b/crates/proof/src/run/config.rs
@@ -8,7 +8,7 @@
     conf::{Change, Config, Item, ItemKey, Op, Org, Outcome, Pool},
     eyre::{Result, ensure, eyre},
     mesh::Store,
-    platform::Page,
+    ports::Page,
     types::{OrgId, RequestId, ZoneId},
 };
 
--- a/crates/standin/src/platform/control.rs
+++ b/crates/standin/src/platform/control.rs
@@ -2,7 +2,7 @@
 
 use {
     compact_str::CompactString,
-    platform::{Endpoint, Order, Stream, UsageReport, Vm},
+    ports::{Endpoint, Order, Stream, UsageReport, Vm},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
     types::{EndpointId, ZoneId},
--- a/crates/standin/src/platform/handler.rs
+++ b/crates/standin/src/platform/handler.rs
@@ -7,7 +7,7 @@
     event_listener::Event,
     http_types::{Method, Request, Response},
     parking_lot::Mutex,
-    platform::{AppendBody, Appended, Order, Stream},
+    ports::{AppendBody, Appended, Order, Stream},
     std::{future::pending, time::Duration},
     wire::{Handled, Handler, json_response},
 };
--- a/crates/standin/src/platform/state.rs
+++ b/crates/standin/src/platform/state.rs
@@ -2,7 +2,7 @@
 
 use {
     super::control::{Control, Fault, Record, SeenOrder, SeenReport},
-    platform::{
+    ports::{
         Endpoint, EndpointState, Order, OrderAction, OrderId, Page, Record as LogRecord, Stream,
         UsageReport, VmList, ZoneEndpoints,
     },
--- a/crates/steward/src/orders/desk.rs
+++ b/crates/steward/src/orders/desk.rs
@@ -9,7 +9,7 @@
     futures_lite::FutureExt,
     mesh::{Delta, Node},
     parking_lot::Mutex,
-    platform::{Directory, Log, Order, OrderAction, OrderId, Ordering, PlatformError, Stream},
+    ports::{Directory, Log, Order, OrderAction, OrderId, Ordering, PlatformError, Stream},
     std::{sync::Arc, time::Duration},
     types::Epoch,
     wire::Stop,
--- a/crates/steward/src/orders/govern.rs
+++ b/crates/steward/src/orders/govern.rs
@@ -4,7 +4,7 @@
     super::{Orders, demand::DemandBook, desk::Ended},
     conf::{Item, Pool},
     fleet::{OrderOutcome, Planner, ZoneView},
-    platform::{Endpoint, OrderAction, OrderId},
+    ports::{Endpoint, OrderAction, OrderId},
     std::{collections::BTreeMap, sync::Arc},
     types::{Epoch, ModelId},
 };
--- a/crates/steward/src/process/app.rs
+++ b/crates/steward/src/process/app.rs
@@ -16,7 +16,7 @@
     eyre::{Result, eyre},
     futures_lite::FutureExt,
     mesh::{Authenticator, ConfigRecord, Delta, Node},
-    platform::{Directory, HttpPlatform, Stream},
+    ports::{Directory, HttpPlatform, Stream},
     std::sync::Arc,
     usage::{Sealer, SealerParts, ZoneCollector},
     wire::Client,
@@ -56,7 +56,7 @@
             match follower.batch().await {
                 Ok(Batch::Records(records)) => {
                     self.node.touch();
-                    let record = |r: platform::Record| ConfigRecord {
+                    let record = |r: ports::Record| ConfigRecord {
                         offset: r.offset,
                         data: r.data,
                     };
--- a/crates/steward/src/process/revoked.rs
+++ b/crates/steward/src/process/revoked.rs
@@ -4,7 +4,7 @@
     clock::SharedClock,
     conf::{Change, Item, Key, Op},
     mesh::Node,
-    platform::{Log, Stream},
+    ports::{Log, Stream},
     std::{sync::Arc, time::Duration},
     types::{OperatorId, RequestId, Version},
 };
--- a/crates/steward/src/snapshot/record.rs
+++ b/crates/steward/src/snapshot/record.rs
@@ -3,7 +3,7 @@
 use {
     conf::Config,
     coord::newest_records,
-    platform::{Log, PlatformError, Record, Stream},
+    ports::{Log, PlatformError, Record, Stream},
     serde::{Deserialize, Serialize},
     types::KeyDigest,
 };
--- a/crates/steward/src/snapshot/writer.rs
+++ b/crates/steward/src/snapshot/writer.rs
@@ -7,7 +7,7 @@
     coord::Tenure,
     futures_lite::FutureExt,
     mesh::Node,
-    platform::{Log, Stream},
+    ports::{Log, Stream},
     std::{sync::Arc, time::Duration},
     types::Version,
     wire::Stop,
--- a/crates/steward/tests/billing/mod.rs
+++ b/crates/steward/tests/billing/mod.rs
@@ -6,10 +6,10 @@
     eyre::{Result, eyre},
     harness::{Cluster, Shape, ZoneShape, demo_config, wait_until},
     load::{Driver, Flow, Lengths, Outcome, Plan, Work},
-    platform::{UsageLine, UsageReport},
+    ports::{UsageLine, UsageReport},
     standin::{
         engine::Executed,
-        platform::{Control, Fault, Record, SeenReport},
+        ports::{Control, Fault, Record, SeenReport},
     },
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc, thread},
     types::{OrgId, VmId},
--- a/crates/steward/tests/common/mod.rs
+++ b/crates/steward/tests/common/mod.rs
@@ -7,7 +7,7 @@
     coord::{LeaseRecord, LeaseStep},
     eyre::{Result, eyre},
     harness::{Cluster, Shape, ZoneShape, demo_config, wait_until},
-    platform::{Page, Record as LogRecord},
+    ports::{Page, Record as LogRecord},
     rustix::process::Signal,
     standin::platform::{Control, Fault, Record, SeenOrder},
     std::collections::{BTreeMap, BTreeSet},
--- a/crates/steward/tests/snapshots.rs
+++ b/crates/steward/tests/snapshots.rs
@@ -3,7 +3,7 @@
 use {
     eyre::Result,
     harness::{Cluster, Shape, ZoneShape, demo_config, wait_until},
-    platform::{Page, Stream},
+    ports::{Page, Stream},
     standin::platform::Control,
 };
 
--- a/crates/usage/src/held.rs
+++ b/crates/usage/src/held.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Chunk, Counts, Mark, PullAnswer, Seal, Source, WindowId, WindowStart, Windows},
-    platform::UsageLine,
+    ports::UsageLine,
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
         time::Duration,
--- a/crates/usage/src/record.rs
+++ b/crates/usage/src/record.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::Source,
-    platform::{UsageLine, UsageReport},
+    ports::{UsageLine, UsageReport},
     serde::{Deserialize, Serialize},
     std::{fmt, num::ParseIntError, str::FromStr, time::Duration},
     types::{Epoch, VmId, ZoneId},
--- a/crates/usage/src/sealer.rs
+++ b/crates/usage/src/sealer.rs
@@ -8,7 +8,7 @@
     clock::SharedClock,
     coord::Tenure,
     futures_lite::future::{FutureExt, zip},
-    platform::{Log, PlatformError, Reports, Stream},
+    ports::{Log, PlatformError, Reports, Stream},
     std::{collections::BTreeSet, future::Future, pin::Pin, sync::Arc, time::Duration},
     types::{Epoch, VmId, ZoneId},
     wire::Stop,
--- a/crates/usage/tests/world/mod.rs
+++ b/crates/usage/tests/world/mod.rs
@@ -4,7 +4,7 @@
     async_io::block_on,
     clock::TestClock,
     coord::Tenure,
-    platform::{
+    ports::{
         Appended, Asked, Log, Page, PlatformError, Record, Reports, Stream, UsageLine, UsageReport,
     },
     std::{
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,7 +8,6 @@
 mod conn;
 mod rmp;
 mod server;
-mod sse;
 
 pub use {
     body::{BodyError, BodySender, body_channel, read_body},
@@ -18,5 +17,6 @@
     server::{
         Handled, Handler, Server, ServerLimits, VERDICT_HEADER, json_response, refusal_response,
     },
-    sse::{Event, EventSplitter, SseError},
 };
+// One splitter serves both HTTP layers.
+pub use h1::{Event, EventSplitter, SseError};
