--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -4,6 +4,7 @@
 mod follower;
 mod lease;
 mod newest;
+mod seat;
 mod tenure;
 
 pub use {
@@ -13,5 +14,6 @@
         LeaseStep, LeaseTable, LeaseTimes,
     },
     newest::newest_records,
+    seat::{Sealed, Seat, SeatRecord, SeatStep, SeatTimes},
     tenure::Tenure,
 };
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -135,11 +135,12 @@
     };
     let metrics = PrometheusBuilder::new().install_recorder()?;
     let quit = Stop::default();
-    for _ in 0..settings.threads {
+    // The main thread is a worker too.
+    for _ in 1..settings.threads {
         let (ex, quit) = (process.ex.clone(), quit.clone());
         thread::spawn(move || block_on(ex.run(quit.wait())));
     }
-    let signals = Signals::new([Signal::Term, Signal::Int])?;
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     process
         .ex
         .spawn(watch_signals(signals, process.stop.clone()))
@@ -152,7 +153,7 @@
     let limits = ServerLimits::default();
     let server = process.bind("admin", settings.admin, admin, limits, quit.clone())?;
     let admin_task = process.serve(server);
-    let ended = block_on(main(process.clone()));
+    let ended = block_on(process.ex.run(main(process.clone())));
     process.ready.set(false);
     log::info!("stopped");
     drop(admin_task);
@@ -162,6 +163,10 @@
 
 async fn watch_signals(mut signals: Signals, stop: Stop) {
     while let Some(Ok(signal)) = signals.next().await {
+        if signal == Signal::Hup {
+            log::info!("settings are read at the start only; reload ignored");
+            continue;
+        }
         log::info!(signal:? = signal; "stopping");
         stop.trigger();
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod ledger;
 mod size;
+mod zone;
 
 pub use {
     ledger::{Ledger, OpenOrder, OrderOutcome, OrderRecord},
     size::{Attained, Demand, Planner, Rules, Sizer, ZoneView},
+    zone::{PoolCount, SizeBounds, SizeOrder, SizeView, ZoneSizer},
 };
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -124,7 +124,9 @@
     ) -> io::Result<Result<Option<RequestHead>, HeadError>> {
         loop {
             match RequestHead::parse(self.data()) {
-                Ok(Some((_, size))) if size as u64 > limit.0 => return Ok(Err(HeadError::TooLarge)),
+                Ok(Some((_, size))) if size as u64 > limit.0 => {
+                    return Ok(Err(HeadError::TooLarge));
+                }
                 Ok(Some((head, size))) => {
                     self.consume(size);
                     return Ok(Ok(Some(head)));
@@ -156,7 +158,10 @@
                     continue;
                 }
                 Ok(None) if self.data().len() as u64 > limit.0 => {
-                    return Err(io::Error::new(io::ErrorKind::InvalidData, HeadError::TooLarge));
+                    return Err(io::Error::new(
+                        io::ErrorKind::InvalidData,
+                        HeadError::TooLarge,
+                    ));
                 }
                 Ok(None) => {}
                 Err(e) => return Err(io::Error::new(io::ErrorKind::InvalidData, e)),
--- /dev/null
+++ b/crates/relay/src/fleet/registry.rs
@@ -0,0 +1,138 @@
+//! The list of endpoints, and what is believed of entries that lapsed in an outage of the platform.
+
+use {
+    super::Endpoint,
+    clock::Stamp,
+    std::{collections::BTreeMap, time::Duration},
+    types::EndpointId,
+};
+
+/// Time that an entry which lapsed in an outage is still used after the platform's return: living
+/// endpoints are listed again within two seconds, and requests to one that left must end within the
+/// shortest drain bound, which is two seconds too.
+const LAPSE_GRACE: Duration = Duration::from_millis(1_500);
+/// Time after the platform's return in which a removed entry counts as lapsed, not as left.
+const RETURN_SPAN: Duration = Duration::from_millis(2_500);
+
+/// What a change did to the list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RegistryChange {
+    /// Nothing that matters for choosing endpoints.
+    None,
+    /// The endpoint is new.
+    Added,
+    /// The endpoint's facts changed.
+    Changed,
+    /// The endpoint takes no new work any more.
+    Leaving,
+    /// The endpoint is gone.
+    Removed,
+    /// The entry lapsed in an outage; it is kept until it is listed again or the grace ends.
+    Lapsed,
+}
+
+#[derive(Debug, Clone)]
+struct Row {
+    endpoint: Endpoint,
+    /// When the entry is dropped unless it is listed again.
+    drop_at: Option<Stamp>,
+}
+
+/// Listed endpoints.
+#[derive(Debug, Default)]
+pub struct Registry {
+    rows: BTreeMap<EndpointId, Row>,
+    returned: Option<Stamp>,
+    out: bool,
+}
+
+impl Registry {
+    /// Tells that the list could not be read.
+    pub fn unreachable(&mut self) {
+        self.out = true;
+    }
+
+    /// Tells that the list was read.
+    pub fn reached(&mut self, now: Stamp) {
+        if self.out {
+            self.returned = Some(now);
+        }
+        self.out = false;
+    }
+
+    /// Takes in a listed endpoint.
+    pub fn list(&mut self, endpoint: Endpoint) -> RegistryChange {
+        let row = Row {
+            endpoint,
+            drop_at: None,
+        };
+        let leaving = row.endpoint.leaving;
+        let id = row.endpoint.id.clone();
+        match self.rows.insert(id, row.clone()) {
+            None => RegistryChange::Added,
+            Some(old) if leaving && !old.endpoint.leaving => RegistryChange::Leaving,
+            Some(old) if differs(&old.endpoint, &row.endpoint) => RegistryChange::Changed,
+            Some(_) => RegistryChange::None,
+        }
+    }
+
+    /// Takes in the removal of an entry.
+    pub fn unlist(&mut self, now: Stamp, id: &EndpointId) -> RegistryChange {
+        let after_outage = self.returned.is_some_and(|at| now.since(at) < RETURN_SPAN);
+        let Some(row) = self.rows.get_mut(id) else {
+            return RegistryChange::None;
+        };
+        if after_outage && !row.endpoint.leaving {
+            row.drop_at = Some(now + LAPSE_GRACE);
+            return RegistryChange::Lapsed;
+        }
+        self.rows.remove(id);
+        RegistryChange::Removed
+    }
+
+    /// Drops entries that are not among `listed`, as after a read of the whole list.
+    pub fn keep_only(&mut self, now: Stamp, listed: &[EndpointId]) -> Vec<EndpointId> {
+        let missing: Vec<_> = self
+            .rows
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect();
+        for id in &missing {
+            self.unlist(now, id);
+        }
+        missing
+    }
+
+    /// Drops lapsed entries whose grace is over; returns them.
+    pub fn expire(&mut self, now: Stamp) -> Vec<EndpointId> {
+        let rows = self.rows.iter();
+        let due = rows.filter(|(_, r)| r.drop_at.is_some_and(|at| at <= now));
+        let due: Vec<_> = due.map(|(id, _)| id.clone()).collect();
+        for id in &due {
+            self.rows.remove(id);
+        }
+        due
+    }
+
+    /// All listed endpoints.
+    pub fn all(&self) -> impl Iterator<Item = &Endpoint> {
+        self.rows.values().map(|r| &r.endpoint)
+    }
+
+    /// An endpoint that takes work.
+    pub fn open(&self, id: &EndpointId) -> Option<&Endpoint> {
+        let row = self.rows.get(id)?;
+        (!row.endpoint.leaving).then_some(&row.endpoint)
+    }
+
+    /// Whether no endpoint is listed.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
+
+fn differs(a: &Endpoint, b: &Endpoint) -> bool {
+    (&a.service, a.addr, a.slots, a.leaving, a.born)
+        != (&b.service, b.addr, b.slots, b.leaving, b.born)
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,26 @@
+//! The router process of a VM whose fleet coordinates through the platform's shared log: callers'
+//! requests to endpoints, the configuration and endpoints that it follows, duties that one VM holds at
+//! a time.
+//!
+//! Modules are cut by life span: `request`, `connection`, `version`, `process`. What an adapter provides
+//! is in `port`; `fleet` and `peers` hold what is believed of endpoints and of other VMs.
+
+mod connection;
+mod fleet;
+mod peers;
+mod port;
+mod process;
+mod request;
+mod version;
+
+pub use {
+    fleet::{Endpoint, Registry, RegistryChange},
+    port::{
+        Appended, BadHead, CallerHead, CapacityOrder, Change, Dialect, Duties, EndpointSays,
+        Entries, Feed, FeedKind, Fence, Hop, News, NodeSettings, Rules, SharedLog, Topic,
+    },
+    process::{Adapter, NodeProcess, run_node},
+    version::{
+        CallerLimits, Catalog, CatalogDoc, Engine, Kind, Org, Route, RouteDoc, Scaling, Service,
+    },
+};
--- /dev/null
+++ b/crates/relay/src/port/dialect.rs
@@ -0,0 +1,77 @@
+//! Headers of callers and endpoints.
+
+use {
+    compact_str::CompactString,
+    h1::{Headers, ResponseHead},
+    route::Prompt,
+    std::{error::Error, fmt, time::Duration},
+    types::{AttemptId, EndpointId, OrgId, Tier},
+};
+
+/// A caller's head that cannot be understood.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadHead(
+    /// The header field at fault.
+    pub &'static str,
+);
+
+impl fmt::Display for BadHead {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "header field {} is missing or malformed", self.0)
+    }
+}
+
+impl Error for BadHead {}
+
+/// What a caller's request head says.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CallerHead {
+    /// The caller's id of this attempt.
+    pub id: AttemptId,
+    /// How long the caller waits for the answer.
+    pub patience: Option<Duration>,
+    /// Key of an organisation.
+    pub key: Option<CompactString>,
+    /// The prompt of a generation.
+    pub prompt: Option<Prompt>,
+    /// Last event that the caller has of an earlier, broken answer.
+    pub last_event: Option<u64>,
+}
+
+/// What is told to an endpoint beside the caller's own header fields.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Hop<'a> {
+    /// Endpoint that the request is meant for; any other refuses it.
+    pub endpoint: &'a EndpointId,
+    /// How long the caller will wait from now on.
+    pub patience: Option<Duration>,
+    /// Organisation that the request runs for.
+    pub org: Option<&'a OrgId>,
+    /// Tier that decides the order inside an engine; none for plain services.
+    pub tier: Option<Tier>,
+    /// Event after which a stream goes on.
+    pub last_event: Option<u64>,
+}
+
+/// What an endpoint's response head says.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EndpointSays {
+    /// Attempt that the answer is for.
+    pub id: Option<AttemptId>,
+    /// The endpoint states that the request did not run and will not run.
+    pub not_run: bool,
+    /// The endpoint is another instance than the one the request was meant for.
+    pub misdirected: bool,
+}
+
+/// Translates header fields.
+pub trait Dialect: Send + Sync {
+    /// Reads a caller's header fields.
+    fn caller(&self, headers: &Headers) -> Result<CallerHead, BadHead>;
+
+    /// Replaces the caller's header fields by those for an endpoint.
+    fn forward(&self, headers: &mut Headers, hop: &Hop<'_>);
+
+    /// Reads an endpoint's response head.
+    fn answer(&self, head: &ResponseHead) -> EndpointSays;
+}
--- /dev/null
+++ b/crates/relay/src/port/duties.rs
@@ -0,0 +1,44 @@
+//! Calls that one VM at a time may send.
+
+use {
+    ports::Asked,
+    std::{collections::BTreeMap, time::Duration},
+    types::{Epoch, OrgId, ServiceId, ZoneId},
+};
+
+/// Who sends a call, and the fencing number that orders holders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fence {
+    /// Larger for each later holder.
+    pub epoch: Epoch,
+}
+
+/// The number of endpoints wanted.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CapacityOrder {
+    /// Service.
+    pub service: ServiceId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Whether the order is for endpoints that may be reclaimed at short notice.
+    pub cheap: bool,
+    /// Endpoints wanted of this kind.
+    pub count: u32,
+}
+
+/// The platform's calls.
+pub trait Duties: Send + Sync {
+    /// Reports the requests of each organisation that began in window `window`.
+    fn report_usage<'a>(
+        &'a self,
+        fence: Fence,
+        window: u64,
+        counts: &'a BTreeMap<OrgId, u64>,
+    ) -> Asked<'a, ()>;
+
+    /// Orders a number of endpoints. Status 409 means that none can be had at present.
+    fn order_capacity<'a>(&'a self, fence: Fence, order: &'a CapacityOrder) -> Asked<'a, ()>;
+
+    /// Longest time that a call takes before it counts as failed.
+    fn call_limit(&self) -> Duration;
+}
--- /dev/null
+++ b/crates/relay/src/port/feed.rs
@@ -0,0 +1,59 @@
+//! Configuration and endpoints as the platform publishes them.
+
+use {
+    crate::{fleet::Endpoint, version::Catalog},
+    compact_str::CompactString,
+    ports::Asked,
+    std::{sync::Arc, time::Duration},
+    types::EndpointId,
+};
+
+/// What is followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum FeedKind {
+    /// The operators' configuration.
+    Configuration,
+    /// The list of endpoints.
+    Endpoints,
+}
+
+impl FeedKind {
+    /// Name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Endpoints => "endpoints",
+        }
+    }
+}
+
+/// One change.
+#[derive(Debug, Clone)]
+pub enum Change {
+    /// A configuration in full.
+    Catalog(Arc<Catalog>),
+    /// An endpoint that is listed.
+    Listed(Endpoint),
+    /// An endpoint that is no longer listed.
+    Unlisted(EndpointId),
+    /// An entry of another writer, or of another shape: key and what is wrong.
+    Unreadable(CompactString, CompactString),
+}
+
+/// Changes read at once.
+#[derive(Debug, Clone)]
+pub enum News {
+    /// Changes in order, and the offset after them.
+    Changes(Vec<Change>, u64),
+    /// The changes from the asked offset on are no longer kept; read everything again.
+    Lost,
+}
+
+/// Feeds of the platform.
+pub trait Feed: Send + Sync {
+    /// Everything that is published now, and the offset from which to follow.
+    fn snapshot(&self, kind: FeedKind) -> Asked<'_, (Vec<Change>, u64)>;
+
+    /// Changes from offset `from` on; waits up to `wait` when there are none yet.
+    fn follow(&self, kind: FeedKind, from: u64, wait: Duration) -> Asked<'_, News>;
+}
--- /dev/null
+++ b/crates/relay/src/process/account.rs
@@ -0,0 +1,78 @@
+//! What is counted and logged of requests.
+
+use {
+    super::Node,
+    crate::request::{Job, Reply},
+    types::Refusal,
+    usage::window_at,
+};
+
+impl Node {
+    /// Counts a request that began at an endpoint, once, in the present usage window.
+    pub(crate) fn count_begun(&self, job: &Job) {
+        let Some(org) = &job.org else {
+            return;
+        };
+        if !job.count_once() {
+            return;
+        }
+        let unix = self.time.unix(self.clock.now());
+        let window = window_at(unix, self.settings.rules.window);
+        self.tally.lock().count(window, &org.id);
+    }
+
+    /// Logs a request that was answered whole or refused.
+    pub(crate) fn log_answered(&self, job: &Job, reply: &Reply) {
+        let outcome = reply
+            .refusal
+            .as_ref()
+            .map_or("answered", |r| r.reason.as_str());
+        self.log_end(job, reply.head.status, outcome);
+    }
+
+    /// Logs a stream.
+    pub(crate) fn log_streamed(&self, job: &Job, outcome: &'static str) {
+        self.log_end(job, 200, outcome);
+    }
+
+    /// Logs a request whose caller left.
+    pub(crate) fn log_gone(&self, job: &Job) {
+        self.log_end(job, 0, "caller left");
+    }
+
+    /// Logs a stream that broke off.
+    pub(crate) fn log_broken(&self, job: &Job, refusal: &Refusal) {
+        log::warn!(request:% = job.caller.id, cause:% = refusal; "stream broken");
+        self.log_end(job, 200, "broken");
+    }
+
+    /// Logs a request that was refused before it had a route.
+    pub(crate) fn log_refused(&self, refusal: &Refusal) {
+        let version = self.catalog().map_or(0, |c| c.doc.version.0);
+        log::info!(cause:% = refusal, version = version; "request refused");
+        metrics::counter!("celerystage_refused_total", "reason" => refusal.reason.as_str())
+            .increment(1);
+    }
+
+    fn log_end(&self, job: &Job, status: u16, outcome: &'static str) {
+        let took = self.clock.now().since(job.arrived);
+        let progress = job.progress.lock();
+        let endpoint = progress.endpoint.as_ref().map_or("", |e| e.as_str());
+        let first = progress.first.map_or(0, |d| d.as_millis() as u64);
+        log::info!(
+            request:% = job.caller.id, route:% = job.route.id, service:% = job.service,
+            org = job.org.as_ref().map_or("", |o| o.id.as_str()), tier = job.tier.0,
+            version = job.version.0, endpoint = endpoint, sends = progress.sends.made(),
+            verdict:% = progress.sends.verdict(), cause = progress.cause.unwrap_or(""),
+            first_ms = first, events = progress.events, took_ms = took.as_millis() as u64,
+            status = status, outcome = outcome;
+            "request ended"
+        );
+        metrics::counter!("celerystage_requests_total", "outcome" => outcome).increment(1);
+        metrics::histogram!("celerystage_request_seconds", "outcome" => outcome)
+            .record(took.as_secs_f64());
+        if let Some(first) = progress.first {
+            metrics::histogram!("celerystage_first_event_seconds").record(first.as_secs_f64());
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/process/drain.rs
@@ -0,0 +1,54 @@
+//! The planned stop.
+
+use {
+    super::{Node, duty::flush_counts},
+    crate::port::SharedLog,
+    clock::within,
+    std::time::Duration,
+};
+
+/// Time until no new connections are sent here: readiness is asked for once a second, and two misses
+/// count.
+const UNREADY: Duration = Duration::from_millis(2_600);
+/// Part of the grace time after which requests that are still open are cut.
+const GRACE_SHARE: f64 = 0.93;
+/// Time between two looks at what is still open.
+const LOOK: Duration = Duration::from_millis(50);
+/// Time without open connections before the end.
+const QUIET: Duration = Duration::from_millis(300);
+/// Time for the last counts to be stored.
+const FLUSH: Duration = Duration::from_millis(800);
+
+/// Serves what is open, then returns.
+pub(super) async fn drain(node: &Node, log: &dyn SharedLog) {
+    let begun = node.clock.now();
+    let grace = node.settings.rules.grace.mul_f64(GRACE_SHARE);
+    node.life.stop();
+    log::info!(
+        connections = node.life.connections(), requests = node.life.requests();
+        "stopping: not ready any more"
+    );
+    node.clock.sleep(UNREADY.min(grace)).await;
+    node.life.close_idle();
+    let mut quiet = node.clock.now();
+    loop {
+        let now = node.clock.now();
+        if node.life.connections() > 0 {
+            quiet = now;
+        }
+        if now.since(quiet) >= QUIET || now.since(begun) + FLUSH >= grace {
+            break;
+        }
+        node.clock.sleep(LOOK).await;
+    }
+    if within(&*node.clock, FLUSH, flush_counts(node, log))
+        .await
+        .is_err()
+    {
+        log::warn!("last usage counts not stored in time");
+    }
+    log::info!(
+        connections = node.life.connections(), requests = node.life.requests();
+        "drained"
+    );
+}
--- /dev/null
+++ b/crates/relay/src/process/run.rs
@@ -0,0 +1,103 @@
+//! Starts all tasks of the process.
+
+use {
+    super::{
+        Node, NodeProcess,
+        drain::drain,
+        duty::{run_duties, store_counts},
+        follow::follow,
+        gossip, snapshot,
+    },
+    crate::{
+        connection::{Page, listen, serve_front, serve_pages},
+        port::{Dialect, Duties, Feed, FeedKind, NodeSettings, SharedLog},
+    },
+    async_io::Async,
+    eyre::{Result, WrapErr},
+    std::{net::UdpSocket, sync::Arc, time::Duration},
+};
+
+/// Time between two sweeps of idle connections to endpoints.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// What an adapter provides.
+pub struct Adapter {
+    /// Settings of the VM.
+    pub settings: NodeSettings,
+    /// Header fields.
+    pub dialect: Arc<dyn Dialect>,
+    /// Configuration and endpoints.
+    pub feed: Arc<dyn Feed>,
+    /// The shared log.
+    pub log: Arc<dyn SharedLog>,
+    /// Calls of the duty holder.
+    pub duties: Arc<dyn Duties>,
+}
+
+/// Runs the router until the process is stopped.
+pub async fn run_node(process: NodeProcess, adapter: Adapter) -> Result<()> {
+    let Adapter {
+        settings,
+        dialect,
+        feed,
+        log,
+        duties,
+    } = adapter;
+    let front = listen(settings.front, "callers")?;
+    let ready = listen(settings.ready, "readiness")?;
+    let control = listen(settings.control, "control")?;
+    let socket = Async::<UdpSocket>::bind(settings.peers)
+        .wrap_err_with(|| format!("cannot listen on {} for other VMs", settings.peers))?;
+    let socket = Arc::new(socket);
+    let node = Arc::new(Node::new(&process, settings, dialect));
+    log::info!(vm:% = node.settings.vm, zone:% = node.settings.zone, incarnation = node.inc.0; "started");
+    let ex = &process.ex;
+    let tasks = [
+        ex.spawn(follow(node.clone(), feed.clone(), FeedKind::Configuration)),
+        ex.spawn(follow(node.clone(), feed, FeedKind::Endpoints)),
+        ex.spawn(serve_front(node.clone(), front)),
+        ex.spawn(serve_pages(node.clone(), ready, ready_page(&node))),
+        ex.spawn(serve_pages(node.clone(), control, control_page(&node))),
+        ex.spawn(gossip::hear(node.clone(), socket.clone())),
+        ex.spawn(gossip::speak(node.clone(), socket)),
+        ex.spawn(snapshot::fetch(node.clone())),
+        ex.spawn(run_duties(node.clone(), log.clone(), duties)),
+        ex.spawn(store_counts(node.clone(), log.clone())),
+        ex.spawn(sweep(node.clone())),
+    ];
+    process.stop.wait().await;
+    drain(&node, &*log).await;
+    drop(tasks);
+    Ok(())
+}
+
+fn ready_page(node: &Arc<Node>) -> Page {
+    let node = node.clone();
+    Arc::new(move |_| {
+        if node.is_ready() {
+            (200, b"ready\n".to_vec())
+        } else {
+            (503, b"not ready\n".to_vec())
+        }
+    })
+}
+
+fn control_page(node: &Arc<Node>) -> Page {
+    let node = node.clone();
+    Arc::new(move |path| {
+        if path != snapshot::SNAPSHOT_PATH {
+            return (404, Vec::new());
+        }
+        match snapshot::snapshot(&node) {
+            Some(body) => (200, body),
+            None => (503, Vec::new()),
+        }
+    })
+}
+
+async fn sweep(node: Arc<Node>) {
+    loop {
+        node.clock.sleep(SWEEP).await;
+        node.pool.sweep(node.clock.now());
+    }
+}
--- /dev/null
+++ b/crates/relay/src/request/reply.rs
@@ -0,0 +1,79 @@
+//! A whole answer to a caller.
+
+use {
+    h1::{Headers, ResponseHead},
+    std::time::Duration,
+    types::{Reason, Refusal, Verdict},
+};
+
+/// An answer that is sent at once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Reply {
+    /// Head, without framing.
+    pub(crate) head: ResponseHead,
+    /// Body.
+    pub(crate) body: Vec<u8>,
+    /// The refusal that the answer tells, unless an endpoint gave it.
+    pub(crate) refusal: Option<Refusal>,
+}
+
+impl Reply {
+    /// An endpoint's answer.
+    pub(crate) fn passed_on(mut head: ResponseHead, body: Vec<u8>) -> Self {
+        head.headers.strip_hop_by_hop();
+        Self {
+            head,
+            body,
+            refusal: None,
+        }
+    }
+
+    /// A refusal. Only one of a request that did not run may be answered with a status that says so.
+    pub(crate) fn refused(refusal: Refusal) -> Self {
+        let mut status = refusal.reason.status();
+        if refusal.verdict != Verdict::NotRun && says_not_run(status) {
+            status = Reason::EndpointFailed.status();
+        }
+        let mut head = ResponseHead::new(status);
+        if let Some(wait) = refusal.retry_after {
+            head.headers.push("Retry-After", seconds(wait));
+        }
+        head.headers.push("Content-Type", "text/plain");
+        let body = format!("{refusal}\n").into_bytes();
+        Self {
+            head,
+            body,
+            refusal: Some(refusal),
+        }
+    }
+
+    /// The answer in wire form.
+    pub(crate) fn bytes(&self, closes: bool, is_head: bool) -> Vec<u8> {
+        let mut head = self.head.clone();
+        head.headers
+            .push("Content-Length", self.body.len().to_string());
+        finish(&mut head.headers, closes);
+        let mut out = Vec::with_capacity(512 + self.body.len());
+        head.write(&mut out);
+        if !is_head {
+            out.extend_from_slice(&self.body);
+        }
+        out
+    }
+}
+
+/// Adds the connection's own fields.
+pub(crate) fn finish(headers: &mut Headers, closes: bool) {
+    if closes {
+        headers.push("Connection", "close");
+    }
+}
+
+/// Whether a status promises that the request did not run.
+pub(crate) fn says_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
+fn seconds(span: Duration) -> String {
+    format!("{:.3}", span.as_secs_f64())
+}
--- /dev/null
+++ b/crates/relay/src/request/take.rs
@@ -0,0 +1,65 @@
+//! From a head and a body to a request, or to a refusal.
+
+use {
+    super::job::{Job, Progress},
+    crate::process::Node,
+    clock::Stamp,
+    h1::RequestHead,
+    parking_lot::Mutex,
+    std::time::Duration,
+    types::{Reason, Refusal},
+};
+
+/// When a caller that finds no configuration may try again: about the time to read it.
+const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
+
+/// A request that was taken in, or why not.
+type Taken = Result<Job, Refusal>;
+
+/// Finds route, service and organisation of a request.
+pub(crate) fn take(node: &Node, head: RequestHead, body: Vec<u8>, arrived: Stamp) -> Taken {
+    let Some(catalog) = node.catalog() else {
+        let refusal = Refusal::not_run(Reason::Unavailable, "no configuration yet");
+        return Err(refusal.retry_in(NO_CONFIG_RETRY));
+    };
+    let Some(route) = catalog.route(&head.host(), head.path()) else {
+        return Err(Refusal::not_run(Reason::NotFound, "no such route"));
+    };
+    let caller = node
+        .dialect
+        .caller(&head.headers)
+        .map_err(|e| Refusal::not_run(Reason::BadRequest, e.to_string()))?;
+    let org = if route.open || !catalog.asks_keys() {
+        None
+    } else {
+        let key = caller.key.as_deref().unwrap_or_default();
+        let Some(org) = catalog.org(key) else {
+            return Err(Refusal::not_run(Reason::NoKey, "unknown key"));
+        };
+        Some(org.clone())
+    };
+    let service = route.service(fastrand::f64()).cloned();
+    let Some(service) = service else {
+        return Err(Refusal::not_run(
+            Reason::Unavailable,
+            "route without a service",
+        ));
+    };
+    let patience = caller.patience.unwrap_or(route.timeout);
+    let tier = org.as_ref().and_then(|o| o.tier).unwrap_or(route.tier);
+    let mut head = head;
+    head.headers.strip_hop_by_hop();
+    Ok(Job {
+        ends: arrived + patience.min(route.timeout),
+        route: route.clone(),
+        service,
+        org,
+        tier,
+        head,
+        body,
+        version: catalog.doc.version,
+        arrived,
+        caller,
+        progress: Mutex::new(Progress::default()),
+    })
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,8 +5,11 @@
 mod hedge;
 mod least;
 mod picker;
+mod place;
+mod prompt;
 mod robin;
 mod table;
+mod window;
 
 pub use {
     adaptive::Adaptive,
@@ -14,5 +17,8 @@
     hedge::{HEDGE_CAP, HEDGE_SHARE, Hedger},
     least::LeastOutstanding,
     picker::{Ending, LoadReport, Need, Picker, Target},
+    place::{Choice, Ended, EngineProfile, Load, PeerLoad, Place, Placer, Wish},
+    prompt::Prompt,
     robin::RoundRobin,
+    window::WindowBudget,
 };
--- /dev/null
+++ b/crates/route/src/prompt.rs
@@ -0,0 +1,32 @@
+//! What a generation asks for.
+
+use {
+    serde::{Deserialize, Serialize},
+    types::{ModelId, PartId, Tokens},
+};
+
+/// A prompt as a caller announces it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Prompt {
+    /// Model.
+    pub model: ModelId,
+    /// Tokens of the prompt.
+    pub input: Tokens,
+    /// Most tokens of the answer.
+    pub output: Tokens,
+    /// Parts in order; the last one belongs to this request or its session alone.
+    pub parts: Vec<(PartId, Tokens)>,
+}
+
+impl Prompt {
+    /// Memory that the request takes at an engine once it is complete.
+    pub fn memory(&self) -> Tokens {
+        self.input + self.output
+    }
+
+    /// The deepest part that other requests may share.
+    pub fn shared(&self) -> Option<PartId> {
+        let at = self.parts.len().checked_sub(2)?;
+        self.parts.get(at).map(|(id, _)| *id)
+    }
+}
--- a/crates/types/src/id/mod.rs
+++ b/crates/types/src/id/mod.rs
@@ -2,12 +2,17 @@
 
 mod digest;
 mod number;
+mod part;
 mod request;
 mod text;
 
 pub use {
     digest::KeyDigest,
     number::{Epoch, Incarnation, Version},
+    part::PartId,
     request::RequestId,
-    text::{ClassId, EndpointId, ModelId, OperatorId, OrgId, ParseIdError, RouteId, VmId, ZoneId},
+    text::{
+        AttemptId, ClassId, EndpointId, ModelId, OperatorId, OrgId, ParseIdError, RouteId,
+        ServiceId, VmId, ZoneId,
+    },
 };
--- a/crates/types/src/id/text.rs
+++ b/crates/types/src/id/text.rs
@@ -122,4 +122,8 @@
     EndpointId,
     /// An operator who publishes configuration.
     OperatorId,
+    /// A service: the endpoints that offer the same model or plain service.
+    ServiceId,
+    /// A caller's id of one attempt at a request.
+    AttemptId,
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,8 +6,8 @@
 
 pub use {
     id::{
-        ClassId, EndpointId, Epoch, Incarnation, KeyDigest, ModelId, OperatorId, OrgId,
-        ParseIdError, RequestId, RouteId, Version, VmId, ZoneId,
+        AttemptId, ClassId, EndpointId, Epoch, Incarnation, KeyDigest, ModelId, OperatorId, OrgId,
+        ParseIdError, PartId, RequestId, RouteId, ServiceId, Version, VmId, ZoneId,
     },
     measure::{Bytes, ParseMeasureError, PerSecond, Tier, Tokens},
     outcome::{Attempt, Reason, Refusal, Verdict},
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -11,6 +11,7 @@
 mod record;
 mod sealer;
 mod settings;
+mod tally;
 mod zone;
 
 pub use {
@@ -22,5 +23,6 @@
     record::{Mark, Seal, UsageRecord, WindowId, WindowStart},
     sealer::{Sealer, SealerParts},
     settings::UsageSettings,
+    tally::{Tally, TallyBook, TallyRecord, window_at},
     zone::ZoneCollector,
 };
--- /dev/null
+++ b/crates/usage/src/tally.rs
@@ -0,0 +1,100 @@
+//! Counts of requests by window, told cumulatively by each process, so that a repeated or reordered
+//! record changes nothing.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, time::Duration},
+    types::{Incarnation, OrgId, VmId},
+};
+
+/// Windows kept after their end: more than are ever due at once.
+const KEPT_WINDOWS: u64 = 12;
+
+/// Number of the window that `unix` lies in.
+pub fn window_at(unix: Duration, length: Duration) -> u64 {
+    let nanos = unix.as_nanos() / length.as_nanos().max(1);
+    u64::try_from(nanos).unwrap_or(u64::MAX)
+}
+
+/// Counts of one process in one window so far.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TallyRecord {
+    /// VM.
+    pub vm: VmId,
+    /// Start of the process.
+    pub inc: Incarnation,
+    /// Window.
+    pub window: u64,
+    /// Requests that began in the window, by organisation.
+    pub counts: BTreeMap<OrgId, u64>,
+}
+
+/// Counts of this process.
+#[derive(Debug, Clone, Default)]
+pub struct Tally {
+    windows: BTreeMap<u64, BTreeMap<OrgId, u64>>,
+    changed: BTreeMap<u64, bool>,
+}
+
+impl Tally {
+    /// Counts a request of `org` that began in `window`.
+    pub fn count(&mut self, window: u64, org: &OrgId) {
+        let counts = self.windows.entry(window).or_default();
+        *counts.entry(org.clone()).or_default() += 1;
+        self.changed.insert(window, true);
+        let oldest = window.saturating_sub(KEPT_WINDOWS);
+        self.windows.retain(|w, _| *w >= oldest);
+        self.changed.retain(|w, _| *w >= oldest);
+    }
+
+    /// Windows whose counts changed since they were taken, with their counts.
+    pub fn take_changed(&mut self) -> Vec<(u64, BTreeMap<OrgId, u64>)> {
+        let changed = std::mem::take(&mut self.changed);
+        let windows = changed.into_keys();
+        windows
+            .filter_map(|w| Some((w, self.windows.get(&w)?.clone())))
+            .collect()
+    }
+
+    /// Marks a window as changed again, after its record was not stored.
+    pub fn put_back(&mut self, window: u64) {
+        if self.windows.contains_key(&window) {
+            self.changed.insert(window, true);
+        }
+    }
+}
+
+/// Counts of all processes.
+#[derive(Debug, Clone, Default)]
+pub struct TallyBook {
+    rows: BTreeMap<(u64, VmId, Incarnation), BTreeMap<OrgId, u64>>,
+}
+
+impl TallyBook {
+    /// Takes in a record; counts of one process only grow.
+    pub fn fold(&mut self, record: TallyRecord) {
+        let TallyRecord {
+            vm,
+            inc,
+            window,
+            counts,
+        } = record;
+        let row = self.rows.entry((window, vm, inc)).or_default();
+        for (org, count) in counts {
+            let known = row.entry(org).or_default();
+            *known = count.max(*known);
+        }
+        let oldest = window.saturating_sub(KEPT_WINDOWS);
+        self.rows.retain(|(w, _, _), _| *w >= oldest);
+    }
+
+    /// Counts of one window over all processes.
+    pub fn sum(&self, window: u64) -> BTreeMap<OrgId, u64> {
+        let mut sum = BTreeMap::new();
+        let rows = self.rows.iter().filter(|((w, _, _), _)| *w == window);
+        for (org, count) in rows.flat_map(|(_, counts)| counts) {
+            *sum.entry(org.clone()).or_default() += count;
+        }
+        sum
+    }
+}
