Placing by cost in worth, quiet engines, refusal by forecast, cheap engines first

Ruled out: capacity as such (9 engines suffice); the retry budget. Change: the sizer keeps a first share and gives steady engines up only once cheap ones are there; placing weighs lateness, shared parts, bytes between zones and the delay of others in one unit; streams with short pauses gather at quiet engines; a stream leaves an endpoint only when it shows no sign of life; fewer store calls.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod average;
 mod fifo;
+mod forecast;
 mod limiter;
 mod queue;
 mod ticket;
@@ -10,6 +11,7 @@
 
 pub use {
     fifo::Fifo,
+    forecast::{Forecast, admit},
     limiter::{LimitKey, LimitShare, Limited, Limiter, OverLimit},
     queue::{ClassRule, Completion, Queue, Shed},
     ticket::{Ticket, TicketId},
--- a/crates/fleet/src/zone/sizer.rs
+++ b/crates/fleet/src/zone/sizer.rs
@@ -9,26 +9,48 @@
 
 /// Share of an engine's time that prompts may fill on average: beyond it, bursts delay first tokens and
 /// pauses past their targets.
-const FILL: f64 = 0.25;
+const FILL: f64 = 0.30;
 /// Weight of a second's work in its mean, when it rises and when it falls.
-const RISE: f64 = 0.6;
-const FALL: f64 = 0.08;
+const RISE: f64 = 0.7;
+const FALL: f64 = 0.03;
 /// Steady engines kept in each zone: they carry what may not be lost when cheap ones are reclaimed.
 const STEADY_FLOOR: u32 = 1;
-/// Time that enough cheap engines must have been there before steady ones are given up.
+/// Engines kept in each zone in all while there is no work to go by.
+const FIRST_SHARE: u32 = 3;
+/// Time that enough engines must have been there before steady ones are given up.
 const SETTLED: Duration = Duration::from_secs(3);
 /// Time before cheap engines are ordered again where none could be had.
-const DRY_PAUSE: Duration = Duration::from_secs(3);
-/// Time after which an order is sent again, in case that it was lost.
-const REPEAT: Duration = Duration::from_secs(6);
+const DRY_PAUSE: Duration = Duration::from_secs(2);
+/// Time in which ordered engines come into service.
+const COMING: Duration = Duration::from_millis(6_500);
+
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    count: u32,
+    at: Stamp,
+}
 
 #[derive(Debug, Clone, Default)]
 struct Zone {
-    /// Since when enough cheap engines are there.
+    /// Since when enough engines are there.
     settled: Option<Stamp>,
     dry: Option<Stamp>,
-    /// Last orders: steady, cheap.
-    sent: [Option<(u32, Stamp)>; 2],
+    steady: Option<Sent>,
+    cheap: Option<Sent>,
+}
+
+impl Zone {
+    fn is_dry(&self, now: Stamp) -> bool {
+        self.dry.is_some_and(|at| now.since(at) < DRY_PAUSE)
+    }
+}
+
+/// Engines that are there, or ordered a short time ago.
+fn effective(now: Stamp, present: u32, sent: Option<Sent>) -> u32 {
+    match sent {
+        Some(sent) if now.since(sent.at) < COMING => sent.count.max(present),
+        _ => present,
+    }
 }
 
 /// Decides the numbers of engines of one service.
@@ -57,7 +79,12 @@
     /// Takes note that an order failed and has to be sent again.
     pub fn failed(&mut self, order: &SizeOrder) {
         if let Some(zone) = self.zones.get_mut(&order.zone) {
-            zone.sent[usize::from(order.cheap)] = None;
+            let sent = if order.cheap {
+                &mut zone.cheap
+            } else {
+                &mut zone.steady
+            };
+            *sent = None;
         }
     }
 
@@ -65,82 +92,144 @@
     pub fn decide(&mut self, now: Stamp, view: &SizeView) -> Vec<SizeOrder> {
         let weight = if view.work > self.work { RISE } else { FALL };
         self.work += weight * (view.work - self.work);
-        let zones = view.zones.len().max(1) as f64;
-        let share = (self.work / FILL / zones).ceil() as u32;
-        let floor = STEADY_FLOOR.max(view.bounds.min);
-        let share = share.clamp(floor.min(view.bounds.max), view.bounds.max);
+        for pool in &view.zones {
+            self.zones.entry(pool.zone.clone()).or_default();
+        }
+        let shares = self.cheap_shares(now, view);
         let mut orders = Vec::new();
+        let mut short = self.total(view);
         for pool in &view.zones {
-            self.zone(now, view, (share, floor), pool, &mut orders);
+            let cheap = shares.get(&pool.zone).copied().unwrap_or_default();
+            let have = self.order_cheap(now, view, pool, cheap, &mut orders);
+            short = short.saturating_sub(have);
+        }
+        let zones = view.zones.len().max(1) as u32;
+        let steady = short.div_ceil(zones).max(self.floor(view));
+        for pool in &view.zones {
+            self.order_steady(now, view, pool, steady, &mut orders);
         }
         orders
     }
 
-    fn zone(
+    fn floor(&self, view: &SizeView) -> u32 {
+        STEADY_FLOOR.max(view.bounds.min).min(view.bounds.max)
+    }
+
+    /// Engines wanted in all zones.
+    fn total(&self, view: &SizeView) -> u32 {
+        let zones = view.zones.len() as u32;
+        let wanted = (self.work / FILL).ceil() as u32;
+        wanted.clamp(
+            zones * FIRST_SHARE.min(view.bounds.max),
+            zones * view.bounds.max,
+        )
+    }
+
+    /// Cheap engines for each zone: what is wanted beyond the steady floor, spread over the zones that
+    /// have some to give.
+    fn cheap_shares(&self, now: Stamp, view: &SizeView) -> BTreeMap<ZoneId, u32> {
+        let mut shares = BTreeMap::new();
+        if !view.bounds.cheap {
+            return shares;
+        }
+        let floor = self.floor(view);
+        let mut left = self
+            .total(view)
+            .saturating_sub(floor * view.zones.len() as u32);
+        let most = view.bounds.max.saturating_sub(floor);
+        let open: Vec<_> = view
+            .zones
+            .iter()
+            .filter(|p| !self.zones.get(&p.zone).is_some_and(|z| z.is_dry(now)))
+            .collect();
+        while left > 0 {
+            let before = left;
+            for pool in &open {
+                let share: &mut u32 = shares.entry(pool.zone.clone()).or_default();
+                if left > 0 && *share < most {
+                    *share += 1;
+                    left -= 1;
+                }
+            }
+            if left == before {
+                break;
+            }
+        }
+        shares
+    }
+
+    /// Orders cheap engines; returns how many are there or on their way.
+    fn order_cheap(
         &mut self,
         now: Stamp,
         view: &SizeView,
-        (share, floor): (u32, u32),
         pool: &PoolCount,
+        wanted: u32,
         orders: &mut Vec<SizeOrder>,
-    ) {
-        let since = self.since;
-        let zone = self.zones.entry(pool.zone.clone()).or_default();
-        let dry = zone.dry.is_some_and(|at| now.since(at) < DRY_PAUSE);
-        let most_cheap = view.bounds.max.saturating_sub(pool.steady.max(floor));
-        let cheap = if view.bounds.cheap {
-            share.saturating_sub(floor).min(most_cheap)
-        } else {
-            0
+    ) -> u32 {
+        let Some(zone) = self.zones.get_mut(&pool.zone) else {
+            return 0;
         };
-        let needed = share.saturating_sub(pool.cheap).max(floor);
-        let enough = needed <= pool.steady;
-        if !enough {
-            zone.settled = None;
+        if zone.is_dry(now) || !view.bounds.cheap {
+            return pool.cheap;
         }
-        let settled = *zone.settled.get_or_insert(now);
-        let may_shrink = enough && now.since(settled) >= SETTLED && now.since(since) >= SETTLED;
-        // Cheap engines on their way count: steady ones are ordered where cheap ones cannot be had.
-        let coming = if dry {
-            0
-        } else {
-            cheap.saturating_sub(pool.cheap)
-        };
-        let urgent = needed.saturating_sub(coming).max(floor);
-        let steady = if may_shrink {
-            needed
-        } else {
-            pool.steady.max(urgent)
-        };
-        let steady = steady.min(view.bounds.max);
-        if !dry && view.bounds.cheap {
-            zone.send(now, &pool.zone, true, (cheap, pool.cheap), orders);
+        // Both kinds together stay within the bounds, also while steady ones are still there.
+        let wanted = wanted.min(view.bounds.max.saturating_sub(pool.steady));
+        let lost = pool.cheap < wanted && effective(now, pool.cheap, zone.cheap) <= pool.cheap;
+        if zone.cheap.is_none_or(|s| s.count != wanted) || lost {
+            if wanted != pool.cheap || zone.cheap.is_some() {
+                orders.push(SizeOrder {
+                    zone: pool.zone.clone(),
+                    cheap: true,
+                    count: wanted,
+                });
+            }
+            zone.cheap = Some(Sent {
+                count: wanted,
+                at: now,
+            });
         }
-        zone.send(now, &pool.zone, false, (steady, pool.steady), orders);
+        effective(now, pool.cheap, zone.cheap).min(wanted.max(pool.cheap))
     }
-}
 
-impl Zone {
-    /// Orders `count` unless that was ordered before, or is what there is.
-    fn send(
+    fn order_steady(
         &mut self,
         now: Stamp,
-        zone: &ZoneId,
-        cheap: bool,
-        (count, present): (u32, u32),
+        view: &SizeView,
+        pool: &PoolCount,
+        needed: u32,
         orders: &mut Vec<SizeOrder>,
     ) {
-        let last = &mut self.sent[usize::from(cheap)];
-        let repeated = last.is_some_and(|(sent, at)| {
-            sent == count && (present == count || now.since(at) < REPEAT)
-        });
-        if repeated || (last.is_none() && present == count) {
+        let since = self.since;
+        let Some(zone) = self.zones.get_mut(&pool.zone) else {
+            return;
+        };
+        let needed = needed
+            .min(view.bounds.max.saturating_sub(pool.cheap))
+            .max(1);
+        let have = effective(now, pool.steady, zone.steady);
+        let arrived = zone.cheap.is_none_or(|s| pool.cheap >= s.count);
+        if needed > have || !arrived {
+            zone.settled = None;
+        } else {
+            zone.settled.get_or_insert(now);
+        }
+        let settled = zone.settled.is_some_and(|at| now.since(at) >= SETTLED);
+        let may_shrink = settled && now.since(since) >= SETTLED;
+        let count = if needed < have && !may_shrink {
+            have
+        } else {
+            needed
+        };
+        let lost = pool.steady < count && have <= pool.steady;
+        let known = zone.steady.map_or(pool.steady, |s| s.count);
+        if known == count && !lost {
             return;
         }
-        *last = Some((count, now));
+        zone.steady = Some(Sent { count, at: now });
         orders.push(SizeOrder {
-            zone: zone.clone(),
-            cheap,
+            zone: pool.zone.clone(),
+            cheap: false,
             count,
         });
     }
--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -74,6 +74,10 @@
         Ok((Answer { head: answer, body }, whole))
     };
     let done = within(clock, time, work).await;
+    if done.is_err() {
+        // A reset drops what is still under way, so that it does not arrive much later.
+        conn.reset();
+    }
     let (answer, whole) = done
         .map_err(|_| CallError::timed_out(Verdict::MayHaveRun))?
         .map_err(|cause| CallError {
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -56,6 +56,12 @@
         Self::new(Async::<TcpStream>::connect(addr).await?)
     }
 
+    /// Makes the connection end by a reset, without what is not delivered yet, when it is dropped.
+    pub fn reset(&mut self) {
+        // On failure the connection ends in the ordinary way, which is as good as can be had.
+        sockopt::set_socket_linger(self.io.get_ref(), Some(Duration::ZERO)).unwrap_or_default();
+    }
+
     /// Bytes read and not yet used.
     pub fn data(&self) -> &[u8] {
         &self.buf[self.pos..]
--- a/crates/relay/src/process/duty.rs
+++ b/crates/relay/src/process/duty.rs
@@ -12,11 +12,11 @@
 /// Time between two looks at the seat while it is held.
 const HOLDER_PAUSE: Duration = Duration::from_millis(250);
 /// Time between two looks while another VM holds it: each one is a call.
-const OTHER_PAUSE: Duration = Duration::from_millis(1_200);
+const OTHER_PAUSE: Duration = Duration::from_millis(1_800);
 /// Pause after a failed call.
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
 /// Time between renewals.
-const RENEW: Duration = Duration::from_millis(700);
+const RENEW: Duration = Duration::from_millis(600);
 /// Time after a window's end at which its figures are fixed: all VMs have stored their counts then.
 const SEAL_AFTER: Duration = Duration::from_millis(4_500);
 /// Windows that are still reported, counted from the newest ended one.
@@ -44,7 +44,7 @@
     let times = SeatTimes {
         lease,
         // A call that was sent just before must end before others may claim.
-        hold: lease.saturating_sub(duties.call_limit()) * 2 / 3,
+        hold: lease.saturating_sub(duties.call_limit() * 2) * 2 / 3,
         renew: RENEW,
     };
     let jitter = Duration::from_millis(fastrand::u64(..CLAIM_JITTER_MS));
@@ -257,7 +257,7 @@
 }
 
 /// Time between two records of this VM's counts.
-const TALLY_PAUSE: Duration = Duration::from_millis(1_500);
+const TALLY_PAUSE: Duration = Duration::from_millis(2_000);
 
 /// Stores this VM's counts until it is dropped.
 pub(super) async fn store_counts(node: Arc<Node>, log: Arc<dyn SharedLog>) {
--- a/crates/relay/src/process/follow.rs
+++ b/crates/relay/src/process/follow.rs
@@ -6,12 +6,12 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Time that a read waits for changes: with the call's own limit it stays below the shortest bound of
-/// a configuration change, also when a connection went silent.
-const WAIT: Duration = Duration::from_millis(800);
-/// Pause between reads of endpoints, whose heartbeats would else end each read at once; a quarter of
+/// Time that a read waits for changes: with the call's own limit it ends within three seconds, the
+/// shortest span after which a VM whose connections went silent is expected to act again.
+const WAIT: Duration = Duration::from_millis(1_800);
+/// Pause between reads of endpoints, whose heartbeats would else end each read at once; a third of
 /// the shortest drain bound.
-const ENDPOINT_PAUSE: Duration = Duration::from_millis(450);
+const ENDPOINT_PAUSE: Duration = Duration::from_millis(700);
 /// Pause after a failed read, with as much jitter.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
 
--- a/crates/relay/src/process/placing.rs
+++ b/crates/relay/src/process/placing.rs
@@ -7,7 +7,9 @@
         request::{Job, Slot},
         version::Catalog,
     },
-    route::{EngineProfile, Place, Placer, WindowBudget, Wish},
+    admit::Forecast,
+    clock::Stamp,
+    route::{Choice, Ended, EngineProfile, Place, Placer, WindowBudget, Wish},
     std::{sync::Arc, time::Duration},
     types::{EndpointId, Reason, Refusal, ServiceId, Verdict},
 };
@@ -29,8 +31,10 @@
         let mut placers = self.placers.lock();
         for (id, service) in &catalog.doc.services {
             if !placers.contains_key(id) {
-                let memory = service.engine.map(|e| e.memory);
-                let mut placer = Placer::new(EngineProfile::default(), memory);
+                let profile = service
+                    .engine
+                    .map(|e| EngineProfile::new(e.memory, e.stride));
+                let mut placer = Placer::new(profile);
                 let open = registry.all().filter(|e| e.service == *id && !e.leaving);
                 open.for_each(|e| placer.list(place_of(e)));
                 placers.insert(id.clone(), placer);
@@ -122,6 +126,9 @@
         let now = self.clock.now();
         let wish = Wish {
             zone: &self.settings.zone,
+            tier: job.tier,
+            target: job.route.target,
+            pause: job.route.pause,
             prompt: job.caller.prompt.as_ref(),
             avoid,
         };
@@ -132,6 +139,14 @@
         let Some(choice) = choice else {
             return Err(job.unplaced("no endpoint is listed").retry_if_not_run());
         };
+        job.forecast(choice.expected, choice.ahead);
+        if let Err(wait) = self.admit(job, &choice, now) {
+            let slot = choice;
+            if let Some(placer) = placers.get_mut(&job.service) {
+                placer.ended(now, &slot, Ended::Cancelled);
+            }
+            return Err(job.overloaded(wait));
+        }
         let addr = registry.open(&choice.id).map(|e| e.addr);
         drop(placers);
         drop(registry);
@@ -142,6 +157,28 @@
         Ok(Slot::new(self.clone(), job.service.clone(), choice, addr))
     }
 
+    /// Whether a request is let in at a chosen endpoint; an error is the time to come back after.
+    fn admit(&self, job: &Job, choice: &Choice, now: Stamp) -> Result<(), Duration> {
+        if job.sends() > 0 || job.caller.prompt.is_none() {
+            return Ok(());
+        }
+        admit::admit(&Forecast {
+            ahead: choice.ahead,
+            expected: choice.expected,
+            target: job.route.target,
+            left: job.ends.since(now),
+            tier: job.tier,
+            draw: fastrand::f64(),
+        })
+    }
+
+    /// Whether an endpoint shows no sign of life.
+    pub(crate) fn is_silent(&self, service: &ServiceId, id: &EndpointId) -> bool {
+        let placers = self.placers.lock();
+        let placer = placers.get(service);
+        placer.is_some_and(|p| p.is_silent(self.clock.now(), id))
+    }
+
     /// The refusal after the last endpoint failed the request.
     pub(crate) fn refusal_after(&self, job: &Job, cause: &'static str) -> Refusal {
         job.unplaced(cause).retry_if_not_run()
@@ -199,6 +236,7 @@
         id: endpoint.id.clone(),
         zone: endpoint.zone.clone(),
         slots: endpoint.slots,
+        cheap: endpoint.cheap,
         born: endpoint.born,
     }
 }
--- a/crates/relay/src/request/job.rs
+++ b/crates/relay/src/request/job.rs
@@ -27,6 +27,9 @@
     pub(crate) first: Option<Duration>,
     /// Events sent to the caller.
     pub(crate) events: u64,
+    /// Forecast for the last endpoint: time to the first event, and the part of it for others.
+    pub(crate) expected: Duration,
+    pub(crate) ahead: Duration,
     /// Whether the request is counted in a usage window.
     pub(crate) counted: bool,
 }
@@ -74,6 +77,18 @@
         self.progress.lock().sends.made()
     }
 
+    /// Records the forecast that the last choice was made by.
+    pub(crate) fn forecast(&self, expected: Duration, ahead: Duration) {
+        let mut progress = self.progress.lock();
+        progress.expected = expected;
+        progress.ahead = ahead;
+    }
+
+    /// The refusal of a request that would come too late.
+    pub(crate) fn overloaded(&self, wait: Duration) -> Refusal {
+        Refusal::not_run(Reason::Overloaded, "engines are overloaded").retry_in(wait)
+    }
+
     /// Records the start of a send.
     pub(crate) fn sending(&self, endpoint: &EndpointId) {
         let mut progress = self.progress.lock();
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -24,8 +24,8 @@
 const GAP_PAUSES: u32 = 4;
 /// Shortest gap after which a stream goes on elsewhere: a burst of long prompts takes about as long.
 const SHORTEST_GAP: Duration = Duration::from_millis(1_200);
-/// Time to the first event, in targets, after which a request that can be repeated is sent elsewhere.
-const FIRST_TARGETS: u32 = 3;
+/// Time between two looks whether an endpoint that has not answered yet shows any sign of life.
+const SILENCE_LOOK: Duration = Duration::from_millis(400);
 
 /// How a stream ended.
 pub(crate) enum StreamEnd {
@@ -89,13 +89,13 @@
         }
         avoid.push(slot.endpoint().clone());
         let last = out.last;
-        let limit = first_limit(job, out.started);
+        let may_move = job.route.kind == Kind::Resumable && may_go_on_after_send(job);
         let sending = async {
-            let work = attempt(node, job, &slot, last);
-            match limit {
-                Some(limit) => within(&*node.clock, limit, work).await.ok(),
-                None => Some(work.await),
+            let work = async { Some(attempt(node, job, &slot, last).await) };
+            if !may_move {
+                return work.await;
             }
+            work.or(silence(node, job, &slot)).await
         };
         match out.watch(sending).await {
             Watched::Gone => return StreamEnd::Gone,
@@ -131,18 +131,15 @@
     }
 }
 
-/// How long the head and first event may take before a request that can be repeated goes elsewhere.
-fn first_limit(job: &Job, started: bool) -> Option<Duration> {
-    let can_move = job.route.kind == Kind::Resumable && may_go_on_after_send(job);
-    if !can_move {
-        return None;
+/// Resolves when the endpoint of a request shows no sign of life. A long wait alone is no reason to
+/// leave: the request would queue again elsewhere.
+async fn silence<T>(node: &Node, job: &Job, slot: &Slot) -> Option<T> {
+    loop {
+        node.clock.sleep(SILENCE_LOOK).await;
+        if node.is_silent(&job.service, slot.endpoint()) {
+            return None;
+        }
     }
-    let gap = gap_limit(job);
-    Some(if started {
-        gap
-    } else {
-        (job.route.target * FIRST_TARGETS).max(gap)
-    })
 }
 
 fn may_go_on_after_send(job: &Job) -> bool {
@@ -210,19 +207,17 @@
         let part = loop {
             bytes.clear();
             let node = self.node.clone();
-            let limit = match (
-                may_go_on_after_send(job) && job.route.kind == Kind::Resumable,
-                heard,
-            ) {
-                (false, _) => None,
-                (true, true) => Some(gap_limit(job)),
-                (true, false) => first_limit(job, self.started),
-            };
+            let may_move = may_go_on_after_send(job) && job.route.kind == Kind::Resumable;
             let reading = async {
                 let next = answering.reader.next(&mut answering.conn, &mut bytes);
-                match limit {
-                    Some(limit) => within(&*node.clock, limit, next).await.ok(),
-                    None => Some(next.await),
+                let next = async { Some(next.await) };
+                match (may_move, heard) {
+                    (false, _) => next.await,
+                    (true, false) => next.or(silence(&node, job, &slot)).await,
+                    (true, true) => {
+                        let timed = within(&*node.clock, gap_limit(job), next).await;
+                        timed.ok().flatten()
+                    }
                 }
             };
             match self.watch(reading).await {
--- a/crates/relay/src/version/service.rs
+++ b/crates/relay/src/version/service.rs
@@ -13,6 +13,8 @@
     pub slots: u32,
     /// Memory for running requests and cached parts.
     pub memory: Tokens,
+    /// Tokens in one event.
+    pub stride: u32,
 }
 
 /// Bounds of the number of endpoints, in each availability zone.
--- a/crates/route/src/place/cost.rs
+++ b/crates/route/src/place/cost.rs
@@ -1,47 +1,104 @@
-//! The choice itself: the endpoint with the least predicted time, other costs counted as time.
+//! The choice itself: the endpoint that costs least, in shares of the worth of a typical request.
 
 use {
     super::{
-        load::Load,
+        load::{Load, rank},
         parts,
         placer::{Choice, Placer, Row, Wish},
+        profile::EngineProfile,
+        quiet::quiet,
     },
     clock::Stamp,
-    std::time::Duration,
+    std::{collections::BTreeSet, time::Duration},
     types::EndpointId,
 };
 
-/// Time that traffic to another availability zone counts as, in milliseconds: its bytes are billed.
-const ZONE_MS: f64 = 25.0;
-/// Share of a shared part that is taken as cached at the endpoint which all VMs prefer for it.
-const HOME_CACHED: f64 = 0.6;
-/// Time that a request beyond the slots counts as, in milliseconds: about a quarter of a request's time.
-const WAIT_MS: f64 = 60.0;
-/// Time that a lack of memory counts as, in milliseconds for each time the memory is filled.
-const MEMORY_MS: f64 = 2_000.0;
+/// Loss of a request that comes late.
+const LATE: f64 = 0.7;
+/// Shares of the target between which the risk of being late grows from none to certain.
+const RISK_FROM: f64 = 0.35;
+const RISK_TO: f64 = 1.1;
+/// Cost of a thousand shared tokens that are read again though another engine has them: their price
+/// against the worth of a request, times the chance that they were used within the priced span.
+const REREAD: f64 = 0.05;
+/// Cost of another availability zone: the price of a request's bytes.
+const ZONE: f64 = 0.015;
+/// Cost of a delicate stream at an engine that is not quiet, and of a long prompt at one that is.
+const MIXED: f64 = 0.3;
+/// Cost of a long prompt for each delicate stream that it would delay.
+const HARM: f64 = 0.02;
+/// Cost of each hundred milliseconds of work at an engine: keeps equal ones evenly loaded.
+const BALANCE: f64 = 0.03;
+/// Cost of an endpoint that refused a request as full a moment ago.
+const FULL: f64 = 1.0;
+/// Cost of an unfit endpoint: it is chosen only where no other is left.
+const UNFIT: f64 = 100.0;
+/// Cost of a lack of memory, for each time that the memory is filled.
+const MEMORY: f64 = 5.0;
 /// Share of an engine's memory beyond which requests are likely to wait or be preempted.
 const MEMORY_SHARE: f64 = 0.85;
-/// Time that an endpoint that refused a request as full counts as, in milliseconds.
-const FULL_MS: f64 = 1_000.0;
-/// Time that an unfit endpoint counts as, in milliseconds: it is chosen only where no other is left.
-const UNFIT_MS: f64 = 60_000.0;
+/// Prompt tokens from which a prompt counts as long: two chunks in a row stretch a pause.
+const LONG_PROMPT: u64 = 2_048;
+/// Share of a shared part that is taken as cached at the endpoints that all VMs prefer for it.
+const HOME_CACHED: [f64; 2] = [0.7, 0.25];
 /// Latency of a plain service before it is known, in milliseconds.
 const PLAIN_MS: f64 = 50.0;
 
+/// What is the same for all rows of one choice.
+struct Scene {
+    usual: f64,
+    homes: Vec<EndpointId>,
+    quiet: BTreeSet<EndpointId>,
+    delicate: bool,
+}
+
 pub(super) fn cheapest(placer: &Placer, now: Stamp, wish: &Wish<'_>) -> Option<Choice> {
     let open = || placer.rows.values().filter(|r| r.open);
     let usual = usual_failures(open());
-    let home = wish.prompt.and_then(|p| p.shared()).and_then(|part| {
-        let fit = open().filter(|r| r.health.is_fit(now, usual));
-        let best = fit.max_by_key(|r| parts::weight(part, &r.place.id))?;
-        Some(best.place.id.clone())
-    });
+    let fit = || open().filter(|r| r.health.is_fit(now, usual));
+    let mut scene = Scene {
+        usual,
+        homes: Vec::new(),
+        quiet: BTreeSet::new(),
+        delicate: false,
+    };
+    if let (Some(profile), Some(_)) = (&placer.profile, wish.prompt) {
+        let delicate: u32 = open().map(|r| all(r, now).delicate).sum();
+        scene.quiet = quiet(fit(), delicate);
+        scene.delicate = is_delicate(profile, wish);
+        scene.homes = homes(fit(), wish, &scene);
+    }
     let allowed = open().filter(|r| !wish.avoid.contains(&r.place.id));
-    let priced = allowed.map(|row| price(placer, now, wish, row, (usual, home.as_ref())));
+    let priced = allowed.map(|row| price(placer, now, wish, row, &scene));
     let best = priced.min_by(|a, b| a.0.total_cmp(&b.0))?;
     Some(best.1)
 }
 
+/// Whether prompts that are read all the time would stretch the request's pauses past their target.
+fn is_delicate(profile: &EngineProfile, wish: &Wish<'_>) -> bool {
+    let long = wish.prompt.is_some_and(|p| p.input.0 > LONG_PROMPT);
+    let pause = wish.pause.map(|p| p.as_secs_f64() * 1e3);
+    !long && pause.is_some_and(|p| profile.crowded_ms() > p * 0.9)
+}
+
+/// Endpoints that all VMs prefer for the request's deepest shared part, best first.
+fn homes<'a>(
+    rows: impl Iterator<Item = &'a Row>,
+    wish: &Wish<'_>,
+    scene: &Scene,
+) -> Vec<EndpointId> {
+    let Some(part) = wish.prompt.and_then(|p| p.shared()) else {
+        return Vec::new();
+    };
+    let suited = rows.filter(|r| scene.quiet.contains(&r.place.id) == scene.delicate);
+    let mut ranked: Vec<_> = suited
+        .map(|r| (parts::weight(part, &r.place.id), &r.place.id))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    let best = ranked.into_iter().take(HOME_CACHED.len());
+    best.map(|(_, id)| id.clone()).collect()
+}
+
 /// Median share of failures.
 fn usual_failures<'a>(rows: impl Iterator<Item = &'a Row>) -> f64 {
     let mut shares: Vec<f64> = rows.map(|r| r.health.failures()).collect();
@@ -50,95 +107,134 @@
     shares.get(middle).copied().unwrap_or_default()
 }
 
-/// Cost of a row in milliseconds, and the choice that it would be.
-fn price(
-    placer: &Placer,
-    now: Stamp,
-    wish: &Wish<'_>,
-    row: &Row,
-    (usual, home): (f64, Option<&EndpointId>),
-) -> (f64, Choice) {
+fn all(row: &Row, now: Stamp) -> Load {
     let mut all = row.foreign.sum(now);
     all.add(row.own);
-    let (load, time) = match wish.prompt {
-        Some(_) => engine(placer, now, wish, row, (all, home)),
-        None => plain(row, all),
+    all
+}
+
+/// Cost of a row, and the choice that it would be.
+fn price(placer: &Placer, now: Stamp, wish: &Wish<'_>, row: &Row, scene: &Scene) -> (f64, Choice) {
+    let all = all(row, now);
+    let (mut cost, choice) = match (&placer.profile, wish.prompt) {
+        (Some(profile), Some(_)) => engine(profile, now, wish, row, (all, scene)),
+        _ => plain(wish, row, all),
     };
-    let mut cost = time;
     if row.place.zone != *wish.zone {
-        cost += ZONE_MS;
+        cost += ZONE;
     }
     if row.full > now {
-        cost += FULL_MS;
+        cost += FULL;
     }
-    if !row.health.is_fit(now, usual) {
-        cost += UNFIT_MS;
+    if !row.health.is_fit(now, scene.usual) {
+        cost += UNFIT;
     }
-    let choice = Choice {
-        id: row.place.id.clone(),
-        expected: Duration::from_secs_f64(time / 1e3),
-        load,
-    };
     (cost, choice)
 }
 
-fn plain(row: &Row, all: Load) -> (Load, f64) {
+/// Risk of being late, from none to one.
+fn risk(expected_ms: f64, target: Duration) -> f64 {
+    let share = expected_ms / (target.as_secs_f64() * 1e3).max(1.0);
+    ((share - RISK_FROM) / (RISK_TO - RISK_FROM)).clamp(0.0, 1.0)
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms / 1e3)
+}
+
+fn plain(wish: &Wish<'_>, row: &Row, all: Load) -> (f64, Choice) {
     let latency = if row.latency > 0.0 {
         row.latency
     } else {
         PLAIN_MS
     };
-    let turns = f64::from(all.flying + 1) / f64::from(row.place.slots.max(1));
-    let load = Load {
-        flying: 1,
-        ..Load::default()
+    let turns = f64::from(all.flying) / f64::from(row.place.slots.max(1));
+    let wait = latency * turns;
+    let cost = LATE * risk(latency + wait, wish.target) + BALANCE * (latency + wait) / 100.0;
+    let choice = Choice {
+        id: row.place.id.clone(),
+        expected: millis(latency + wait),
+        ahead: millis(latency * (turns - 1.0).max(0.0)),
+        load: Load {
+            flying: 1,
+            ..Load::default()
+        },
     };
-    // Half of the latency for an idle endpoint keeps equal ones evenly loaded.
-    (load, latency * (0.5 + turns))
+    (cost + row.health.failures(), choice)
 }
 
 fn engine(
-    placer: &Placer,
+    profile: &EngineProfile,
     now: Stamp,
     wish: &Wish<'_>,
     row: &Row,
-    (all, home): (Load, Option<&EndpointId>),
-) -> (Load, f64) {
+    (all, scene): (Load, &Scene),
+) -> (f64, Choice) {
     let Some(prompt) = wish.prompt else {
-        return plain(row, all);
+        return plain(wish, row, all);
     };
-    let is_home = home == Some(&row.place.id);
-    let unread = unread(now, prompt, row, is_home);
-    let profile = &placer.profile;
-    let mut time = profile.first.as_secs_f64() * 1e3;
-    time += profile.read_ms(all.unread + unread);
-    time += f64::from(all.flying) * profile.beside.as_secs_f64() * 1e3;
+    let rank_home = scene.homes.iter().position(|id| *id == row.place.id);
+    let (unread, reread) = unread(now, prompt, row, rank_home);
     let beyond = (all.flying + 1).saturating_sub(row.place.slots);
-    time += f64::from(beyond) * WAIT_MS;
+    // Each request beyond the slots waits for the end of one, which takes some hundred steps.
+    let queue_ms =
+        f64::from(beyond) * profile.step_ms(all.flying) * 100.0 / f64::from(row.place.slots.max(1));
+    let ahead_ms = profile.read_ms(all.ahead(wish.tier)) + queue_ms;
+    let first_ms = profile.first.as_secs_f64() * 1e3 + profile.step_ms(all.flying);
+    let expected_ms = first_ms + ahead_ms + profile.read_ms(unread);
+    let mut cost = LATE * risk(expected_ms, wish.target);
+    cost += BALANCE * (expected_ms + profile.read_ms(all.unread())) / 100.0;
+    cost += REREAD * reread as f64 / 1e3;
     let memory = prompt.memory().0;
-    if let Some(most) = placer.memory {
-        let filled = (all.memory + memory) as f64 / most.0.max(1) as f64;
-        time += (filled - MEMORY_SHARE).max(0.0) * MEMORY_MS;
+    let filled = (all.memory + memory) as f64 / profile.memory.0.max(1) as f64;
+    cost += (filled - MEMORY_SHARE).max(0.0) * MEMORY;
+    let is_quiet = scene.quiet.contains(&row.place.id);
+    if scene.delicate && !is_quiet {
+        cost += MIXED;
+    }
+    if !scene.delicate && unread > LONG_PROMPT {
+        cost += HARM * f64::from(all.delicate);
+        if is_quiet {
+            cost += MIXED;
+        }
     }
-    let load = Load {
+    let mut load = Load {
         flying: 1,
-        unread,
+        delicate: u32::from(scene.delicate),
         memory,
+        ..Load::default()
     };
-    (load, time)
+    load.unread[rank(wish.tier)] = unread;
+    let choice = Choice {
+        id: row.place.id.clone(),
+        expected: millis(expected_ms),
+        ahead: millis(ahead_ms),
+        load,
+    };
+    (cost, choice)
 }
 
-/// Tokens of the prompt that the endpoint has to read: those after the first part it lacks.
-fn unread(now: Stamp, prompt: &crate::Prompt, row: &Row, is_home: bool) -> u64 {
+/// Tokens of the prompt that the endpoint has to read: those after the first part it lacks; and how
+/// many of them belong to parts that other requests share.
+fn unread(now: Stamp, prompt: &crate::Prompt, row: &Row, rank_home: Option<usize>) -> (u64, u64) {
     let mut cached = 0.0;
-    for (part, tokens) in &prompt.parts {
-        if row.parts.has(now, *part) {
-            cached += tokens.0 as f64;
-        } else if is_home && prompt.parts.last().is_some_and(|(last, _)| last != part) {
-            cached += HOME_CACHED * tokens.0 as f64;
-        } else {
-            break;
+    let mut reread = 0.0;
+    let mut lacks = false;
+    let last = prompt.parts.len().saturating_sub(1);
+    for (at, (part, tokens)) in prompt.parts.iter().enumerate() {
+        let tokens = tokens.0 as f64;
+        let share = match rank_home {
+            _ if lacks => 0.0,
+            _ if row.parts.has(now, *part) => 1.0,
+            Some(rank) if at < last => HOME_CACHED[rank],
+            _ => 0.0,
+        };
+        lacks |= share == 0.0;
+        cached += share * tokens;
+        if at < last {
+            reread += (1.0 - share) * tokens;
         }
     }
-    prompt.input.0.saturating_sub(cached as u64)
+    let unread = prompt.input.0.saturating_sub(cached as u64);
+    (unread, reread as u64)
 }
--- a/crates/route/src/place/health.rs
+++ b/crates/route/src/place/health.rs
@@ -66,7 +66,8 @@
         !banned && !self.is_silent(now) && self.failures < usual + WORSE
     }
 
-    fn is_silent(&self, now: Stamp) -> bool {
+    /// Whether requests wait and nothing was heard for long.
+    pub(super) fn is_silent(&self, now: Stamp) -> bool {
         self.asked
             .is_some_and(|at| now.since(at.max(self.heard)) > SILENCE)
     }
--- a/crates/route/src/place/mod.rs
+++ b/crates/route/src/place/mod.rs
@@ -11,6 +11,7 @@
 mod parts;
 mod placer;
 mod profile;
+mod quiet;
 
 pub use {
     load::{Load, PeerLoad},
--- a/crates/route/src/place/placer.rs
+++ b/crates/route/src/place/placer.rs
@@ -12,7 +12,7 @@
     crate::Prompt,
     clock::Stamp,
     std::{collections::BTreeMap, time::Duration},
-    types::{EndpointId, PartId, Tokens, VmId, ZoneId},
+    types::{EndpointId, PartId, Tier, VmId, ZoneId},
 };
 
 /// Share of failures that is left after each second of forgiving.
@@ -29,6 +29,8 @@
     pub zone: ZoneId,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// Whether it may be reclaimed at short notice.
+    pub cheap: bool,
     /// When it started; a restart empties its cache.
     pub born: u64,
 }
@@ -38,6 +40,12 @@
 pub struct Wish<'a> {
     /// Availability zone of this VM.
     pub zone: &'a ZoneId,
+    /// Tier.
+    pub tier: Tier,
+    /// Time to the first token, or to the answer, that is on time.
+    pub target: Duration,
+    /// Longest pause between events that is on time.
+    pub pause: Option<Duration>,
     /// Prompt of a generation.
     pub prompt: Option<&'a Prompt>,
     /// Endpoints that failed or refused the request.
@@ -51,6 +59,8 @@
     pub id: EndpointId,
     /// Predicted time to the first token or the answer.
     pub expected: Duration,
+    /// The part of it that is spent on other requests.
+    pub ahead: Duration,
     /// Load that the request adds.
     pub load: Load,
 }
@@ -92,9 +102,9 @@
 /// Chooses endpoints of one service.
 #[derive(Debug, Default)]
 pub struct Placer {
-    pub(super) profile: EngineProfile,
+    /// Engines of a service that generates.
+    pub(super) profile: Option<EngineProfile>,
     pub(super) rows: BTreeMap<EndpointId, Row>,
-    pub(super) memory: Option<Tokens>,
     forgave: Stamp,
     meter: Meter,
     /// Tokens a second of other VMs, and until when they count.
@@ -102,11 +112,10 @@
 }
 
 impl Placer {
-    /// A placer; `memory` is that of one engine, for services that generate.
-    pub fn new(profile: EngineProfile, memory: Option<Tokens>) -> Self {
+    /// A placer; `profile` describes the engines of a service that generates.
+    pub fn new(profile: Option<EngineProfile>) -> Self {
         Self {
             profile,
-            memory,
             ..Self::default()
         }
     }
@@ -148,7 +157,7 @@
         let choice = cost::cheapest(self, now, wish)?;
         let row = self.rows.get_mut(&choice.id)?;
         row.own.add(choice.load);
-        self.meter.add(now, choice.load.unread);
+        self.meter.add(now, choice.load.unread());
         row.health.asked(now);
         if let Some(prompt) = wish.prompt {
             row.parts.touch(now, &prompt.parts);
@@ -167,7 +176,7 @@
             ..Load::default()
         };
         row.own.sub(read);
-        choice.load.unread = 0;
+        choice.load.unread = Default::default();
         let ms = took.as_secs_f64() * 1e3;
         row.latency = match row.latency {
             mean if mean > 0.0 => mean + NEWEST * (ms - mean),
@@ -193,6 +202,7 @@
             Ended::Failed => row.health.answered(false),
             Ended::Refused => row.full = now + FULL_SPAN,
             Ended::Unreachable => row.health.unreachable(now),
+            Ended::Cancelled if row.health.is_silent(now) => row.health.unreachable(now),
             Ended::Cancelled => {}
         }
         if matches!(how, Ended::Whole | Ended::Failed | Ended::Refused) {
@@ -206,6 +216,11 @@
         }
     }
 
+    /// Whether an endpoint has shown no sign of life for long, to any of this VM's requests.
+    pub fn is_silent(&self, now: Stamp, id: &EndpointId) -> bool {
+        self.rows.get(id).is_some_and(|r| r.health.is_silent(now))
+    }
+
     /// Takes in what another VM says of its requests at an endpoint.
     pub fn peer(&mut self, vm: &VmId, id: &EndpointId, load: PeerLoad) {
         if let Some(row) = self.rows.get_mut(id) {
@@ -246,7 +261,8 @@
         self.rates.retain(|_, (_, until)| *until > now);
         let others: u64 = self.rates.values().map(|(rate, _)| rate).sum();
         let rate = self.meter.rate(now) + others;
-        rate as f64 / (self.profile.prefill * 1e3)
+        self.profile
+            .map_or(0.0, |p| rate as f64 / (p.prefill * 1e3))
     }
 
     /// Whether some open endpoint likely has the part cached, as far as this VM knows.
--- a/crates/route/src/place/profile.rs
+++ b/crates/route/src/place/profile.rs
@@ -1,36 +1,58 @@
-//! How fast engines are.
+//! How fast engines are, and what they hold.
 
 use {
     serde::{Deserialize, Serialize},
     std::time::Duration,
+    types::Tokens,
 };
 
-/// Speed of an engine.
+/// An engine as configuration and measurement describe it.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct EngineProfile {
+    /// Memory for running requests and cached parts.
+    pub memory: Tokens,
+    /// Tokens in one event of a stream.
+    pub stride: u32,
     /// Prompt tokens read in a millisecond.
     pub prefill: f64,
+    /// Most prompt tokens read between two tokens of other requests.
+    pub chunk: u32,
+    /// Time of a step that reads no prompts.
+    pub step: Duration,
+    /// Time that each running request adds to a step.
+    pub beside: Duration,
     /// Time from sending a short prompt to its first token at an idle engine.
     pub first: Duration,
-    /// Time that each running request adds to the first token of another.
-    pub beside: Duration,
 }
 
-impl Default for EngineProfile {
-    /// The engines of the users' deployments: 74.8 prompt tokens in a millisecond and steps of 4.84 ms,
-    /// to which each running request adds 0.0725 ms.
-    fn default() -> Self {
+impl EngineProfile {
+    /// Engines of the users' deployments: 74.8 prompt tokens in a millisecond, steps of 4.84 ms, to which
+    /// each running request adds 0.0725 ms. The chunk is the usual one of such engines.
+    pub fn new(memory: Tokens, stride: u32) -> Self {
         Self {
+            memory,
+            stride,
             prefill: 74.8,
+            chunk: 4096,
+            step: Duration::from_micros(4_840),
+            beside: Duration::from_nanos(72_500),
             first: Duration::from_millis(80),
-            beside: Duration::from_micros(300),
         }
     }
-}
 
-impl EngineProfile {
-    /// Milliseconds to read `tokens` of a prompt.
+    /// Milliseconds to read `tokens` of prompts.
     pub(super) fn read_ms(&self, tokens: u64) -> f64 {
         tokens as f64 / self.prefill
     }
+
+    /// Milliseconds between two events while prompts are read all the time.
+    pub(super) fn crowded_ms(&self) -> f64 {
+        let chunk = self.read_ms(u64::from(self.chunk));
+        f64::from(self.stride) * (chunk + self.step.as_secs_f64() * 1e3)
+    }
+
+    /// Milliseconds of a step with `running` requests.
+    pub(super) fn step_ms(&self, running: u32) -> f64 {
+        (self.step.as_secs_f64() + self.beside.as_secs_f64() * f64::from(running)) * 1e3
+    }
 }
