A stopping node refuses what it could only cut

Ruled out: the replicas (they were at work) and the platform's kill (the process ended by itself). Change: from 2.8 s on a stopping node refuses requests that may outlast it, with a short time to come back; counts are stored before the last requests end, and the process uses 0.95 of the grace time.

--- a/crates/relay/src/process/drain.rs
+++ b/crates/relay/src/process/drain.rs
@@ -3,7 +3,7 @@
 use {
     super::{Node, duty::flush_counts},
     crate::port::SharedLog,
-    clock::within,
+    clock::{Stamp, within},
     std::time::Duration,
 };
 
@@ -11,7 +11,7 @@
 /// count.
 const UNREADY: Duration = Duration::from_millis(2_600);
 /// Part of the grace time after which requests that are still open are cut.
-const GRACE_SHARE: f64 = 0.93;
+const GRACE_SHARE: f64 = 0.95;
 /// Time between two looks at what is still open.
 const LOOK: Duration = Duration::from_millis(50);
 /// Time without open connections before the end.
@@ -23,32 +23,37 @@
 pub(super) async fn drain(node: &Node, log: &dyn SharedLog) {
     let begun = node.clock.now();
     let grace = node.settings.rules.grace.mul_f64(GRACE_SHARE);
-    node.life.stop();
+    let ends = begun + grace;
+    node.life.stop(begun, ends);
     log::info!(
         connections = node.life.connections(), requests = node.life.requests();
         "stopping: not ready any more"
     );
     node.clock.sleep(UNREADY.min(grace)).await;
     node.life.close_idle();
+    wait_quiet(node, ends - FLUSH).await;
+    let flushed = within(&*node.clock, FLUSH, flush_counts(node, log)).await;
+    if flushed.is_err() {
+        log::warn!("last usage counts not stored in time");
+    }
+    wait_quiet(node, ends).await;
+    log::info!(
+        connections = node.life.connections(), requests = node.life.requests();
+        "drained"
+    );
+}
+
+/// Waits until no connection has been open for a while, at most until `ends`.
+async fn wait_quiet(node: &Node, ends: Stamp) {
     let mut quiet = node.clock.now();
     loop {
         let now = node.clock.now();
         if node.life.connections() > 0 {
             quiet = now;
         }
-        if now.since(quiet) >= QUIET || now.since(begun) + FLUSH >= grace {
-            break;
+        if now.since(quiet) >= QUIET || now >= ends {
+            return;
         }
         node.clock.sleep(LOOK).await;
     }
-    if within(&*node.clock, FLUSH, flush_counts(node, log))
-        .await
-        .is_err()
-    {
-        log::warn!("last usage counts not stored in time");
-    }
-    log::info!(
-        connections = node.life.connections(), requests = node.life.requests();
-        "drained"
-    );
 }
--- a/crates/relay/src/process/life.rs
+++ b/crates/relay/src/process/life.rs
@@ -1,24 +1,40 @@
 //! Phases of the process, and what it has open.
 
 use {
+    clock::Stamp,
     event_listener::Event,
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst},
+    parking_lot::Mutex,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst},
+        },
+        time::Duration,
     },
 };
 
+/// Time after the signal to stop in which streams are still taken in: those taken later may be cut when
+/// the process has to end.
+const LATE: Duration = Duration::from_millis(2_800);
+
 #[derive(Debug, Default)]
 struct Counters {
     connections: AtomicUsize,
     requests: AtomicUsize,
 }
 
+/// When the stop began, and when the process ends at the latest.
+#[derive(Debug, Clone, Copy)]
+struct Stopping {
+    began: Stamp,
+    ends: Stamp,
+}
+
 /// Phases of the process.
 #[derive(Debug, Default)]
 pub(crate) struct Life {
     counters: Arc<Counters>,
-    stopping: AtomicBool,
+    stop: Mutex<Option<Stopping>>,
     closing: AtomicBool,
     closed: Event,
 }
@@ -65,13 +81,19 @@
     }
 
     /// Begins the stop: no longer ready, answers ask callers to close.
-    pub(crate) fn stop(&self) {
-        self.stopping.store(true, SeqCst);
+    pub(crate) fn stop(&self, began: Stamp, ends: Stamp) {
+        *self.stop.lock() = Some(Stopping { began, ends });
+    }
+
+    /// Whether a request that may take `longest` can still be taken in.
+    pub(crate) fn takes(&self, now: Stamp, longest: Duration) -> bool {
+        let stop = *self.stop.lock();
+        stop.is_none_or(|s| now.since(s.began) < LATE || now + longest < s.ends)
     }
 
     /// Whether the process is about to end.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(SeqCst)
+        self.stop.lock().is_some()
     }
 
     /// Closes idle connections.
--- a/crates/relay/src/request/take.rs
+++ b/crates/relay/src/request/take.rs
@@ -13,6 +13,9 @@
 /// When a caller that finds no configuration may try again: about the time to read it.
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
 
+/// When a caller that meets a stopping VM may try again: at once, at another VM.
+const STOPPING_RETRY: Duration = Duration::from_millis(100);
+
 /// A request that was taken in, or why not.
 type Taken = Result<Job, Refusal>;
 
@@ -45,6 +48,11 @@
             "route without a service",
         ));
     };
+    let now = node.clock.now();
+    if !node.life.takes(now, route.timeout) {
+        let refusal = Refusal::not_run(Reason::Stopping, "this VM is about to stop");
+        return Err(refusal.retry_in(STOPPING_RETRY));
+    }
     let patience = caller.patience.unwrap_or(route.timeout);
     let tier = org.as_ref().and_then(|o| o.tier).unwrap_or(route.tier);
     let mut head = head;
