--- /dev/null
+++ b/crates/relay/tests/common/endpoint.rs
@@ -0,0 +1,144 @@
+//! A scripted endpoint.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    thread,
+    time::Duration,
+};
+
+/// What an endpoint does with a request.
+#[derive(Clone)]
+pub(crate) enum Script {
+    /// Sends these pieces with a pause after each, then keeps the connection.
+    Send(Vec<Vec<u8>>, Duration),
+    /// Sends these bytes, then closes.
+    SendAndClose(Vec<u8>),
+    /// Sends these bytes, then resets.
+    SendAndReset(Vec<u8>),
+    /// Sends nothing until the peer closes.
+    Hang,
+}
+
+/// A request as the endpoint got it.
+#[derive(Debug, Clone)]
+pub(crate) struct Seen {
+    pub(crate) head: String,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Seen {
+    pub(crate) fn field(&self, name: &str) -> Option<String> {
+        let mut lines = self.head.lines().skip(1).filter_map(|l| l.split_once(": "));
+        let found = lines.find(|(n, _)| n.eq_ignore_ascii_case(name));
+        found.map(|(_, v)| v.trim().to_owned())
+    }
+}
+
+type Plan = Arc<dyn Fn(usize, &Seen) -> Script + Send + Sync>;
+
+/// Listens on loopback; each request is answered by the plan.
+pub(crate) struct FakeEndpoint {
+    pub(crate) addr: SocketAddr,
+    pub(crate) seen: Arc<Mutex<Vec<Seen>>>,
+    pub(crate) closed: Arc<Mutex<usize>>,
+    pub(crate) connections: Arc<Mutex<usize>>,
+}
+
+impl FakeEndpoint {
+    pub(crate) fn start(plan: impl Fn(usize, &Seen) -> Script + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let endpoint = Self {
+            addr: listener.local_addr().unwrap(),
+            seen: Arc::default(),
+            closed: Arc::default(),
+            connections: Arc::default(),
+        };
+        let (seen, closed) = (endpoint.seen.clone(), endpoint.closed.clone());
+        let connections = endpoint.connections.clone();
+        let plan: Plan = Arc::new(plan);
+        thread::spawn(move || {
+            for socket in listener.incoming().flatten() {
+                *connections.lock().unwrap() += 1;
+                let (seen, plan, closed) = (seen.clone(), plan.clone(), closed.clone());
+                thread::spawn(move || {
+                    serve(socket, &seen, &plan);
+                    *closed.lock().unwrap() += 1;
+                });
+            }
+        });
+        endpoint
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.seen.lock().unwrap().len()
+    }
+
+    pub(crate) fn request(&self, at: usize) -> Seen {
+        self.seen.lock().unwrap()[at].clone()
+    }
+}
+
+fn serve(mut socket: TcpStream, seen: &Mutex<Vec<Seen>>, plan: &Plan) {
+    while let Some(request) = read_request(&mut socket) {
+        let number = {
+            let mut seen = seen.lock().unwrap();
+            seen.push(request.clone());
+            seen.len() - 1
+        };
+        match plan(number, &request) {
+            Script::Send(pieces, pause) => {
+                for piece in pieces {
+                    if socket.write_all(&piece).is_err() {
+                        return;
+                    }
+                    thread::sleep(pause);
+                }
+            }
+            Script::SendAndClose(bytes) => {
+                let _ = socket.write_all(&bytes);
+                return;
+            }
+            Script::SendAndReset(bytes) => {
+                let _ = socket.write_all(&bytes);
+                thread::sleep(Duration::from_millis(50));
+                let _ = rustix::net::sockopt::set_socket_linger(&socket, Some(Duration::ZERO));
+                return;
+            }
+            Script::Hang => {
+                let mut byte = [0];
+                let _ = socket.read(&mut byte);
+                return;
+            }
+        }
+    }
+}
+
+fn read_request(socket: &mut TcpStream) -> Option<Seen> {
+    let mut bytes = Vec::new();
+    let mut buf = [0; 4096];
+    let end = loop {
+        if let Some(at) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+            break at + 4;
+        }
+        match socket.read(&mut buf) {
+            Ok(size) if size > 0 => bytes.extend_from_slice(&buf[..size]),
+            _ => return None,
+        }
+    };
+    let head = String::from_utf8(bytes[..end].to_vec()).unwrap();
+    let mut body = bytes[end..].to_vec();
+    let seen = Seen {
+        head,
+        body: Vec::new(),
+    };
+    let length = seen.field("content-length").map_or(0, |v| v.parse().unwrap());
+    while body.len() < length {
+        match socket.read(&mut buf) {
+            Ok(size) if size > 0 => body.extend_from_slice(&buf[..size]),
+            _ => return None,
+        }
+    }
+    Some(Seen { body, ..seen })
+}
--- /dev/null
+++ b/crates/relay/tests/common/fakes.rs
@@ -0,0 +1,185 @@
+//! The platform, in memory.
+
+use {
+    h1::{Headers, ResponseHead},
+    ports::{Asked, PlatformError},
+    relay::{
+        Appended, BadHead, CallerHead, CapacityOrder, Change, Dialect, Duties, EndpointSays,
+        Entries, Feed, FeedKind, Fence, Hop, News, SharedLog, Topic,
+    },
+    route::Prompt,
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::{
+            Mutex,
+            atomic::{AtomicBool, Ordering::SeqCst},
+        },
+        time::Duration,
+    },
+    types::{OrgId, PartId, Tokens, Verdict},
+};
+
+/// Header fields of the tests.
+pub(crate) struct FakeDialect;
+
+impl Dialect for FakeDialect {
+    fn caller(&self, headers: &Headers) -> Result<CallerHead, BadHead> {
+        let id = headers.get("id").and_then(|v| v.parse().ok());
+        let number = |name| headers.get(name).and_then(|v| v.parse::<u64>().ok());
+        let prompt = number("prompt").map(|input| Prompt {
+            model: "m".parse().unwrap(),
+            input: Tokens(input),
+            output: Tokens(50),
+            parts: vec![(PartId(1), Tokens(input / 2)), (PartId(2), Tokens(input / 2))],
+        });
+        Ok(CallerHead {
+            id: id.ok_or(BadHead("id"))?,
+            patience: number("patience").map(Duration::from_millis),
+            key: headers.get("key").map(Into::into),
+            prompt,
+            last_event: number("last-event"),
+        })
+    }
+
+    fn forward(&self, headers: &mut Headers, hop: &Hop<'_>) {
+        headers.remove("key");
+        headers.set("endpoint", hop.endpoint.as_str());
+        if let Some(patience) = hop.patience {
+            headers.set("patience", patience.as_millis().to_string());
+        }
+        if let Some(org) = hop.org {
+            headers.set("org", org.as_str());
+        }
+        match hop.last_event {
+            Some(id) => headers.set("last-event", id.to_string()),
+            None => headers.remove("last-event"),
+        }
+    }
+
+    fn answer(&self, head: &ResponseHead) -> EndpointSays {
+        EndpointSays {
+            id: head.headers.get("id").and_then(|v| v.parse().ok()),
+            not_run: head.headers.get("not-run").is_some(),
+            misdirected: head.status == 421,
+        }
+    }
+}
+
+/// Feeds whose changes are added by the test.
+#[derive(Default)]
+pub(crate) struct FakeFeed {
+    pub(crate) config: Mutex<Vec<Change>>,
+    pub(crate) endpoints: Mutex<Vec<Change>>,
+    pub(crate) down: AtomicBool,
+}
+
+impl FakeFeed {
+    fn of(&self, kind: FeedKind) -> &Mutex<Vec<Change>> {
+        match kind {
+            FeedKind::Configuration => &self.config,
+            FeedKind::Endpoints => &self.endpoints,
+        }
+    }
+
+    pub(crate) fn push(&self, kind: FeedKind, change: Change) {
+        self.of(kind).lock().unwrap().push(change);
+    }
+}
+
+impl Feed for FakeFeed {
+    fn snapshot(&self, kind: FeedKind) -> Asked<'_, (Vec<Change>, u64)> {
+        Box::pin(async move {
+            if self.down.load(SeqCst) {
+                return Err(PlatformError::Unreachable(Verdict::NotRun));
+            }
+            let changes = self.of(kind).lock().unwrap().clone();
+            let next = changes.len() as u64;
+            Ok((changes, next))
+        })
+    }
+
+    fn follow(&self, kind: FeedKind, from: u64, _wait: Duration) -> Asked<'_, News> {
+        Box::pin(async move {
+            // The test's changes are seen within a few milliseconds.
+            async_io::Timer::after(Duration::from_millis(5)).await;
+            if self.down.load(SeqCst) {
+                return Err(PlatformError::Unreachable(Verdict::NotRun));
+            }
+            let all = self.of(kind).lock().unwrap();
+            let changes = all[from as usize..].to_vec();
+            Ok(News::Changes(changes, all.len() as u64))
+        })
+    }
+}
+
+/// A log in memory.
+#[derive(Default)]
+pub(crate) struct FakeLog {
+    topics: Mutex<HashMap<Topic, Vec<Vec<u8>>>>,
+}
+
+impl SharedLog for FakeLog {
+    fn append<'a>(
+        &'a self,
+        topic: Topic,
+        record: &'a [u8],
+        at: Option<u64>,
+    ) -> Asked<'a, Appended> {
+        Box::pin(async move {
+            let mut topics = self.topics.lock().unwrap();
+            let records = topics.entry(topic).or_default();
+            let end = records.len() as u64;
+            if at.is_some_and(|at| at != end) {
+                return Ok(Appended::Moved(end));
+            }
+            records.push(record.to_vec());
+            Ok(Appended::At(end))
+        })
+    }
+
+    fn read(&self, topic: Topic, from: u64, _wait: Duration) -> Asked<'_, Entries> {
+        Box::pin(async move {
+            let mut topics = self.topics.lock().unwrap();
+            let records = topics.entry(topic).or_default();
+            let numbered = records.iter().enumerate().skip(from as usize);
+            Ok(Entries {
+                first: 0,
+                end: records.len() as u64,
+                records: numbered.map(|(at, r)| (at as u64, r.clone())).collect(),
+            })
+        })
+    }
+}
+
+/// Calls of the duty holder, remembered.
+#[derive(Default)]
+pub(crate) struct FakeDuties {
+    pub(crate) reports: Mutex<Vec<(Fence, u64, BTreeMap<OrgId, u64>)>>,
+    pub(crate) orders: Mutex<Vec<(Fence, CapacityOrder)>>,
+}
+
+impl Duties for FakeDuties {
+    fn report_usage<'a>(
+        &'a self,
+        fence: Fence,
+        window: u64,
+        counts: &'a BTreeMap<OrgId, u64>,
+    ) -> Asked<'a, ()> {
+        Box::pin(async move {
+            let mut reports = self.reports.lock().unwrap();
+            reports.push((fence, window, counts.clone()));
+            Ok(())
+        })
+    }
+
+    fn order_capacity<'a>(&'a self, fence: Fence, order: &'a CapacityOrder) -> Asked<'a, ()> {
+        Box::pin(async move {
+            self.orders.lock().unwrap().push((fence, order.clone()));
+            Ok(())
+        })
+    }
+
+    fn call_limit(&self) -> Duration {
+        Duration::from_millis(600)
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/common/mod.rs
@@ -0,0 +1,13 @@
+//! A router in this process, between callers that speak raw bytes and scripted endpoints.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+mod endpoint;
+mod fakes;
+mod router;
+
+pub(crate) use {
+    endpoint::{FakeEndpoint, Script, Seen},
+    fakes::{FakeDuties, FakeFeed, FakeLog},
+    router::{Router, RouterSpec, answer_head, catalog, endpoint, free_addr, route},
+};
--- /dev/null
+++ b/crates/relay/tests/common/router.rs
@@ -0,0 +1,252 @@
+//! The router under test.
+
+use {
+    super::fakes::{FakeDialect, FakeDuties, FakeFeed, FakeLog},
+    clock::SystemClock,
+    daemon::{Pages, Readiness},
+    relay::{
+        Adapter, CallerLimits, Catalog, CatalogDoc, Change, Endpoint, Engine, FeedKind, Kind,
+        NodeProcess, NodeSettings, Org, RouteDoc, Rules, Service, run_node,
+    },
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        sync::Arc,
+        thread::{self, JoinHandle},
+        time::{Duration, Instant},
+    },
+    types::{Bytes, Tier, Tokens, Version},
+    wire::Stop,
+};
+
+/// Longest time that a test waits for anything.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// An address that nothing listens on.
+pub(crate) fn free_addr() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// A route for all paths of host `h`.
+pub(crate) fn route(kind: Kind) -> RouteDoc {
+    RouteDoc {
+        id: "r".parse().unwrap(),
+        host: "h".into(),
+        prefix: "/".into(),
+        kind,
+        timeout: Duration::from_secs(8),
+        target: Duration::from_millis(400),
+        pause: Some(Duration::from_millis(200)),
+        tier: Tier(1),
+        split: vec![("s".parse().unwrap(), 1.0)],
+        attempts: 2,
+        open: true,
+    }
+}
+
+/// A configuration with one route and one service.
+pub(crate) fn catalog(version: u64, route: RouteDoc) -> Change {
+    let engine = route.kind.is_stream().then_some(Engine {
+        slots: 8,
+        memory: Tokens(100_000),
+        stride: 3,
+    });
+    let service = Service {
+        engine,
+        ..Service::default()
+    };
+    let org = Org {
+        id: "acme".parse().unwrap(),
+        tier: None,
+        keys: vec!["secret".into()],
+    };
+    Change::Catalog(Arc::new(Catalog::new(CatalogDoc {
+        version: Version(version),
+        routes: vec![route],
+        services: [("s".parse().unwrap(), service)].into(),
+        orgs: Some(vec![org]),
+        limits: CallerLimits::default(),
+    })))
+}
+
+/// A listed endpoint of service `s`.
+pub(crate) fn endpoint(id: &str, addr: SocketAddr) -> Endpoint {
+    Endpoint {
+        id: id.parse().unwrap(),
+        service: "s".parse().unwrap(),
+        addr,
+        zone: "z".parse().unwrap(),
+        slots: 8,
+        leaving: false,
+        cheap: false,
+        cold: Duration::ZERO,
+        born: 1,
+    }
+}
+
+/// What a router starts with.
+pub(crate) struct RouterSpec {
+    pub(crate) catalog: Option<Change>,
+    pub(crate) endpoints: Vec<Endpoint>,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) feed: Arc<FakeFeed>,
+    pub(crate) log: Arc<FakeLog>,
+    pub(crate) name: &'static str,
+}
+
+impl RouterSpec {
+    pub(crate) fn new(kind: Kind, endpoints: Vec<Endpoint>) -> Self {
+        Self {
+            catalog: Some(catalog(1, route(kind))),
+            endpoints,
+            seeds: Vec::new(),
+            feed: Arc::default(),
+            log: Arc::default(),
+            name: "vm-1",
+        }
+    }
+}
+
+/// A running router.
+pub(crate) struct Router {
+    pub(crate) front: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) control: SocketAddr,
+    pub(crate) feed: Arc<FakeFeed>,
+    pub(crate) duties: Arc<FakeDuties>,
+    pub(crate) stop: Stop,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Router {
+    /// A router with one endpoint, ready.
+    pub(crate) fn with(kind: Kind, endpoints: Vec<Endpoint>) -> Self {
+        let router = Self::start(RouterSpec::new(kind, endpoints));
+        router.wait_ready();
+        router
+    }
+
+    pub(crate) fn start(spec: RouterSpec) -> Self {
+        let feed = spec.feed;
+        if let Some(catalog) = spec.catalog {
+            feed.push(FeedKind::Configuration, catalog);
+        }
+        for endpoint in spec.endpoints {
+            feed.push(FeedKind::Endpoints, Change::Listed(endpoint));
+        }
+        let settings = settings(spec.name, spec.seeds);
+        let duties: Arc<FakeDuties> = Arc::default();
+        let stop = Stop::default();
+        let router = Self {
+            front: settings.front,
+            ready: settings.ready,
+            control: settings.control,
+            feed: feed.clone(),
+            duties: duties.clone(),
+            stop: stop.clone(),
+            thread: None,
+        };
+        let adapter = Adapter {
+            settings,
+            dialect: Arc::new(FakeDialect),
+            feed,
+            log: spec.log,
+            duties,
+        };
+        let process = NodeProcess {
+            ex: Arc::default(),
+            clock: SystemClock::shared(),
+            stop,
+            ready: Readiness::default(),
+            pages: Pages::default(),
+        };
+        let thread = thread::spawn(move || {
+            let ex = process.ex.clone();
+            async_io::block_on(ex.run(run_node(process, adapter))).unwrap();
+        });
+        Self {
+            thread: Some(thread),
+            ..router
+        }
+    }
+
+    pub(crate) fn wait_ready(&self) {
+        self.wait_for(|| self.readiness() == Some(200));
+    }
+
+    /// Status of the readiness page.
+    pub(crate) fn readiness(&self) -> Option<u16> {
+        let mut socket = TcpStream::connect(self.ready).ok()?;
+        socket
+            .write_all(b"GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n")
+            .ok()?;
+        let mut text = String::new();
+        socket.read_to_string(&mut text).ok()?;
+        text.split(' ').nth(1)?.parse().ok()
+    }
+
+    pub(crate) fn wait_for(&self, mut done: impl FnMut() -> bool) {
+        let begun = Instant::now();
+        while !done() {
+            assert!(begun.elapsed() < PATIENCE, "waited too long");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    pub(crate) fn connect(&self) -> TcpStream {
+        let socket = TcpStream::connect(self.front).unwrap();
+        socket.set_read_timeout(Some(PATIENCE)).unwrap();
+        socket
+    }
+
+    /// Sends bytes on a new connection and reads until the router closes it.
+    pub(crate) fn exchange(&self, bytes: &[u8]) -> String {
+        let mut socket = self.connect();
+        socket.write_all(bytes).unwrap();
+        let mut answer = Vec::new();
+        // A reset ends what could be read, too.
+        let _ = socket.read_to_end(&mut answer);
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    /// Waits for the end of a stopped router.
+    pub(crate) fn join(mut self) {
+        if let Some(thread) = self.thread.take() {
+            thread.join().unwrap();
+        }
+    }
+}
+
+/// Head of a whole answer with the id that the scripted endpoints echo.
+pub(crate) fn answer_head(id: &str, fields: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nid: {id}\r\n{fields}\r\n")
+}
+
+fn settings(name: &str, seeds: Vec<SocketAddr>) -> NodeSettings {
+    NodeSettings {
+        vm: name.parse().unwrap(),
+        zone: "z".parse().unwrap(),
+        front: free_addr(),
+        ready: free_addr(),
+        control: free_addr(),
+        peers: free_addr(),
+        metrics: free_addr(),
+        seeds,
+        descriptors: 1_000,
+        memory: Bytes(100 << 20),
+        rules: Rules {
+            grace: Duration::from_secs(4),
+            apply: Duration::from_secs(2),
+            drain: Duration::from_secs(2),
+            retry_ratio: 0.2,
+            retry_window: Duration::from_secs(10),
+            retry_extra: 56.0,
+            lease: Duration::from_secs(3),
+            window: Duration::from_secs(5),
+            report_due: Duration::from_secs(10),
+        },
+        reports_usage: true,
+        orders_capacity: false,
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/stopping.rs
@@ -0,0 +1,115 @@
+//! Planned stops, endpoints that leave, configurations that change.
+
+mod common;
+
+use {
+    common::{FakeEndpoint, Router, RouterSpec, Script, answer_head, catalog, endpoint, route},
+    relay::{Change, FeedKind, Kind},
+    std::{
+        io::{Read, Write},
+        thread,
+        time::Duration,
+    },
+};
+
+fn ask(extra: &str) -> Vec<u8> {
+    format!("GET /a HTTP/1.1\r\nHost: h\r\nid: q1\r\npatience: 9000\r\n{extra}\r\n").into_bytes()
+}
+
+fn answering(body: &'static str) -> FakeEndpoint {
+    FakeEndpoint::start(move |_, _| {
+        let head = answer_head("q1", &format!("Content-Length: {}\r\n", body.len()));
+        Script::Send(vec![format!("{head}{body}").into_bytes()], Duration::ZERO)
+    })
+}
+
+#[test]
+fn stop_ends_no_request_that_is_under_way() {
+    let server = FakeEndpoint::start(|_, _| {
+        let head = answer_head("q1", "Content-Length: 4\r\n");
+        Script::Send(
+            vec![head.into_bytes(), b"do".to_vec(), b"ne".to_vec()],
+            Duration::from_millis(400),
+        )
+    });
+    let router = Router::with(Kind::Once, vec![endpoint("e1", server.addr)]);
+    let mut socket = router.connect();
+    socket.write_all(&ask("")).unwrap();
+    router.wait_for(|| server.count() == 1);
+    router.stop.trigger();
+    router.wait_for(|| router.readiness() == Some(503));
+    let mut answer = String::new();
+    socket.read_to_string(&mut answer).unwrap();
+    assert!(answer.ends_with("done"), "{answer}");
+    router.join();
+}
+
+#[test]
+fn request_that_may_outlast_a_stopping_router_is_refused_as_not_run() {
+    let server = answering("hello");
+    let router = Router::with(Kind::Once, vec![endpoint("e1", server.addr)]);
+    router.stop.trigger();
+    let answer = router.exchange(&ask("Connection: close\r\n"));
+    assert!(answer.ends_with("hello"), "right after the signal: {answer}");
+    thread::sleep(Duration::from_millis(3_000));
+    let answer = router.exchange(&ask("Connection: close\r\n"));
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("Retry-After"), "{answer}");
+    assert_eq!(server.count(), 1);
+    router.join();
+}
+
+#[test]
+fn leaving_endpoint_gets_no_more_requests() {
+    let (first, second) = (answering("one"), answering("two"));
+    let endpoints = vec![endpoint("e1", first.addr), endpoint("e2", second.addr)];
+    let router = Router::with(Kind::Once, endpoints);
+    let mut leaving = endpoint("e1", first.addr);
+    leaving.leaving = true;
+    router.feed.push(FeedKind::Endpoints, Change::Listed(leaving));
+    thread::sleep(Duration::from_millis(1_500));
+    let before = first.count();
+    for _ in 0..10 {
+        let answer = router.exchange(&ask("Connection: close\r\n"));
+        assert!(answer.ends_with("two"), "{answer}");
+    }
+    assert_eq!(first.count(), before);
+}
+
+#[test]
+fn older_configuration_never_comes_back() {
+    let server = answering("hello");
+    let router = Router::with(Kind::Once, vec![endpoint("e1", server.addr)]);
+    let mut closed = route(Kind::Once);
+    closed.open = false;
+    let config = FeedKind::Configuration;
+    router.feed.push(config, catalog(5, closed));
+    let refused = || {
+        let answer = router.exchange(&ask("Connection: close\r\n"));
+        answer.starts_with("HTTP/1.1 401")
+    };
+    router.wait_for(refused);
+    router.feed.push(config, catalog(3, route(Kind::Once)));
+    thread::sleep(Duration::from_millis(300));
+    assert!(refused());
+    let answer = router.exchange(&ask("key: secret\r\nConnection: close\r\n"));
+    assert!(answer.ends_with("hello"), "{answer}");
+    let seen = server.request(server.count() - 1);
+    assert_eq!(seen.field("org").as_deref(), Some("acme"));
+    assert_eq!(seen.field("key"), None);
+}
+
+#[test]
+fn router_that_starts_without_the_platform_learns_from_another() {
+    let server = answering("hello");
+    let first = Router::with(Kind::Once, vec![endpoint("e1", server.addr)]);
+    let mut spec = RouterSpec::new(Kind::Once, Vec::new());
+    spec.catalog = None;
+    spec.name = "vm-2";
+    spec.seeds = vec![first.control];
+    spec.feed.down.store(true, std::sync::atomic::Ordering::SeqCst);
+    let second = Router::start(spec);
+    second.wait_ready();
+    let answer = second.exchange(&ask("Connection: close\r\n"));
+    assert!(answer.ends_with("hello"), "{answer}");
+}
