One VM of each zone reads the platform and passes news on

Ruled out: longer waits alone (bounds of two seconds), the platform's change records by datagram (a large configuration does not fit one). Change: the strongest VM heard in a zone reads; the others hold a call open to it, and read alone for 4 s when its news are old or missing; counts of requests go through it to the store; only readers contend for duties. A VM that starts without the platform uses the same call. The sizer keeps what it finds until it knows the work.

--- a/crates/fleet/src/zone/sizer.rs
+++ b/crates/fleet/src/zone/sizer.rs
@@ -12,7 +12,7 @@
 const FILL: f64 = 0.30;
 /// Weight of a second's work in its mean, when it rises and when it falls.
 const RISE: f64 = 0.7;
-const FALL: f64 = 0.03;
+const FALL: f64 = 0.02;
 /// Steady engines kept in each zone: they carry what may not be lost when cheap ones are reclaimed.
 const STEADY_FLOOR: u32 = 1;
 /// Engines kept in each zone in all while there is no work to go by.
@@ -90,6 +90,11 @@
 
     /// Decides what to order; called about once a second.
     pub fn decide(&mut self, now: Stamp, view: &SizeView) -> Vec<SizeOrder> {
+        if self.work == 0.0 {
+            // Whoever takes over keeps what is there until the work shows what is needed.
+            let present: u32 = view.zones.iter().map(|p| p.steady + p.cheap).sum();
+            self.work = f64::from(present) * FILL;
+        }
         let weight = if view.work > self.work { RISE } else { FALL };
         self.work += weight * (view.work - self.work);
         for pool in &view.zones {
--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -6,5 +6,5 @@
 
 pub(crate) use {
     front::{listen, serve_front},
-    pages::{Page, serve_pages},
+    pages::{Answering, Page, serve_pages},
 };
--- a/crates/relay/src/peers/news.rs
+++ b/crates/relay/src/peers/news.rs
@@ -4,7 +4,7 @@
     route::Load,
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
-    types::{EndpointId, Incarnation, ServiceId, Version, VmId},
+    types::{EndpointId, Incarnation, ServiceId, Version, VmId, ZoneId},
 };
 
 /// Most addresses of other VMs in one datagram.
@@ -17,6 +17,10 @@
     pub(crate) vm: VmId,
     /// Start of its process.
     pub(crate) inc: Incarnation,
+    /// Its availability zone.
+    pub(crate) zone: ZoneId,
+    /// Processor time that it has, in thousandths of a core.
+    pub(crate) power: u32,
     /// Number of the datagram; a later one replaces an earlier one.
     pub(crate) seq: u64,
     /// Its configuration.
--- a/crates/relay/src/peers/table.rs
+++ b/crates/relay/src/peers/table.rs
@@ -8,7 +8,7 @@
         net::SocketAddr,
         time::Duration,
     },
-    types::{EndpointId, Incarnation, VmId},
+    types::{EndpointId, Incarnation, VmId, ZoneId},
 };
 
 /// Time without a datagram after which a VM no longer counts, and its load is dropped.
@@ -25,6 +25,9 @@
     addr: SocketAddr,
     inc: Incarnation,
     seq: u64,
+    zone: ZoneId,
+    power: u32,
+    first: Stamp,
     heard: Stamp,
     leaving: bool,
     /// How far its clock is ahead of the own one, in milliseconds.
@@ -42,15 +45,47 @@
     pub(crate) cleared: Vec<EndpointId>,
 }
 
+/// Shortest time that a VM must have been heard before it reads for others: it has to know the
+/// platform's state itself first.
+const READER_AGE: Duration = Duration::from_secs(1);
+/// Time without a datagram after which a VM no longer reads for others.
+const READER_SILENT: Duration = Duration::from_millis(1_500);
+
 /// The other VMs.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct PeerTable {
+    vm: VmId,
+    zone: ZoneId,
+    power: u32,
     peers: BTreeMap<VmId, Peer>,
     /// Addresses heard of but not from, and when.
     rumours: BTreeMap<SocketAddr, Stamp>,
 }
 
 impl PeerTable {
+    /// A table of the VM `vm`, which has `power` thousandths of a core.
+    pub(crate) fn new(vm: VmId, zone: ZoneId, power: u32) -> Self {
+        Self {
+            vm,
+            zone,
+            power,
+            peers: BTreeMap::new(),
+            rumours: BTreeMap::new(),
+        }
+    }
+
+    /// The VM that reads the platform for this zone, unless it is this one: the strongest that is heard
+    /// and stays.
+    pub(crate) fn reader(&self, now: Stamp) -> Option<SocketAddr> {
+        let live = self.peers.iter().filter(|(_, p)| {
+            let settled = now.since(p.first) >= READER_AGE.max(FOR_EACH * 100);
+            settled && now.since(p.heard) < READER_SILENT.max(self.pause(now) * 3)
+        });
+        let fit = live.filter(|(_, p)| p.zone == self.zone && !p.leaving);
+        let (vm, best) = fit.max_by_key(|(vm, p)| (p.power, *vm))?;
+        ((best.power, vm) > (self.power, &self.vm)).then_some(best.addr)
+    }
+
     /// Takes in a datagram; nothing if it is older than one that was taken in before.
     pub(crate) fn hear(
         &mut self,
@@ -71,6 +106,11 @@
             addr: from,
             inc: news.inc,
             seq: news.seq,
+            zone: news.zone.clone(),
+            power: news.power,
+            first: old
+                .filter(|p| !is_new && p.inc == news.inc)
+                .map_or(now, |p| p.first),
             heard: now,
             leaving: news.leaving,
             ahead: i64::try_from(news.unix_ms).unwrap_or(i64::MAX) - own_ms,
--- a/crates/relay/src/port/feed.rs
+++ b/crates/relay/src/port/feed.rs
@@ -18,6 +18,9 @@
 }
 
 impl FeedKind {
+    /// All feeds.
+    pub const ALL: [Self; 2] = [Self::Configuration, Self::Endpoints];
+
     /// Name in logs.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/relay/src/port/node.rs
+++ b/crates/relay/src/port/node.rs
@@ -47,6 +47,8 @@
     pub metrics: SocketAddr,
     /// Control addresses of some VMs; they may be gone.
     pub seeds: Vec<SocketAddr>,
+    /// Processor time that the VM has, in thousandths of a core.
+    pub power: u32,
     /// Descriptors that the process may use.
     pub descriptors: u32,
     /// Memory that the process may use.
--- a/crates/relay/src/process/duty.rs
+++ b/crates/relay/src/process/duty.rs
@@ -74,6 +74,13 @@
             self.note();
             return OTHER_PAUSE;
         }
+        let now = self.node.clock.now();
+        if !self.seat.is_own() && !self.node.reads_platform(now) {
+            // Those who read the platform contend; a VM that begins to reads the log first.
+            self.seat.unsure();
+            self.note();
+            return OTHER_PAUSE;
+        }
         if (self.seat.must_read() || !self.seat.is_own()) && !self.read().await {
             self.note();
             return FAILED_PAUSE;
@@ -259,34 +266,31 @@
 /// Time between two records of this VM's counts.
 const TALLY_PAUSE: Duration = Duration::from_millis(2_000);
 
-/// Stores this VM's counts until it is dropped.
+/// Stores counts until it is dropped: those of this VM and of VMs that follow it.
 pub(super) async fn store_counts(node: Arc<Node>, log: Arc<dyn SharedLog>) {
     loop {
         node.clock.sleep(TALLY_PAUSE).await;
-        flush_counts(&node, &*log).await;
+        if node.reads_platform(node.clock.now()) || !node.relayed.lock().is_empty() {
+            flush_counts(&node, &*log).await;
+        }
     }
 }
 
 /// Stores the counts that changed.
 pub(super) async fn flush_counts(node: &Node, log: &dyn SharedLog) {
     let changed = node.tally.lock().take_changed();
-    if changed.is_empty() {
+    let mut records = node.tally_records(changed);
+    records.append(&mut node.relayed.lock());
+    if records.is_empty() {
         return;
     }
-    let record = |(window, counts)| TallyRecord {
-        vm: node.settings.vm.clone(),
-        inc: node.inc,
-        window,
-        counts,
-    };
-    let records: Vec<_> = changed.into_iter().map(record).collect();
     let Ok(bytes) = rmp_serde::to_vec(&records) else {
         log::error!("usage record cannot be encoded");
         return;
     };
     if let Err(e) = log.append(Topic::Usage, &bytes, None).await {
         log::warn!(error:% = e; "usage counts not stored");
-        let mut tally = node.tally.lock();
-        records.iter().for_each(|r| tally.put_back(r.window));
+        // Counts are cumulative, so storing them twice changes nothing.
+        node.relayed.lock().extend(records);
     }
 }
--- a/crates/relay/src/process/follow.rs
+++ b/crates/relay/src/process/follow.rs
@@ -3,118 +3,157 @@
 use {
     super::Node,
     crate::port::{Change, Feed, FeedKind, News},
+    clock::Stamp,
     std::{sync::Arc, time::Duration},
 };
 
-/// Time that a read waits for changes: with the call's own limit it ends within three seconds, the
-/// shortest span after which a VM whose connections went silent is expected to act again.
-const WAIT: Duration = Duration::from_millis(1_800);
-/// Pause between reads of endpoints, whose heartbeats would else end each read at once; a third of
+/// Time that a read waits for changes: with the call's own limit and one more read it stays below the
+/// shortest bound of a change, also for those who follow this VM.
+const WAIT: Duration = Duration::from_millis(600);
+/// Pause between reads of endpoints, whose heartbeats would else end each read at once; a quarter of
 /// the shortest drain bound.
-const ENDPOINT_PAUSE: Duration = Duration::from_millis(700);
-/// Pause after a failed read, with as much jitter.
+const ENDPOINT_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after a failed read: first and longest, with as much jitter.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+/// Pause between two looks at whether this VM reads the platform.
+const LOOK: Duration = Duration::from_millis(100);
+/// Age from which what a VM read counts as old: a waiting read, a pause and the usual call.
+pub(super) const FRESH: Duration = Duration::from_millis(1_300);
 
-/// Whether a feed can be read at present.
-struct Reach {
-    kind: FeedKind,
-    reached: bool,
+/// When the feeds were last read.
+#[derive(Debug, Default)]
+pub(crate) struct Freshness {
+    config: Option<Stamp>,
+    endpoints: Option<Stamp>,
 }
 
-impl Reach {
-    fn set(&mut self, reached: bool, cause: &str) {
-        if self.reached == reached {
-            return;
-        }
-        self.reached = reached;
-        let feed = self.kind.as_str();
-        if reached {
-            log::info!(feed = feed; "platform's feed regained");
-        } else {
-            log::warn!(feed = feed, cause = cause; "platform's feed lost");
+impl Freshness {
+    /// Time since a feed was read.
+    pub(crate) fn age(&self, now: Stamp, kind: FeedKind) -> Duration {
+        let read = match kind {
+            FeedKind::Configuration => self.config,
+            FeedKind::Endpoints => self.endpoints,
+        };
+        read.map_or(Duration::MAX, |at| now.since(at))
+    }
+
+    fn read(&mut self, now: Stamp, kind: FeedKind) {
+        match kind {
+            FeedKind::Configuration => self.config = Some(now),
+            FeedKind::Endpoints => self.endpoints = Some(now),
         }
     }
 }
 
-/// Follows a feed until it is dropped.
+/// One feed of the platform, and whether it can be read at present.
+struct Reader {
+    node: Arc<Node>,
+    feed: Arc<dyn Feed>,
+    kind: FeedKind,
+    reached: bool,
+    pause: Duration,
+}
+
+/// Follows a feed until it is dropped, whenever this VM is to read the platform.
 pub(super) async fn follow(node: Arc<Node>, feed: Arc<dyn Feed>, kind: FeedKind) {
-    let mut reach = Reach {
+    let mut reader = Reader {
+        node: node.clone(),
+        feed,
         kind,
         reached: true,
+        pause: FAILED_PAUSE,
     };
     let mut from = None;
     loop {
+        if !node.reads_platform(node.clock.now()) {
+            from = None;
+            node.clock.sleep(LOOK).await;
+            continue;
+        }
         from = match from {
-            None => begin(&node, &*feed, &mut reach).await,
-            Some(from) => go_on(&node, &*feed, &mut reach, from).await,
+            None => reader.begin().await,
+            Some(from) => reader.go_on(from).await,
         };
     }
 }
 
-/// Reads everything; returns the offset to follow from.
-async fn begin(node: &Node, feed: &dyn Feed, reach: &mut Reach) -> Option<u64> {
-    match feed.snapshot(reach.kind).await {
-        Ok((changes, next)) => {
-            reached(node, reach);
-            let listed: Vec<_> = changes
-                .iter()
-                .filter_map(|c| match c {
-                    Change::Listed(endpoint) => Some(endpoint.id.clone()),
-                    _ => None,
-                })
-                .collect();
-            take_in(node, changes);
-            if reach.kind == FeedKind::Endpoints {
-                node.prune(Some(&listed));
+impl Reader {
+    /// Reads everything; returns the offset to follow from.
+    async fn begin(&mut self) -> Option<u64> {
+        match self.feed.snapshot(self.kind).await {
+            Ok((changes, next)) => {
+                self.read();
+                let listed: Vec<_> = changes
+                    .iter()
+                    .filter_map(|c| match c {
+                        Change::Listed(endpoint) => Some(endpoint.id.clone()),
+                        _ => None,
+                    })
+                    .collect();
+                take_in(&self.node, changes);
+                if self.kind == FeedKind::Endpoints {
+                    self.node.prune(Some(&listed));
+                }
+                Some(next)
+            }
+            Err(e) => {
+                self.failed(&e.to_string()).await;
+                None
             }
-            Some(next)
-        }
-        Err(e) => {
-            failed(node, reach, &e.to_string()).await;
-            None
         }
     }
-}
 
-/// Reads changes; returns the offset to follow from, or nothing when everything has to be read again.
-async fn go_on(node: &Node, feed: &dyn Feed, reach: &mut Reach, from: u64) -> Option<u64> {
-    match feed.follow(reach.kind, from, WAIT).await {
-        Ok(News::Changes(changes, next)) => {
-            reached(node, reach);
-            take_in(node, changes);
-            if reach.kind == FeedKind::Endpoints {
-                node.prune(None);
-                node.clock.sleep(ENDPOINT_PAUSE).await;
+    /// Reads changes; returns the offset to follow from, or nothing when everything has to be read again.
+    async fn go_on(&mut self, from: u64) -> Option<u64> {
+        match self.feed.follow(self.kind, from, WAIT).await {
+            Ok(News::Changes(changes, next)) => {
+                self.read();
+                take_in(&self.node, changes);
+                if self.kind == FeedKind::Endpoints {
+                    self.node.prune(None);
+                    self.node.clock.sleep(ENDPOINT_PAUSE).await;
+                }
+                Some(next)
+            }
+            Ok(News::Lost) => {
+                log::warn!(feed = self.kind.as_str(), from = from; "changes are no longer kept, reading everything");
+                None
+            }
+            Err(e) => {
+                self.failed(&e.to_string()).await;
+                Some(from)
             }
-            Some(next)
-        }
-        Ok(News::Lost) => {
-            log::warn!(feed = reach.kind.as_str(), from = from; "changes are no longer kept, reading everything");
-            None
-        }
-        Err(e) => {
-            failed(node, reach, &e.to_string()).await;
-            Some(from)
         }
     }
-}
 
-fn reached(node: &Node, reach: &mut Reach) {
-    reach.set(true, "");
-    if reach.kind == FeedKind::Endpoints {
-        node.registry.lock().reached(node.clock.now());
+    fn read(&mut self) {
+        let now = self.node.clock.now();
+        self.pause = FAILED_PAUSE;
+        self.node.fresh.lock().read(now, self.kind);
+        if !self.reached {
+            self.reached = true;
+            log::info!(feed = self.kind.as_str(); "platform's feed regained");
+        }
+        if self.kind == FeedKind::Endpoints {
+            self.node.registry.lock().reached(now);
+        }
     }
-}
 
-async fn failed(node: &Node, reach: &mut Reach, cause: &str) {
-    reach.set(false, cause);
-    metrics::counter!("celerystage_feed_failures_total", "feed" => reach.kind.as_str())
-        .increment(1);
-    if reach.kind == FeedKind::Endpoints {
-        node.registry.lock().unreachable();
+    async fn failed(&mut self, cause: &str) {
+        let feed = self.kind.as_str();
+        metrics::counter!("celerystage_feed_failures_total", "feed" => feed).increment(1);
+        if self.reached {
+            self.reached = false;
+            log::warn!(feed = feed, cause = cause; "platform's feed lost");
+        }
+        if self.kind == FeedKind::Endpoints {
+            self.node.registry.lock().unreachable();
+        }
+        let jitter = self.pause.mul_f64(fastrand::f64());
+        self.node.clock.sleep(self.pause + jitter).await;
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
-    let jitter = FAILED_PAUSE.mul_f64(fastrand::f64());
-    node.clock.sleep(FAILED_PAUSE + jitter).await;
 }
 
 fn take_in(node: &Node, changes: Vec<Change>) {
--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -63,6 +63,8 @@
         let news = PeerNews {
             vm: node.settings.vm.clone(),
             inc: node.inc,
+            zone: node.settings.zone.clone(),
+            power: node.settings.power,
             seq,
             version,
             loads: loads.clone(),
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -9,11 +9,12 @@
 mod life;
 mod node;
 mod placing;
+mod relay;
 mod run;
-mod snapshot;
 mod truetime;
 
 pub(crate) use {
+    follow::Freshness,
     life::{Connected, Life},
     node::Node,
     truetime::TrueTime,
--- a/crates/relay/src/process/placing.rs
+++ b/crates/relay/src/process/placing.rs
@@ -3,7 +3,7 @@
 use {
     super::Node,
     crate::{
-        fleet::{Endpoint, RegistryChange},
+        fleet::{Endpoint, ListChange, RegistryChange},
         request::{Job, Slot},
         version::Catalog,
     },
@@ -48,6 +48,7 @@
             "configuration in force"
         );
         *current = Some(catalog);
+        self.news.notify(usize::MAX);
         true
     }
 
@@ -63,6 +64,7 @@
             addr:% = endpoint.addr, leaving = endpoint.leaving, cheap = endpoint.cheap, change:? = change;
             "endpoint listed"
         );
+        self.remember(ListChange::Listed(endpoint.clone()));
         let mut placers = self.placers.lock();
         if let Some(placer) = placers.get_mut(&endpoint.service) {
             if endpoint.leaving {
@@ -106,11 +108,18 @@
         self.drop_places(&expired);
     }
 
+    fn remember(&self, change: ListChange) {
+        self.history.lock().add(change);
+        self.news.notify(usize::MAX);
+    }
+
     /// Called with the registry locked.
     fn drop_places(&self, ids: &[EndpointId]) {
         if ids.is_empty() {
             return;
         }
+        ids.iter()
+            .for_each(|id| self.remember(ListChange::Gone(id.clone())));
         let mut placers = self.placers.lock();
         for placer in placers.values_mut() {
             ids.iter().for_each(|id| placer.unlist(id));
--- a/crates/relay/src/process/run.rs
+++ b/crates/relay/src/process/run.rs
@@ -6,10 +6,11 @@
         drain::drain,
         duty::{run_duties, store_counts},
         follow::follow,
-        gossip, snapshot,
+        gossip,
+        relay::{NEWS_PATH, fetch_first, follow_reader, tell},
     },
     crate::{
-        connection::{Page, listen, serve_front, serve_pages},
+        connection::{Answering, Page, listen, serve_front, serve_pages},
         port::{Dialect, Duties, Feed, FeedKind, NodeSettings, SharedLog},
     },
     async_io::Async,
@@ -60,7 +61,8 @@
         ex.spawn(serve_pages(node.clone(), control, control_page(&node))),
         ex.spawn(gossip::hear(node.clone(), socket.clone())),
         ex.spawn(gossip::speak(node.clone(), socket)),
-        ex.spawn(snapshot::fetch(node.clone())),
+        ex.spawn(fetch_first(node.clone())),
+        ex.spawn(follow_reader(node.clone())),
         ex.spawn(run_duties(node.clone(), log.clone(), duties)),
         ex.spawn(store_counts(node.clone(), log.clone())),
         ex.spawn(sweep(node.clone())),
@@ -73,28 +75,26 @@
 
 fn ready_page(node: &Arc<Node>) -> Page {
     let node = node.clone();
-    Arc::new(move |_| {
-        if node.is_ready() {
-            (200, b"ready\n".to_vec())
-        } else {
-            (503, b"not ready\n".to_vec())
-        }
+    Arc::new(move |_, _| {
+        let ready = node.is_ready();
+        answer(if ready { 200 } else { 503 })
     })
 }
 
 fn control_page(node: &Arc<Node>) -> Page {
     let node = node.clone();
-    Arc::new(move |path| {
-        if path != snapshot::SNAPSHOT_PATH {
-            return (404, Vec::new());
-        }
-        match snapshot::snapshot(&node) {
-            Some(body) => (200, body),
-            None => (503, Vec::new()),
+    Arc::new(move |path, body| {
+        if path != NEWS_PATH {
+            return answer(404);
         }
+        Box::pin(tell(node.clone(), body))
     })
 }
 
+fn answer(status: u16) -> Answering {
+    Box::pin(async move { (status, Vec::new()) })
+}
+
 async fn sweep(node: Arc<Node>) {
     loop {
         node.clock.sleep(SWEEP).await;
--- a/crates/relay/tests/answers.rs
+++ b/crates/relay/tests/answers.rs
@@ -8,7 +8,8 @@
     std::{io::Write, time::Duration},
 };
 
-const ASK: &str = "POST /a HTTP/1.1\r\nHost: h\r\nid: q1\r\npatience: 3000\r\nConnection: close\r\n";
+const ASK: &str =
+    "POST /a HTTP/1.1\r\nHost: h\r\nid: q1\r\npatience: 3000\r\nConnection: close\r\n";
 
 fn ask(body: &str) -> Vec<u8> {
     format!("{ASK}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
--- a/crates/relay/tests/common/endpoint.rs
+++ b/crates/relay/tests/common/endpoint.rs
@@ -133,7 +133,9 @@
         head,
         body: Vec::new(),
     };
-    let length = seen.field("content-length").map_or(0, |v| v.parse().unwrap());
+    let length = seen
+        .field("content-length")
+        .map_or(0, |v| v.parse().unwrap());
     while body.len() < length {
         match socket.read(&mut buf) {
             Ok(size) if size > 0 => body.extend_from_slice(&buf[..size]),
--- a/crates/relay/tests/common/fakes.rs
+++ b/crates/relay/tests/common/fakes.rs
@@ -30,7 +30,10 @@
             model: "m".parse().unwrap(),
             input: Tokens(input),
             output: Tokens(50),
-            parts: vec![(PartId(1), Tokens(input / 2)), (PartId(2), Tokens(input / 2))],
+            parts: vec![
+                (PartId(1), Tokens(input / 2)),
+                (PartId(2), Tokens(input / 2)),
+            ],
         });
         Ok(CallerHead {
             id: id.ok_or(BadHead("id"))?,
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A router in this process, between callers that speak raw bytes and scripted endpoints.
 
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod endpoint;
 mod fakes;
--- a/crates/relay/tests/common/router.rs
+++ b/crates/relay/tests/common/router.rs
@@ -233,6 +233,7 @@
         peers: free_addr(),
         metrics: free_addr(),
         seeds,
+        power: 1_000,
         descriptors: 1_000,
         memory: Bytes(100 << 20),
         rules: Rules {
--- a/crates/relay/tests/stopping.rs
+++ b/crates/relay/tests/stopping.rs
@@ -50,7 +50,10 @@
     let router = Router::with(Kind::Once, vec![endpoint("e1", server.addr)]);
     router.stop.trigger();
     let answer = router.exchange(&ask("Connection: close\r\n"));
-    assert!(answer.ends_with("hello"), "right after the signal: {answer}");
+    assert!(
+        answer.ends_with("hello"),
+        "right after the signal: {answer}"
+    );
     thread::sleep(Duration::from_millis(3_000));
     let answer = router.exchange(&ask("Connection: close\r\n"));
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
@@ -66,7 +69,9 @@
     let router = Router::with(Kind::Once, endpoints);
     let mut leaving = endpoint("e1", first.addr);
     leaving.leaving = true;
-    router.feed.push(FeedKind::Endpoints, Change::Listed(leaving));
+    router
+        .feed
+        .push(FeedKind::Endpoints, Change::Listed(leaving));
     thread::sleep(Duration::from_millis(1_500));
     let before = first.count();
     for _ in 0..10 {
@@ -107,7 +112,9 @@
     spec.catalog = None;
     spec.name = "vm-2";
     spec.seeds = vec![first.control];
-    spec.feed.down.store(true, std::sync::atomic::Ordering::SeqCst);
+    spec.feed
+        .down
+        .store(true, std::sync::atomic::Ordering::SeqCst);
     let second = Router::start(spec);
     second.wait_ready();
     let answer = second.exchange(&ask("Connection: close\r\n"));
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -119,9 +119,8 @@
 
 #[test]
 fn caller_that_leaves_ends_the_stream_at_the_endpoint() {
-    let server = FakeEndpoint::start(|_, _| {
-        Script::Send(events(1, 400), Duration::from_millis(20))
-    });
+    let server =
+        FakeEndpoint::start(|_, _| Script::Send(events(1, 400), Duration::from_millis(20)));
     let router = Router::with(Kind::Stream, vec![endpoint("e1", server.addr)]);
     let mut socket = router.connect();
     socket.write_all(ASK.as_bytes()).unwrap();
