--- a/crates/admit/src/forecast.rs
+++ b/crates/admit/src/forecast.rs
@@ -10,7 +10,7 @@
 
 /// Wait for other requests, in targets, from which a request is refused; by tier, the last one for all
 /// lower tiers. The highest tier waits: engines serve it before the others.
-const MOST_AHEAD: [f64; 3] = [4.0, 1.3, 1.1];
+const MOST_AHEAD: [f64; 3] = [4.0, 0.8, 0.7];
 /// Shortest time that a refused caller is asked to stay away.
 const RETRY_MIN: Duration = Duration::from_millis(250);
 /// Part of the remaining time that callers stay away at most.
--- a/crates/route/src/place/cost.rs
+++ b/crates/route/src/place/cost.rs
@@ -41,12 +41,17 @@
 const LONG_PROMPT: u64 = 2_048;
 /// Share of a shared part that is taken as cached at the endpoints that all VMs prefer for it.
 const HOME_CACHED: [f64; 2] = [0.7, 0.25];
-/// Latency of a plain service before it is known, in milliseconds.
+/// Share of failures above the usual one that costs nothing, so that a mended endpoint is used again.
+const USUAL_FAILURES: f64 = 0.1;
+/// Latency of a plain service before any is known, in milliseconds.
 const PLAIN_MS: f64 = 50.0;
 
 /// What is the same for all rows of one choice.
 struct Scene {
+    /// Share of failures of a usual endpoint.
     usual: f64,
+    /// Latency of a usual endpoint, in milliseconds.
+    latency: f64,
     homes: Vec<EndpointId>,
     quiet: BTreeSet<EndpointId>,
     delicate: bool,
@@ -54,10 +59,12 @@
 
 pub(super) fn cheapest(placer: &Placer, now: Stamp, wish: &Wish<'_>) -> Option<Choice> {
     let open = || placer.rows.values().filter(|r| r.open);
-    let usual = usual_failures(open());
+    let usual = median(open().map(|r| r.health.failures())).unwrap_or_default();
+    let known = open().map(|r| r.latency).filter(|ms| *ms > 0.0);
     let fit = || open().filter(|r| r.health.is_fit(now, usual));
     let mut scene = Scene {
         usual,
+        latency: median(known).unwrap_or(PLAIN_MS),
         homes: Vec::new(),
         quiet: BTreeSet::new(),
         delicate: false,
@@ -99,12 +106,12 @@
     best.map(|(_, id)| id.clone()).collect()
 }
 
-/// Median share of failures.
-fn usual_failures<'a>(rows: impl Iterator<Item = &'a Row>) -> f64 {
-    let mut shares: Vec<f64> = rows.map(|r| r.health.failures()).collect();
-    shares.sort_by(f64::total_cmp);
-    let middle = shares.len().saturating_sub(1) / 2;
-    shares.get(middle).copied().unwrap_or_default()
+/// The lower median.
+fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    let middle = values.len().saturating_sub(1) / 2;
+    values.get(middle).copied()
 }
 
 fn all(row: &Row, now: Stamp) -> Load {
@@ -118,8 +125,9 @@
     let all = all(row, now);
     let (mut cost, choice) = match (&placer.profile, wish.prompt) {
         (Some(profile), Some(_)) => engine(profile, now, wish, row, (all, scene)),
-        _ => plain(wish, row, all),
+        _ => plain(wish, row, (all, scene)),
     };
+    cost += (row.health.failures() - scene.usual - USUAL_FAILURES).max(0.0);
     if row.place.zone != *wish.zone {
         cost += ZONE;
     }
@@ -142,11 +150,11 @@
     Duration::from_secs_f64(ms / 1e3)
 }
 
-fn plain(wish: &Wish<'_>, row: &Row, all: Load) -> (f64, Choice) {
+fn plain(wish: &Wish<'_>, row: &Row, (all, scene): (Load, &Scene)) -> (f64, Choice) {
     let latency = if row.latency > 0.0 {
         row.latency
     } else {
-        PLAIN_MS
+        scene.latency
     };
     let turns = f64::from(all.flying) / f64::from(row.place.slots.max(1));
     let wait = latency * turns;
@@ -160,7 +168,7 @@
             ..Load::default()
         },
     };
-    (cost + row.health.failures(), choice)
+    (cost, choice)
 }
 
 fn engine(
@@ -171,7 +179,7 @@
     (all, scene): (Load, &Scene),
 ) -> (f64, Choice) {
     let Some(prompt) = wish.prompt else {
-        return plain(wish, row, all);
+        return plain(wish, row, (all, scene));
     };
     let rank_home = scene.homes.iter().position(|id| *id == row.place.id);
     let (unread, reread) = unread(now, prompt, row, rank_home);
--- a/crates/route/src/place/placer.rs
+++ b/crates/route/src/place/placer.rs
@@ -16,7 +16,7 @@
 };
 
 /// Share of failures that is left after each second of forgiving.
-const FORGIVEN: f64 = 0.85;
+const FORGIVEN: f64 = 0.7;
 /// Time between two rounds of forgiving.
 const FORGIVE_EVERY: Duration = Duration::from_secs(1);
 
--- /dev/null
+++ b/crates/route/tests/window.rs
@@ -0,0 +1,64 @@
+//! The retry budget over a sliding window.
+
+use {
+    clock::Stamp,
+    quickcheck::{Gen, QuickCheck},
+    route::WindowBudget,
+    std::time::Duration,
+};
+
+const SEED: u64 = 11;
+const WINDOW: Duration = Duration::from_secs(10);
+const RATIO: f64 = 0.2;
+const EXTRA: f64 = 7.0;
+
+/// Steps of a load: pause in milliseconds, and whether a repeat is wanted.
+fn holds(steps: Vec<(u16, bool)>) -> bool {
+    let mut budget = WindowBudget::new(RATIO, WINDOW, EXTRA);
+    let mut now = Stamp::from_nanos(1 << 40);
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    for (pause, wants) in steps {
+        now = now + Duration::from_millis(u64::from(pause % 400));
+        if !wants {
+            budget.earn(now);
+            requests.push(now);
+        } else if budget.take(now) {
+            repeats.push(now);
+        }
+    }
+    // Any window that ends with a repeat.
+    repeats.iter().enumerate().all(|(at, end)| {
+        let within = |times: &[Stamp]| {
+            let inside = times
+                .iter()
+                .filter(|t| **t <= *end && end.since(**t) < WINDOW);
+            inside.count() as f64
+        };
+        within(&repeats[..=at]) <= RATIO * within(&requests) + EXTRA
+    })
+}
+
+#[test]
+fn no_window_holds_more_repeats_than_the_bound() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(400, SEED))
+        .tests(400)
+        .quickcheck(holds as fn(Vec<(u16, bool)>) -> bool);
+}
+
+#[test]
+fn requests_earn_repeats() {
+    let mut budget = WindowBudget::new(RATIO, WINDOW, 0.0);
+    let mut now = Stamp::from_nanos(1 << 40);
+    assert!(!budget.take(now));
+    for _ in 0..100 {
+        now = now + Duration::from_millis(20);
+        budget.earn(now);
+    }
+    now = now + Duration::from_millis(600);
+    budget.earn(now);
+    let granted = (0..100).filter(|_| budget.take(now)).count();
+    assert!((10..=20).contains(&granted), "{granted}");
+    now = now + WINDOW * 2;
+    assert!(!budget.take(now));
+}
