--- /dev/null
+++ b/crates/h1/tests/framing.rs
@@ -0,0 +1,191 @@
+//! Framing: one reading of every head, and bodies in any cut.
+
+use {
+    async_io::{Async, block_on},
+    h1::{
+        BodyError, BodyReader, Conn, Framing, HeadError, MAX_HEADERS, RequestHead, ResponseHead,
+        request_framing, response_framing,
+    },
+    quickcheck::{Gen, QuickCheck},
+    std::{
+        io::Write,
+        net::{TcpListener, TcpStream},
+        thread,
+        time::Duration,
+    },
+    types::Bytes,
+};
+
+const SEED: u64 = 31;
+const LIMIT: Bytes = Bytes(1 << 20);
+
+fn request(fields: &str) -> RequestHead {
+    let text = format!("POST /a?b HTTP/1.1\r\nHost: H.example:80\r\n{fields}\r\n");
+    RequestHead::parse(text.as_bytes()).unwrap().unwrap().0
+}
+
+fn response(status: u16, fields: &str) -> ResponseHead {
+    let text = format!("HTTP/1.1 {status} X\r\n{fields}\r\n");
+    ResponseHead::parse(text.as_bytes()).unwrap().unwrap().0
+}
+
+/// Both ends of a loopback connection.
+fn pair() -> (Conn, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let far = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (near, _) = listener.accept().unwrap();
+    (Conn::new(Async::new(near).unwrap()).unwrap(), far)
+}
+
+#[test]
+fn ambiguous_requests_are_refused() {
+    for fields in [
+        "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 1\r\nContent-Length: 2\r\n",
+        "Content-Length: +1\r\n",
+        "Content-Length: 1, 1\r\n",
+        "Content-Length: \r\n",
+        "Content-Length: 99999999999999999999999\r\n",
+        "Transfer-Encoding: gzip\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+    ] {
+        assert!(request_framing(&request(fields)).is_err(), "{fields}");
+    }
+    let chunked = request("Transfer-Encoding: chunked\r\n");
+    assert_eq!(request_framing(&chunked), Ok(Framing::Chunked));
+    assert_eq!(request_framing(&request("")), Ok(Framing::Length(0)));
+}
+
+#[test]
+fn responses_end_by_length_chunk_or_close() {
+    let framing = |status, fields| response_framing(&response(status, fields), "GET");
+    assert_eq!(
+        framing(200, "Content-Length: 4\r\n"),
+        Ok(Framing::Length(4))
+    );
+    assert_eq!(
+        framing(200, "Transfer-Encoding: chunked\r\n"),
+        Ok(Framing::Chunked)
+    );
+    assert_eq!(framing(200, ""), Ok(Framing::Close));
+    assert_eq!(framing(204, ""), Ok(Framing::Length(0)));
+    let both = "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n";
+    assert!(framing(200, both).is_err());
+}
+
+#[test]
+fn host_and_path_are_those_for_routing() {
+    let head = request("");
+    assert_eq!((head.host().as_str(), head.path()), ("h.example", "/a"));
+}
+
+#[test]
+fn fields_of_one_connection_are_dropped() {
+    let mut head =
+        request("Connection: close, X-Own\r\nX-Own: 1\r\nKeep-Alive: 5\r\nX-Kept: 2\r\n");
+    head.headers.strip_hop_by_hop();
+    assert_eq!(head.headers.get("x-own"), None);
+    assert_eq!(head.headers.get("keep-alive"), None);
+    assert_eq!(head.headers.get("x-kept"), Some("2"));
+}
+
+#[test]
+fn too_many_fields_are_refused() {
+    let fields = "A: b\r\n".repeat(MAX_HEADERS + 1);
+    let text = format!("GET / HTTP/1.1\r\n{fields}\r\n");
+    assert_eq!(
+        RequestHead::parse(text.as_bytes()),
+        Err(HeadError::TooLarge)
+    );
+}
+
+fn read_back(body: Vec<u8>, cuts: Vec<u8>) -> bool {
+    let mut bytes = Vec::new();
+    let mut rest = body.as_slice();
+    for cut in &cuts {
+        let size = usize::from(*cut)
+            .clamp(1, rest.len().max(1))
+            .min(rest.len());
+        if size == 0 {
+            break;
+        }
+        bytes.extend_from_slice(format!("{size:X};ext=1\r\n").as_bytes());
+        bytes.extend_from_slice(&rest[..size]);
+        bytes.extend_from_slice(b"\r\n");
+        rest = &rest[size..];
+    }
+    let sent = body.len() - rest.len();
+    bytes.extend_from_slice(b"0\r\nTrailer: x\r\n\r\nNEXT");
+    let (mut conn, mut far) = pair();
+    let writer = thread::spawn(move || {
+        for piece in bytes.chunks(7) {
+            far.write_all(piece).unwrap();
+        }
+    });
+    let mut reader = BodyReader::new(Framing::Chunked);
+    let read = block_on(reader.all(&mut conn, LIMIT)).unwrap();
+    writer.join().unwrap();
+    while conn.data().len() < 4 {
+        block_on(conn.fill()).unwrap();
+    }
+    read == body[..sent] && reader.is_done() && conn.data() == b"NEXT"
+}
+
+#[test]
+fn chunked_bodies_are_read_to_their_end_and_no_further() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, SEED))
+        .tests(60)
+        .quickcheck(read_back as fn(Vec<u8>, Vec<u8>) -> bool);
+}
+
+#[test]
+fn bodies_that_end_early_are_broken() {
+    for (framing, text) in [
+        (Framing::Length(5), "abc"),
+        (Framing::Chunked, "3\r\nabc\r\n"),
+        (Framing::Chunked, "5\r\nabc"),
+    ] {
+        let (mut conn, mut far) = pair();
+        far.write_all(text.as_bytes()).unwrap();
+        drop(far);
+        let read = block_on(BodyReader::new(framing).all(&mut conn, LIMIT));
+        assert!(matches!(read, Err(BodyError::Broken(_))), "{text}");
+    }
+}
+
+#[test]
+fn bodies_over_the_limit_are_refused() {
+    let (mut conn, mut far) = pair();
+    far.write_all(b"4\r\nabcd\r\n4\r\nabcd\r\n0\r\n\r\n")
+        .unwrap();
+    let read = block_on(BodyReader::new(Framing::Chunked).all(&mut conn, Bytes(6)));
+    assert!(matches!(read, Err(BodyError::TooLarge)));
+    let huge = block_on(BodyReader::new(Framing::Length(7)).all(&mut conn, Bytes(6)));
+    assert!(matches!(huge, Err(BodyError::TooLarge)));
+}
+
+#[test]
+fn answer_before_the_end_of_an_upload_is_read() {
+    let (mut conn, mut far) = pair();
+    far.write_all(b"HTTP/1.1 413 X\r\nContent-Length: 0\r\n\r\n")
+        .unwrap();
+    thread::sleep(Duration::from_millis(50));
+    let upload = vec![b'x'; 64 << 20];
+    let (head, whole) = block_on(conn.exchange(&upload, LIMIT)).unwrap();
+    assert_eq!((head.status, whole), (413, false));
+}
+
+#[test]
+fn connection_with_unread_bytes_or_a_closed_peer_is_not_quiet() {
+    let (conn, mut far) = pair();
+    assert!(conn.is_quiet());
+    far.write_all(b"x").unwrap();
+    thread::sleep(Duration::from_millis(50));
+    assert!(!conn.is_quiet());
+    let (conn, far) = pair();
+    drop(far);
+    thread::sleep(Duration::from_millis(50));
+    assert!(!conn.is_quiet());
+}
