Lints of the new crates; the time of day is corrected only after five agreeing looks

Ruled out: a stepped clock (the offsets fell to zero as the backlog drained). Change: compared once a round, adopted after five agreeing rounds.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Runs and checks celerystage. `make demo` and `make test` are all that a newcomer needs.
 
 CARGO ?= cargo
+# Further arguments of the test runner, such as `--skip NAME`.
+ARGS ?=
 
 .PHONY: demo test lint build
 
@@ -11,7 +13,7 @@
 	target/debug/celery-demo
 
 test: build
-	$(CARGO) test --workspace --locked
+	$(CARGO) test --workspace --locked -- $(ARGS)
 
 lint:
 	$(CARGO) fmt --all --check
--- a/crates/entry/tests/failures/at_most_once.rs
+++ b/crates/entry/tests/failures/at_most_once.rs
@@ -7,7 +7,7 @@
     harness::{Cluster, wait_until},
     http_types::Method,
     standin::{
-        ports::{Control as PlatformControl, Fault},
+        platform::{Control as PlatformControl, Fault},
         service::{Control, Executed},
     },
     std::{net::SocketAddr, thread, time::Duration},
--- a/crates/entry/tests/failures/zones.rs
+++ b/crates/entry/tests/failures/zones.rs
@@ -7,7 +7,7 @@
     load::Outcome,
     standin::{
         engine::{Control as EngineControl, Executed},
-        ports::{Control, Fault},
+        platform::{Control, Fault},
     },
 };
 
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -165,7 +165,7 @@
             Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
             _ => host,
         };
-        CompactString::from(bare).to_ascii_lowercase().into()
+        CompactString::from(bare).to_ascii_lowercase()
     }
 
     /// The target without its query.
--- a/crates/relay/src/process/duty.rs
+++ b/crates/relay/src/process/duty.rs
@@ -252,7 +252,7 @@
                 match rmp_serde::from_slice::<Vec<TallyRecord>>(&bytes) {
                     Ok(records) => records.into_iter().for_each(|r| self.book.fold(r)),
                     Err(e) => {
-                        log::error!(offset = offset, error:% = e; "usage record cannot be decoded")
+                        log::error!(offset = offset, error:% = e; "usage record cannot be decoded");
                     }
                 }
             }
--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -30,11 +30,14 @@
     loop {
         seq += 1;
         let now = node.clock.now();
-        let (targets, pause) = {
+        let (targets, pause, ahead) = {
             let mut peers = node.peers.lock();
             peers.introduce(now, seeds.iter().copied());
-            (peers.targets(now), peers.pause(now))
+            (peers.targets(now), peers.pause(now), peers.ahead(now))
         };
+        if let Some(offset) = node.time.compare(ahead) {
+            log::warn!(offset_ms = offset; "time of day corrected by the other VMs");
+        }
         let bytes = encode(&node, seq);
         for target in targets {
             if let Err(e) = socket.send_to(&bytes, target).await {
@@ -111,21 +114,18 @@
     }
     let now = node.clock.now();
     let own_ms = i64::try_from(node.time.own(now).as_millis()).unwrap_or(i64::MAX);
-    let (heard, count, ahead) = {
+    let (heard, count) = {
         let mut peers = node.peers.lock();
         let heard = peers.hear(now, from, &news, node.settings.peers, own_ms);
         let Some(heard) = heard else {
             return;
         };
-        (heard, peers.count(now), peers.ahead(now))
+        (heard, peers.count(now))
     };
     if heard.is_new {
         log::info!(peer:% = news.vm, addr:% = from, vms = count; "VM heard");
         node.share_budgets(count);
     }
-    if let Some(offset) = node.time.compare(ahead) {
-        log::warn!(offset_ms = offset; "time of day corrected by the other VMs");
-    }
     let until = now + SILENT;
     let mut placers = node.placers.lock();
     for (service, rate) in &news.rates {
--- a/crates/relay/src/process/relay.rs
+++ b/crates/relay/src/process/relay.rs
@@ -173,7 +173,7 @@
                     return;
                 }
                 Err(cause) => {
-                    log::debug!(peer:% = addr, cause = cause.as_str(); "VM tells nothing")
+                    log::debug!(peer:% = addr, cause = cause.as_str(); "VM tells nothing");
                 }
             }
         }
--- a/crates/relay/src/process/truetime.rs
+++ b/crates/relay/src/process/truetime.rs
@@ -3,11 +3,14 @@
 use {
     clock::{Clock, Stamp},
     std::{
-        sync::atomic::{AtomicI64, Ordering::SeqCst},
+        sync::atomic::{AtomicI64, AtomicU32, Ordering::SeqCst},
         time::Duration,
     },
 };
 
+/// Comparisons in a row that must agree on a step: a VM that was suspended first hears what was sent in
+/// the meantime.
+const AGREEING: u32 = 5;
 /// Difference to the other VMs from which the own clock counts as stepped, in milliseconds; ordinary
 /// clocks of the fleet differ by less.
 const STEPPED_MS: i64 = 250;
@@ -20,6 +23,8 @@
     unix: Duration,
     /// Milliseconds to add.
     offset: AtomicI64,
+    /// Comparisons in a row that spoke for another offset.
+    agreeing: AtomicU32,
 }
 
 impl TrueTime {
@@ -28,6 +33,7 @@
             start: clock.now(),
             unix: clock.unix(),
             offset: AtomicI64::new(0),
+            agreeing: AtomicU32::new(0),
         }
     }
 
@@ -58,7 +64,16 @@
         } else {
             0
         };
-        let old = self.offset.swap(offset, SeqCst);
-        (old != offset).then_some(offset)
+        let old = self.offset.load(SeqCst);
+        if (old - offset).abs() < STEPPED_MS {
+            self.agreeing.store(0, SeqCst);
+            return None;
+        }
+        if self.agreeing.fetch_add(1, SeqCst) + 1 < AGREEING {
+            return None;
+        }
+        self.agreeing.store(0, SeqCst);
+        self.offset.store(offset, SeqCst);
+        Some(offset)
     }
 }
--- a/crates/relay/src/version/catalog.rs
+++ b/crates/relay/src/version/catalog.rs
@@ -78,7 +78,7 @@
     pub fn new(doc: CatalogDoc) -> Self {
         let mut hosts: HashMap<CompactString, Vec<Arc<Route>>> = HashMap::new();
         for route in &doc.routes {
-            let host = CompactString::from(route.host.to_ascii_lowercase());
+            let host = route.host.to_ascii_lowercase();
             hosts.entry(host).or_default().push(Arc::new(route.clone()));
         }
         for routes in hosts.values_mut() {
--- a/crates/steward/tests/billing/mod.rs
+++ b/crates/steward/tests/billing/mod.rs
@@ -9,7 +9,7 @@
     ports::{UsageLine, UsageReport},
     standin::{
         engine::Executed,
-        ports::{Control, Fault, Record, SeenReport},
+        platform::{Control, Fault, Record, SeenReport},
     },
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc, thread},
     types::{OrgId, VmId},
