--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -125,7 +125,7 @@
     Fut: Future<Output = Result<()>>,
 {
     let clock = SystemClock::shared();
-    init_logs(usage.name, settings.log.into(), clock.clone())?;
+    let _last_lines = init_logs(usage.name, settings.log.into(), clock.clone())?;
     let process = Process {
         ex: Arc::default(),
         clock,
--- a/crates/fleet/src/zone/sizer.rs
+++ b/crates/fleet/src/zone/sizer.rs
@@ -9,10 +9,12 @@
 
 /// Share of an engine's time that prompts may fill on average: beyond it, bursts delay first tokens and
 /// pauses past their targets.
-const FILL: f64 = 0.30;
+const FILL: f64 = 0.28;
 /// Weight of a second's work in its mean, when it rises and when it falls.
 const RISE: f64 = 0.7;
 const FALL: f64 = 0.02;
+/// Time after taking over in which nothing is ordered: engines write their entries every second or so.
+const LOOK_ROUND: Duration = Duration::from_millis(3_500);
 /// Steady engines kept in each zone: they carry what may not be lost when cheap ones are reclaimed.
 const STEADY_FLOOR: u32 = 1;
 /// Engines kept in each zone in all while there is no work to go by.
@@ -90,13 +92,17 @@
 
     /// Decides what to order; called about once a second.
     pub fn decide(&mut self, now: Stamp, view: &SizeView) -> Vec<SizeOrder> {
-        if self.work == 0.0 {
-            // Whoever takes over keeps what is there until the work shows what is needed.
+        if now.since(self.since) < LOOK_ROUND {
+            // Whoever takes over keeps what is there until the work shows what is needed; the list of
+            // what is there fills as engines write their entries.
             let present: u32 = view.zones.iter().map(|p| p.steady + p.cheap).sum();
-            self.work = f64::from(present) * FILL;
+            self.work = self.work.max(f64::from(present) * FILL);
+            return Vec::new();
         }
         let weight = if view.work > self.work { RISE } else { FALL };
-        self.work += weight * (view.work - self.work);
+        if view.work > 0.0 {
+            self.work += weight * (view.work - self.work);
+        }
         for pool in &view.zones {
             self.zones.entry(pool.zone.clone()).or_default();
         }
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -119,6 +119,17 @@
     assert!(world.low >= 9, "never below what was there: {}", world.low);
 }
 
+#[test]
+fn list_that_fills_slowly_is_no_reason_to_give_engines_up() {
+    let mut world = World::new();
+    let there = std::mem::replace(&mut world.steady, vec![0, 1, 0]);
+    world.work = 0.0;
+    world.run(2);
+    world.steady = there;
+    world.run(15);
+    assert!(world.total() >= 9, "{}", world.total());
+}
+
 #[test]
 fn burst_brings_engines_within_seconds() {
     let mut world = World::new();
--- a/crates/relay/src/process/placing.rs
+++ b/crates/relay/src/process/placing.rs
@@ -27,6 +27,7 @@
         if old >= Some(catalog.doc.version) {
             return false;
         }
+        let now = self.clock.now();
         let registry = self.registry.lock();
         let mut placers = self.placers.lock();
         for (id, service) in &catalog.doc.services {
@@ -36,7 +37,7 @@
                     .map(|e| EngineProfile::new(e.memory, e.stride));
                 let mut placer = Placer::new(profile);
                 let open = registry.all().filter(|e| e.service == *id && !e.leaving);
-                open.for_each(|e| placer.list(place_of(e)));
+                open.for_each(|e| placer.list(now, place_of(e)));
                 placers.insert(id.clone(), placer);
             }
         }
@@ -70,7 +71,7 @@
             if endpoint.leaving {
                 placer.unlist(&endpoint.id);
             } else {
-                placer.list(place_of(&endpoint));
+                placer.list(self.clock.now(), place_of(&endpoint));
             }
         }
     }
--- a/crates/relay/tests/common/fakes.rs
+++ b/crates/relay/tests/common/fakes.rs
@@ -154,10 +154,13 @@
     }
 }
 
+/// A usage report: fence, window, counts.
+pub(crate) type Report = (Fence, u64, BTreeMap<OrgId, u64>);
+
 /// Calls of the duty holder, remembered.
 #[derive(Default)]
 pub(crate) struct FakeDuties {
-    pub(crate) reports: Mutex<Vec<(Fence, u64, BTreeMap<OrgId, u64>)>>,
+    pub(crate) reports: Mutex<Vec<Report>>,
     pub(crate) orders: Mutex<Vec<(Fence, CapacityOrder)>>,
 }
 
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -58,7 +58,7 @@
     assert!(registry.open(&one.id).is_some());
     registry.list(two.clone());
     assert!(registry.expire(at(1_500)).is_empty());
-    assert_eq!(registry.expire(at(1_600)), [one.id.clone()]);
+    assert_eq!(registry.expire(at(1_600)), std::slice::from_ref(&one.id));
     assert!(registry.open(&one.id).is_none());
     assert!(registry.open(&two.id).is_some());
 }
--- a/crates/route/src/place/cost.rs
+++ b/crates/route/src/place/cost.rs
@@ -33,14 +33,19 @@
 const FULL: f64 = 1.0;
 /// Cost of an unfit endpoint: it is chosen only where no other is left.
 const UNFIT: f64 = 100.0;
+/// Cost of each request beyond an engine's slots: it waits for the end of another.
+const BEYOND: f64 = 0.1;
 /// Cost of a lack of memory, for each time that the memory is filled.
 const MEMORY: f64 = 5.0;
 /// Share of an engine's memory beyond which requests are likely to wait or be preempted.
 const MEMORY_SHARE: f64 = 0.85;
 /// Prompt tokens from which a prompt counts as long: two chunks in a row stretch a pause.
 const LONG_PROMPT: u64 = 2_048;
-/// Share of a shared part that is taken as cached at the endpoints that all VMs prefer for it.
-const HOME_CACHED: [f64; 2] = [0.7, 0.25];
+/// Share of a shared part that is taken as cached at the endpoints that all VMs prefer for it, once they
+/// have served for long.
+const HOME_CACHED: [f64; 2] = [0.75, 0.25];
+/// Time in which a new endpoint's cache fills: about the time between two uses of a session.
+const FILLING: Duration = Duration::from_secs(10);
 /// Share of failures above the usual one that costs nothing, so that a mended endpoint is used again.
 const USUAL_FAILURES: f64 = 0.1;
 /// Latency of a plain service before any is known, in milliseconds.
@@ -192,7 +197,7 @@
     let expected_ms = first_ms + ahead_ms + profile.read_ms(unread);
     let mut cost = LATE * risk(expected_ms, wish.target);
     cost += BALANCE * (expected_ms + profile.read_ms(all.unread())) / 100.0;
-    cost += REREAD * reread as f64 / 1e3;
+    cost += REREAD * reread as f64 / 1e3 + BEYOND * f64::from(beyond);
     let memory = prompt.memory().0;
     let filled = (all.memory + memory) as f64 / profile.memory.0.max(1) as f64;
     cost += (filled - MEMORY_SHARE).max(0.0) * MEMORY;
@@ -225,6 +230,8 @@
 /// Tokens of the prompt that the endpoint has to read: those after the first part it lacks; and how
 /// many of them belong to parts that other requests share.
 fn unread(now: Stamp, prompt: &crate::Prompt, row: &Row, rank_home: Option<usize>) -> (u64, u64) {
+    let age = now.since(row.since).as_secs_f64() / FILLING.as_secs_f64();
+    let filled = 1.0 - (-age).exp();
     let mut cached = 0.0;
     let mut reread = 0.0;
     let mut lacks = false;
@@ -234,7 +241,7 @@
         let share = match rank_home {
             _ if lacks => 0.0,
             _ if row.parts.has(now, *part) => 1.0,
-            Some(rank) if at < last => HOME_CACHED[rank],
+            Some(rank) if at < last => HOME_CACHED[rank] * filled,
             _ => 0.0,
         };
         lacks |= share == 0.0;
--- a/crates/route/src/place/placer.rs
+++ b/crates/route/src/place/placer.rs
@@ -84,6 +84,8 @@
 pub(super) struct Row {
     pub(super) place: Place,
     pub(super) open: bool,
+    /// When it was listed, or started again.
+    pub(super) since: Stamp,
     pub(super) own: Load,
     pub(super) foreign: Foreign,
     pub(super) health: Health,
@@ -121,10 +123,11 @@
     }
 
     /// Adds an endpoint or replaces its facts.
-    pub fn list(&mut self, place: Place) {
+    pub fn list(&mut self, now: Stamp, place: Place) {
         let row = self.rows.entry(place.id.clone()).or_insert_with(|| Row {
             place: place.clone(),
             open: true,
+            since: now,
             own: Load::default(),
             foreign: Foreign::default(),
             health: Health::default(),
@@ -134,6 +137,7 @@
         });
         if row.place.born != place.born {
             row.parts.clear();
+            row.since = now;
             row.health = Health::default();
         }
         row.place = place;
--- a/crates/route/src/place/quiet.rs
+++ b/crates/route/src/place/quiet.rs
@@ -13,8 +13,10 @@
     types::{EndpointId, ZoneId},
 };
 
-/// Delicate requests that one quiet engine is meant to run.
+/// Delicate requests that one quiet engine is meant to run at most.
 const DELICATE_EACH: u32 = 40;
+/// Share of an engine's slots that delicate requests are meant to take: leaves room for their swings.
+const DELICATE_SHARE: f64 = 0.5;
 /// Largest share of engines that are quiet.
 const MOST_QUIET: f64 = 0.5;
 
@@ -37,7 +39,9 @@
     }
     ranked.sort_unstable();
     let zones = turn.len();
-    let wanted = zones.max(delicate.div_ceil(DELICATE_EACH) as usize);
+    let slots = order.iter().map(|(_, _, r)| r.place.slots).min();
+    let each = (f64::from(slots.unwrap_or(1)) * DELICATE_SHARE) as u32;
+    let wanted = zones.max(delicate.div_ceil(each.clamp(1, DELICATE_EACH)) as usize);
     let chosen = ranked.into_iter().take(wanted.min(most));
     chosen.map(|(_, _, id)| id.clone()).collect()
 }
--- a/crates/route/tests/place.rs
+++ b/crates/route/tests/place.rs
@@ -33,7 +33,10 @@
     let profile = EngineProfile::new(Tokens(500_000), 3);
     let mut placer = Placer::new(Some(profile));
     for at in 0..count {
-        placer.list(place(&format!("e{at}"), ["a", "b"][at % 2], at >= 2));
+        placer.list(
+            start() - Duration::from_secs(60),
+            place(&format!("e{at}"), ["a", "b"][at % 2], at >= 2),
+        );
     }
     placer
 }
@@ -129,6 +132,21 @@
     }
 }
 
+#[test]
+fn many_delicate_streams_find_slots() {
+    let home = zone("a");
+    let mut placer = engines(12);
+    let now = start();
+    let mut counts: BTreeMap<EndpointId, u32> = BTreeMap::new();
+    for at in 0..96 {
+        let short = prompt(at, at, 300);
+        let choice = placer.place(now, &wish(&home, Some(&short), 150)).unwrap();
+        *counts.entry(choice.id).or_insert(0) += 1;
+    }
+    // Twelve engines of 16 slots have twice the room that is needed.
+    assert!(counts.values().all(|c| *c <= 16), "{counts:?}");
+}
+
 #[test]
 fn load_of_other_vms_counts() {
     let home = zone("a");
@@ -169,7 +187,7 @@
     let home = zone("a");
     let mut placer = Placer::new(None);
     for name in ["e0", "e1", "e2"] {
-        placer.list(place(name, "a", false));
+        placer.list(start() - Duration::from_secs(60), place(name, "a", false));
     }
     let mut now = start();
     let mut round = |placer: &mut Placer, fails: bool| {
@@ -202,8 +220,8 @@
 fn silent_endpoint_is_left_within_two_seconds() {
     let home = zone("a");
     let mut placer = Placer::new(None);
-    placer.list(place("e0", "a", false));
-    placer.list(place("e1", "a", false));
+    placer.list(start() - Duration::from_secs(60), place("e0", "a", false));
+    placer.list(start() - Duration::from_secs(60), place("e1", "a", false));
     let mut now = start();
     for _ in 0..300 {
         now = now + Duration::from_millis(10);
@@ -224,8 +242,8 @@
 fn unreachable_endpoint_is_passed_over() {
     let home = zone("a");
     let mut placer = Placer::new(None);
-    placer.list(place("e0", "a", false));
-    placer.list(place("e1", "a", false));
+    placer.list(start() - Duration::from_secs(60), place("e0", "a", false));
+    placer.list(start() - Duration::from_secs(60), place("e1", "a", false));
     let now = start();
     let choice = placer.place(now, &wish(&home, None, 400)).unwrap();
     placer.ended(now, &choice, Ended::Unreachable);
