A reader that hangs is left within a second and a half

Ruled out: by calculation only: a call of the reader without an answer took up to 1.3 s, its followers noticed after 1.3 to 1.9 s, and read themselves then. Change: reads of the store end after 0.45 s beyond their wait, endpoints are read without waiting, news older than 1 s make a follower read itself. Tests: two routers, one reading for the other, with a reader that hangs.

--- a/crates/relay/src/process/follow.rs
+++ b/crates/relay/src/process/follow.rs
@@ -7,19 +7,20 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Time that a read waits for changes: with the call's own limit and one more read it stays below the
-/// shortest bound of a change, also for those who follow this VM.
+/// Time that a read of the configuration waits for changes: with the call's own limit and one more read
+/// it stays below the shortest bound of a change, also for those who follow this VM.
 const WAIT: Duration = Duration::from_millis(600);
-/// Pause between reads of endpoints, whose heartbeats would else end each read at once; a quarter of
-/// the shortest drain bound.
-const ENDPOINT_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between reads of endpoints, which do not wait, as heartbeats would end each wait at once: with a
+/// call that gets no answer and one more read it stays below the shortest drain bound.
+const ENDPOINT_PAUSE: Duration = Duration::from_millis(450);
 /// Pause after a failed read: first and longest, with as much jitter.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 /// Pause between two looks at whether this VM reads the platform.
 const LOOK: Duration = Duration::from_millis(100);
-/// Age from which what a VM read counts as old: a waiting read, a pause and the usual call.
-pub(super) const FRESH: Duration = Duration::from_millis(1_300);
+/// Age from which what a VM read counts as old: a waiting read, and a call that is fifty times slower
+/// than usual.
+pub(super) const FRESH: Duration = Duration::from_millis(1_000);
 
 /// When the feeds were last read.
 #[derive(Debug, Default)]
@@ -106,7 +107,11 @@
 
     /// Reads changes; returns the offset to follow from, or nothing when everything has to be read again.
     async fn go_on(&mut self, from: u64) -> Option<u64> {
-        match self.feed.follow(self.kind, from, WAIT).await {
+        let wait = match self.kind {
+            FeedKind::Configuration => WAIT,
+            FeedKind::Endpoints => Duration::ZERO,
+        };
+        match self.feed.follow(self.kind, from, wait).await {
             Ok(News::Changes(changes, next)) => {
                 self.read();
                 take_in(&self.node, changes);
--- a/crates/relay/src/process/relay.rs
+++ b/crates/relay/src/process/relay.rs
@@ -23,7 +23,7 @@
 pub(super) const NEWS_PATH: &str = "/news";
 /// Time that the call waits for changes, and its limit beyond that: together they leave time for a read of
 /// the platform within the shortest bound of a change.
-const WAIT: Duration = Duration::from_millis(600);
+const WAIT: Duration = Duration::from_millis(450);
 const LIMIT: Duration = Duration::from_millis(450);
 /// Largest accepted answer.
 const MOST: Bytes = Bytes(8 * 1024 * 1024);
--- a/crates/relay/tests/common/fakes.rs
+++ b/crates/relay/tests/common/fakes.rs
@@ -74,9 +74,25 @@
     pub(crate) config: Mutex<Vec<Change>>,
     pub(crate) endpoints: Mutex<Vec<Change>>,
     pub(crate) down: AtomicBool,
+    /// Calls get no answer until their limit.
+    pub(crate) stuck: AtomicBool,
 }
 
+/// The adapter's limit of a read.
+const READ_LIMIT: Duration = Duration::from_millis(450);
+
 impl FakeFeed {
+    async fn call(&self, wait: Duration) -> Result<(), PlatformError> {
+        if self.stuck.load(SeqCst) {
+            async_io::Timer::after(wait + READ_LIMIT).await;
+            return Err(PlatformError::Unreachable(Verdict::MayHaveRun));
+        }
+        if self.down.load(SeqCst) {
+            return Err(PlatformError::Unreachable(Verdict::NotRun));
+        }
+        Ok(())
+    }
+
     fn of(&self, kind: FeedKind) -> &Mutex<Vec<Change>> {
         match kind {
             FeedKind::Configuration => &self.config,
@@ -92,22 +108,18 @@
 impl Feed for FakeFeed {
     fn snapshot(&self, kind: FeedKind) -> Asked<'_, (Vec<Change>, u64)> {
         Box::pin(async move {
-            if self.down.load(SeqCst) {
-                return Err(PlatformError::Unreachable(Verdict::NotRun));
-            }
+            self.call(Duration::ZERO).await?;
             let changes = self.of(kind).lock().unwrap().clone();
             let next = changes.len() as u64;
             Ok((changes, next))
         })
     }
 
-    fn follow(&self, kind: FeedKind, from: u64, _wait: Duration) -> Asked<'_, News> {
+    fn follow(&self, kind: FeedKind, from: u64, wait: Duration) -> Asked<'_, News> {
         Box::pin(async move {
             // The test's changes are seen within a few milliseconds.
             async_io::Timer::after(Duration::from_millis(5)).await;
-            if self.down.load(SeqCst) {
-                return Err(PlatformError::Unreachable(Verdict::NotRun));
-            }
+            self.call(wait).await?;
             let all = self.of(kind).lock().unwrap();
             let changes = all[from as usize..].to_vec();
             Ok(News::Changes(changes, all.len() as u64))
--- a/crates/relay/tests/common/router.rs
+++ b/crates/relay/tests/common/router.rs
@@ -10,7 +10,7 @@
     },
     std::{
         io::{Read, Write},
-        net::{SocketAddr, TcpListener, TcpStream},
+        net::{IpAddr, SocketAddr, TcpListener, TcpStream},
         sync::Arc,
         thread::{self, JoinHandle},
         time::{Duration, Instant},
@@ -93,6 +93,19 @@
     pub(crate) feed: Arc<FakeFeed>,
     pub(crate) log: Arc<FakeLog>,
     pub(crate) name: &'static str,
+    /// Addresses; VMs of one fleet have the same ports at different addresses.
+    pub(crate) ip: IpAddr,
+    pub(crate) ports: Ports,
+}
+
+/// Ports of a fleet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Ports([u16; 5]);
+
+impl Ports {
+    pub(crate) fn free() -> Self {
+        Self(std::array::from_fn(|_| free_addr().port()))
+    }
 }
 
 impl RouterSpec {
@@ -104,6 +117,8 @@
             feed: Arc::default(),
             log: Arc::default(),
             name: "vm-1",
+            ip: IpAddr::from([127, 0, 0, 1]),
+            ports: Ports::free(),
         }
     }
 }
@@ -135,7 +150,7 @@
         for endpoint in spec.endpoints {
             feed.push(FeedKind::Endpoints, Change::Listed(endpoint));
         }
-        let settings = settings(spec.name, spec.seeds);
+        let settings = settings(spec.name, spec.seeds, (spec.ip, spec.ports));
         let duties: Arc<FakeDuties> = Arc::default();
         let stop = Stop::default();
         let router = Self {
@@ -223,15 +238,16 @@
     format!("HTTP/1.1 200 OK\r\nid: {id}\r\n{fields}\r\n")
 }
 
-fn settings(name: &str, seeds: Vec<SocketAddr>) -> NodeSettings {
+fn settings(name: &str, seeds: Vec<SocketAddr>, (ip, ports): (IpAddr, Ports)) -> NodeSettings {
+    let addr = |at: usize| SocketAddr::new(ip, ports.0[at]);
     NodeSettings {
         vm: name.parse().unwrap(),
         zone: "z".parse().unwrap(),
-        front: free_addr(),
-        ready: free_addr(),
-        control: free_addr(),
-        peers: free_addr(),
-        metrics: free_addr(),
+        front: addr(0),
+        ready: addr(1),
+        control: addr(2),
+        peers: addr(3),
+        metrics: addr(4),
         seeds,
         power: 1_000,
         descriptors: 1_000,
--- a/crates/relay/tests/stopping.rs
+++ b/crates/relay/tests/stopping.rs
@@ -3,10 +3,13 @@
 mod common;
 
 use {
-    common::{FakeEndpoint, Router, RouterSpec, Script, answer_head, catalog, endpoint, route},
+    common::{
+        FakeEndpoint, Ports, Router, RouterSpec, Script, answer_head, catalog, endpoint, route,
+    },
     relay::{Change, FeedKind, Kind},
     std::{
         io::{Read, Write},
+        sync::atomic::Ordering::SeqCst,
         thread,
         time::Duration,
     },
@@ -111,6 +114,7 @@
     let mut spec = RouterSpec::new(Kind::Once, Vec::new());
     spec.catalog = None;
     spec.name = "vm-2";
+    spec.ip = [127, 0, 0, 2].into();
     spec.seeds = vec![first.control];
     spec.feed
         .down
@@ -120,3 +124,62 @@
     let answer = second.exchange(&ask("Connection: close\r\n"));
     assert!(answer.ends_with("hello"), "{answer}");
 }
+
+/// A reader and a VM that follows it, each with its own view of the platform.
+fn reader_and_follower(server: &FakeEndpoint) -> (Router, Router) {
+    let ports = Ports::free();
+    let spec = |name, ip: [u8; 4]| RouterSpec {
+        name,
+        ip: ip.into(),
+        ports,
+        ..RouterSpec::new(Kind::Once, vec![endpoint("e1", server.addr)])
+    };
+    // Of equal VMs the one with the last name reads.
+    let reader = Router::start(spec("vm-9", [127, 0, 0, 3]));
+    let mut second = spec("vm-1", [127, 0, 0, 4]);
+    second.seeds = vec![reader.control];
+    let follower = Router::start(second);
+    reader.wait_ready();
+    follower.wait_ready();
+    (reader, follower)
+}
+
+#[test]
+fn follower_learns_from_its_reader() {
+    let server = answering("hello");
+    let (reader, follower) = reader_and_follower(&server);
+    // The follower's own platform is silent once it follows.
+    thread::sleep(Duration::from_millis(2_500));
+    follower.feed.stuck.store(true, SeqCst);
+    let mut closed = route(Kind::Once);
+    closed.open = false;
+    reader
+        .feed
+        .push(FeedKind::Configuration, catalog(5, closed));
+    let begun = std::time::Instant::now();
+    follower.wait_for(|| {
+        let answer = follower.exchange(&ask("Connection: close\r\n"));
+        answer.starts_with("HTTP/1.1 401")
+    });
+    // In force everywhere within two seconds.
+    assert!(begun.elapsed() < Duration::from_secs(2));
+}
+
+#[test]
+fn follower_leaves_an_endpoint_in_time_though_its_reader_hangs() {
+    let server = answering("hello");
+    let (reader, follower) = reader_and_follower(&server);
+    thread::sleep(Duration::from_millis(2_500));
+    reader.feed.stuck.store(true, SeqCst);
+    let mut leaving = endpoint("e1", server.addr);
+    leaving.leaving = true;
+    follower
+        .feed
+        .push(FeedKind::Endpoints, Change::Listed(leaving));
+    // Requests may reach a leaving endpoint for two seconds.
+    thread::sleep(Duration::from_millis(1_900));
+    let before = server.count();
+    let answer = follower.exchange(&ask("Connection: close\r\n"));
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert_eq!(server.count(), before);
+}
