--- a/crates/route/src/place/cost.rs
+++ b/crates/route/src/place/cost.rs
@@ -38,7 +38,7 @@
 /// Cost of a lack of memory, for each time that the memory is filled.
 const MEMORY: f64 = 5.0;
 /// Share of an engine's memory beyond which requests are likely to wait or be preempted.
-const MEMORY_SHARE: f64 = 0.85;
+const MEMORY_SHARE: f64 = 0.7;
 /// Prompt tokens from which a prompt counts as long: two chunks in a row stretch a pause.
 const LONG_PROMPT: u64 = 2_048;
 /// Share of a shared part that is taken as cached at the endpoints that all VMs prefer for it, once they
--- a/crates/route/src/place/quiet.rs
+++ b/crates/route/src/place/quiet.rs
@@ -41,7 +41,10 @@
     let zones = turn.len();
     let slots = order.iter().map(|(_, _, r)| r.place.slots).min();
     let each = (f64::from(slots.unwrap_or(1)) * DELICATE_SHARE) as u32;
-    let wanted = zones.max(delicate.div_ceil(each.clamp(1, DELICATE_EACH)) as usize);
+    let wanted = delicate.div_ceil(each.clamp(1, DELICATE_EACH)) as usize;
+    // In whole rounds over the zones, so that the set seldom changes: sessions move when it does.
+    let rounds = wanted.div_ceil(zones.max(1)).max(1);
+    let wanted = zones * rounds.next_multiple_of(if rounds > 2 { 2 } else { 1 });
     let chosen = ranked.into_iter().take(wanted.min(most));
     chosen.map(|(_, _, id)| id.clone()).collect()
 }
