An endpoint that the reader gave up gets no second grace

Found while reading for it: a follower that had lost the platform a moment ago gave an entry that its reader had dropped after 1.5 s of grace another 1.5 s. Change: what the reader gives up is gone at once; a whole list of the platform itself keeps its grace.

--- a/crates/relay/src/fleet/registry.rs
+++ b/crates/relay/src/fleet/registry.rs
@@ -90,18 +90,18 @@
         RegistryChange::Removed
     }
 
-    /// Drops entries that are not among `listed`, as after a read of the whole list.
-    pub fn keep_only(&mut self, now: Stamp, listed: &[EndpointId]) -> Vec<EndpointId> {
-        let missing: Vec<_> = self
-            .rows
-            .keys()
-            .filter(|id| !listed.contains(id))
-            .cloned()
-            .collect();
-        for id in &missing {
-            self.unlist(now, id);
+    /// Removes an entry that another VM has given up, after its own grace if there was one.
+    pub fn forget(&mut self, id: &EndpointId) -> RegistryChange {
+        match self.rows.remove(id) {
+            Some(_) => RegistryChange::Removed,
+            None => RegistryChange::None,
         }
-        missing
+    }
+
+    /// Entries that are not among `listed`, as after a read of the whole list.
+    pub fn missing(&self, listed: &[EndpointId]) -> Vec<EndpointId> {
+        let missing = self.rows.keys().filter(|id| !listed.contains(id));
+        missing.cloned().collect()
     }
 
     /// Drops lapsed entries whose grace is over; returns them.
--- a/crates/relay/src/process/follow.rs
+++ b/crates/relay/src/process/follow.rs
@@ -94,7 +94,8 @@
                     .collect();
                 take_in(&self.node, changes);
                 if self.kind == FeedKind::Endpoints {
-                    self.node.prune(Some(&listed));
+                    let missing = self.node.missing(&listed);
+                    missing.iter().for_each(|id| self.node.unlist(id));
                 }
                 Some(next)
             }
@@ -116,7 +117,7 @@
                 self.read();
                 take_in(&self.node, changes);
                 if self.kind == FeedKind::Endpoints {
-                    self.node.prune(None);
+                    self.node.expire();
                     self.node.clock.sleep(ENDPOINT_PAUSE).await;
                 }
                 Some(next)
--- a/crates/relay/src/process/placing.rs
+++ b/crates/relay/src/process/placing.rs
@@ -87,21 +87,25 @@
         }
     }
 
-    /// Drops endpoints that are missing in a read of the whole list, and lapsed ones whose grace is over.
-    pub(crate) fn prune(&self, listed: Option<&[EndpointId]>) {
-        let now = self.clock.now();
+    /// Takes in that another VM, which follows the platform, has given an endpoint up.
+    pub(crate) fn forget(&self, id: &EndpointId) {
         let mut registry = self.registry.lock();
-        if let Some(listed) = listed {
-            let missing = registry.keep_only(now, listed);
-            for id in &missing {
-                log::info!(endpoint:% = id; "endpoint missing in the list");
-            }
-            let gone: Vec<_> = missing
-                .into_iter()
-                .filter(|id| registry.open(id).is_none())
-                .collect();
-            self.drop_places(&gone);
+        let change = registry.forget(id);
+        log::info!(endpoint:% = id, change:? = change; "endpoint given up by the reader");
+        if change == RegistryChange::Removed {
+            self.drop_places(std::slice::from_ref(id));
         }
+    }
+
+    /// Endpoints that are not in a whole list.
+    pub(crate) fn missing(&self, listed: &[EndpointId]) -> Vec<EndpointId> {
+        self.registry.lock().missing(listed)
+    }
+
+    /// Drops lapsed endpoints whose grace is over.
+    pub(crate) fn expire(&self) {
+        let now = self.clock.now();
+        let mut registry = self.registry.lock();
         let expired = registry.expire(now);
         for id in &expired {
             log::info!(endpoint:% = id; "lapsed endpoint dropped");
--- a/crates/relay/src/process/relay.rs
+++ b/crates/relay/src/process/relay.rs
@@ -242,12 +242,12 @@
     if let Some(all) = told.all {
         let listed: Vec<EndpointId> = all.iter().map(|e| e.id.clone()).collect();
         all.into_iter().for_each(|e| node.list(e));
-        node.prune(Some(&listed));
+        node.missing(&listed).iter().for_each(|id| node.forget(id));
     }
     for change in told.changes {
         match change {
             ListChange::Listed(endpoint) => node.list(endpoint),
-            ListChange::Gone(id) => node.unlist(&id),
+            ListChange::Gone(id) => node.forget(&id),
         }
     }
 }
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -69,7 +69,18 @@
     let (one, two) = (endpoint("e1"), endpoint("e2"));
     registry.list(one.clone());
     registry.list(two.clone());
-    let missing = registry.keep_only(at(0), std::slice::from_ref(&two.id));
+    let missing = registry.missing(std::slice::from_ref(&two.id));
     assert_eq!(missing, [one.id]);
-    assert_eq!(registry.all().count(), 1);
+}
+
+#[test]
+fn endpoint_that_the_reader_gave_up_gets_no_second_grace() {
+    let mut registry = Registry::default();
+    let one = endpoint("e1");
+    registry.list(one.clone());
+    registry.unreachable();
+    registry.reached(at(0));
+    assert_eq!(registry.forget(&one.id), RegistryChange::Removed);
+    assert!(registry.open(&one.id).is_none());
+    assert_eq!(registry.forget(&one.id), RegistryChange::None);
 }
