Only what is missing in the first read after a long outage counts as lapsed

The replay shows the sending VM regain the platform at 24.09 s; the endpoint's entry was removed at 25.94 s, within 2.5 s of that, so it was taken for lapsed and used for 1.5 s more, 2.0 s after its removal. Ruled out: late news (the endpoint lists of all VMs differ by 0.02 s there); a reader that hangs. Change: only removals in the first read after an outage of three seconds or more, three heartbeats of an endpoint, count as lapses; their grace is two seconds and ends on time. Three tests, two of which fail on the code before.

--- a/crates/relay/src/fleet/registry.rs
+++ b/crates/relay/src/fleet/registry.rs
@@ -7,12 +7,11 @@
     types::EndpointId,
 };
 
+/// Shortest outage in which entries lapse: three heartbeats of endpoints.
+const LAPSE_OUTAGE: Duration = Duration::from_secs(3);
 /// Time that an entry which lapsed in an outage is still used after the platform's return: living
-/// endpoints are listed again within two seconds, and requests to one that left must end within the
-/// shortest drain bound, which is two seconds too.
-const LAPSE_GRACE: Duration = Duration::from_millis(1_500);
-/// Time after the platform's return in which a removed entry counts as lapsed, not as left.
-const RETURN_SPAN: Duration = Duration::from_millis(2_500);
+/// endpoints are listed again within two seconds.
+const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
 /// What a change did to the list.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,22 +41,27 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     rows: BTreeMap<EndpointId, Row>,
-    returned: Option<Stamp>,
-    out: bool,
+    /// Since when the list cannot be read.
+    out: Option<Stamp>,
+    /// Whether removals may be those of entries that lapsed in an outage.
+    lapsing: bool,
 }
 
 impl Registry {
     /// Tells that the list could not be read.
-    pub fn unreachable(&mut self) {
-        self.out = true;
+    pub fn unreachable(&mut self, now: Stamp) {
+        self.out.get_or_insert(now);
     }
 
-    /// Tells that the list was read.
+    /// Tells that the list was read; the changes of this read follow.
     pub fn reached(&mut self, now: Stamp) {
-        if self.out {
-            self.returned = Some(now);
-        }
-        self.out = false;
+        let out = self.out.take();
+        self.lapsing = out.is_some_and(|since| now.since(since) >= LAPSE_OUTAGE);
+    }
+
+    /// Tells that all changes of a read were taken in. Later removals are no lapses of the outage before.
+    pub fn caught_up(&mut self) {
+        self.lapsing = false;
     }
 
     /// Takes in a listed endpoint.
@@ -78,11 +82,11 @@
 
     /// Takes in the removal of an entry.
     pub fn unlist(&mut self, now: Stamp, id: &EndpointId) -> RegistryChange {
-        let after_outage = self.returned.is_some_and(|at| now.since(at) < RETURN_SPAN);
+        let lapsing = self.lapsing;
         let Some(row) = self.rows.get_mut(id) else {
             return RegistryChange::None;
         };
-        if after_outage && !row.endpoint.leaving {
+        if lapsing && !row.endpoint.leaving {
             row.drop_at = Some(now + LAPSE_GRACE);
             return RegistryChange::Lapsed;
         }
--- a/crates/relay/src/process/follow.rs
+++ b/crates/relay/src/process/follow.rs
@@ -96,6 +96,7 @@
                 if self.kind == FeedKind::Endpoints {
                     let missing = self.node.missing(&listed);
                     missing.iter().for_each(|id| self.node.unlist(id));
+                    self.node.registry.lock().caught_up();
                 }
                 Some(next)
             }
@@ -117,7 +118,7 @@
                 self.read();
                 take_in(&self.node, changes);
                 if self.kind == FeedKind::Endpoints {
-                    self.node.expire();
+                    self.node.registry.lock().caught_up();
                     self.node.clock.sleep(ENDPOINT_PAUSE).await;
                 }
                 Some(next)
@@ -154,7 +155,7 @@
             log::warn!(feed = feed, cause = cause; "platform's feed lost");
         }
         if self.kind == FeedKind::Endpoints {
-            self.node.registry.lock().unreachable();
+            self.node.registry.lock().unreachable(self.node.clock.now());
         }
         let jitter = self.pause.mul_f64(fastrand::f64());
         self.node.clock.sleep(self.pause + jitter).await;
--- a/crates/relay/src/process/run.rs
+++ b/crates/relay/src/process/run.rs
@@ -18,8 +18,8 @@
     std::{net::UdpSocket, sync::Arc, time::Duration},
 };
 
-/// Time between two sweeps of idle connections to endpoints.
-const SWEEP: Duration = Duration::from_secs(1);
+/// Time between two sweeps of lapsed endpoints and of idle connections.
+const SWEEP: Duration = Duration::from_millis(250);
 
 /// What an adapter provides.
 pub struct Adapter {
@@ -98,6 +98,7 @@
 async fn sweep(node: Arc<Node>) {
     loop {
         node.clock.sleep(SWEEP).await;
+        node.expire();
         node.pool.sweep(node.clock.now());
     }
 }
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -45,24 +45,53 @@
     assert_eq!(registry.unlist(at(0), &one.id), RegistryChange::Removed);
 }
 
-#[test]
-fn entry_that_lapsed_in_an_outage_is_kept_for_its_grace_only() {
+/// A registry with two endpoints after an outage of `out_ms` that ended at 10 s.
+fn after_outage(out_ms: u64) -> (Registry, Endpoint, Endpoint) {
     let mut registry = Registry::default();
     let (one, two) = (endpoint("e1"), endpoint("e2"));
     registry.list(one.clone());
     registry.list(two.clone());
-    registry.unreachable();
-    registry.reached(at(0));
-    assert_eq!(registry.unlist(at(100), &one.id), RegistryChange::Lapsed);
-    assert_eq!(registry.unlist(at(100), &two.id), RegistryChange::Lapsed);
+    registry.unreachable(at(10_000 - out_ms));
+    registry.unreachable(at(9_900));
+    registry.reached(at(10_000));
+    (registry, one, two)
+}
+
+#[test]
+fn entry_that_lapsed_in_an_outage_is_kept_for_its_grace_only() {
+    let (mut registry, one, two) = after_outage(5_000);
+    assert_eq!(registry.unlist(at(10_000), &one.id), RegistryChange::Lapsed);
+    assert_eq!(registry.unlist(at(10_000), &two.id), RegistryChange::Lapsed);
+    registry.caught_up();
     assert!(registry.open(&one.id).is_some());
     registry.list(two.clone());
-    assert!(registry.expire(at(1_500)).is_empty());
-    assert_eq!(registry.expire(at(1_600)), std::slice::from_ref(&one.id));
+    assert!(registry.expire(at(11_900)).is_empty());
+    let expired = registry.expire(at(12_000));
+    assert_eq!(expired, std::slice::from_ref(&one.id));
     assert!(registry.open(&one.id).is_none());
     assert!(registry.open(&two.id).is_some());
 }
 
+#[test]
+fn endpoint_that_leaves_soon_after_an_outage_is_gone_at_once() {
+    let (mut registry, one, _) = after_outage(5_000);
+    registry.caught_up();
+    registry.reached(at(10_450));
+    assert_eq!(
+        registry.unlist(at(10_450), &one.id),
+        RegistryChange::Removed
+    );
+}
+
+#[test]
+fn short_outage_lets_no_entry_lapse() {
+    let (mut registry, one, _) = after_outage(600);
+    assert_eq!(
+        registry.unlist(at(10_000), &one.id),
+        RegistryChange::Removed
+    );
+}
+
 #[test]
 fn missing_in_a_whole_list_means_removed() {
     let mut registry = Registry::default();
@@ -78,8 +107,8 @@
     let mut registry = Registry::default();
     let one = endpoint("e1");
     registry.list(one.clone());
-    registry.unreachable();
-    registry.reached(at(0));
+    registry.unreachable(at(0));
+    registry.reached(at(5_000));
     assert_eq!(registry.forget(&one.id), RegistryChange::Removed);
     assert!(registry.open(&one.id).is_none());
     assert_eq!(registry.forget(&one.id), RegistryChange::None);
