--- a/crates/route/src/place/cost.rs
+++ b/crates/route/src/place/cost.rs
@@ -46,7 +46,7 @@
 const HOME_CACHED: [f64; 2] = [0.75, 0.25];
 /// Time in which a new endpoint's cache fills: about the time between two uses of a session.
 const FILLING: Duration = Duration::from_secs(10);
-/// Share of failures above the usual one that costs nothing, so that a mended endpoint is used again.
+/// Share of failures above the usual one that costs nothing, so that a recovered endpoint is used again.
 const USUAL_FAILURES: f64 = 0.1;
 /// Latency of a plain service before any is known, in milliseconds.
 const PLAIN_MS: f64 = 50.0;
