A reader whose list holds lapsed entries is not followed

Change: a reader tells that its view is old until no entry of its list is lapsed, so followers go on reading alone. The new test fails without it (age 45 ms instead of without bound).

--- a/crates/relay/src/fleet/registry.rs
+++ b/crates/relay/src/fleet/registry.rs
@@ -119,6 +119,12 @@
         due
     }
 
+    /// Whether no entry lapsed that may come back; until then others must not take this list for the
+    /// platform's.
+    pub fn is_settled(&self) -> bool {
+        self.rows.values().all(|r| r.drop_at.is_none())
+    }
+
     /// All listed endpoints.
     pub fn all(&self) -> impl Iterator<Item = &Endpoint> {
         self.rows.values().map(|r| &r.endpoint)
--- a/crates/relay/src/process/relay.rs
+++ b/crates/relay/src/process/relay.rs
@@ -59,7 +59,8 @@
     /// All endpoints, unless the changes tell it.
     all: Option<Vec<Endpoint>>,
     changes: Vec<ListChange>,
-    /// Milliseconds since the teller read configuration and endpoints from the platform.
+    /// Milliseconds since the teller read configuration and endpoints from the platform; without bound
+    /// while its list holds entries that lapsed in an outage.
     ages: [u64; 2],
 }
 
@@ -113,7 +114,11 @@
     let changes = since.and_then(|(_, from)| history.since(from));
     let all = changes.is_none().then(|| registry.all().cloned().collect());
     let now = node.clock.now();
+    let settled = registry.is_settled();
     let ages = FeedKind::ALL.map(|kind| {
+        if !settled {
+            return u64::MAX;
+        }
         let age = node.fresh.lock().age(now, kind);
         u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
     });
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -63,13 +63,13 @@
     assert_eq!(registry.unlist(at(10_000), &one.id), RegistryChange::Lapsed);
     assert_eq!(registry.unlist(at(10_000), &two.id), RegistryChange::Lapsed);
     registry.caught_up();
-    assert!(registry.open(&one.id).is_some());
+    assert!(registry.open(&one.id).is_some() && !registry.is_settled());
     registry.list(two.clone());
     assert!(registry.expire(at(11_900)).is_empty());
     let expired = registry.expire(at(12_000));
     assert_eq!(expired, std::slice::from_ref(&one.id));
     assert!(registry.open(&one.id).is_none());
-    assert!(registry.open(&two.id).is_some());
+    assert!(registry.open(&two.id).is_some() && registry.is_settled());
 }
 
 #[test]
--- a/crates/relay/tests/stopping.rs
+++ b/crates/relay/tests/stopping.rs
@@ -7,8 +7,10 @@
         FakeEndpoint, Ports, Router, RouterSpec, Script, answer_head, catalog, endpoint, route,
     },
     relay::{Change, FeedKind, Kind},
+    serde::de::IgnoredAny,
     std::{
         io::{Read, Write},
+        net::TcpStream,
         sync::atomic::Ordering::SeqCst,
         thread,
         time::Duration,
@@ -183,3 +185,43 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert_eq!(server.count(), before);
 }
+
+/// How old a router says that its view of configuration and endpoints is, in milliseconds.
+fn told_ages(router: &Router) -> [u64; 2] {
+    type Ask = (Option<(u64, u64)>, u64, Vec<u8>, bool);
+    type Told = (u64, u64, IgnoredAny, IgnoredAny, IgnoredAny, [u64; 2]);
+    let ask: Ask = (None, 0, Vec::new(), false);
+    let body = rmp_serde::to_vec(&ask).unwrap();
+    let mut socket = TcpStream::connect(router.control).unwrap();
+    let head = format!(
+        "POST /news HTTP/1.1\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    socket.write_all(head.as_bytes()).unwrap();
+    socket.write_all(&body).unwrap();
+    let mut answer = Vec::new();
+    socket.read_to_end(&mut answer).unwrap();
+    let end = answer.windows(4).position(|w| w == b"\r\n\r\n").unwrap();
+    let told: Told = rmp_serde::from_slice(&answer[end + 4..]).unwrap();
+    told.5
+}
+
+#[test]
+fn reader_that_returns_from_an_outage_says_so_until_lapsed_entries_are_settled() {
+    let server = answering("hello");
+    let reader = Router::with(Kind::Once, vec![endpoint("e1", server.addr)]);
+    assert!(told_ages(&reader)[1] < 1_000);
+    reader.feed.down.store(true, SeqCst);
+    // Long enough for entries to lapse.
+    thread::sleep(Duration::from_millis(3_500));
+    let gone = Change::Unlisted("e1".parse().unwrap());
+    reader.feed.push(FeedKind::Endpoints, gone);
+    reader.feed.down.store(false, SeqCst);
+    thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(
+        told_ages(&reader)[1],
+        u64::MAX,
+        "its list is not the platform's"
+    );
+    reader.wait_for(|| told_ages(&reader)[1] < 1_000);
+}
