Ended requests are logged with the send under way

Cause: `request ended` read only the sends that had ended, so a stream that was cut, or left by its caller, while an endpoint was at work said sends 0 and verdict not_run. The caller's answer was right all along. Ruled out: recording the send as ended when the caller leaves; the slot's own end would then be recorded twice on the paths that break and go on. Change: the progress of a request answers for its sends and its verdict, the one under way included; the log line and Job::verdict use the same place.

--- a/crates/relay/src/process/account.rs
+++ b/crates/relay/src/process/account.rs
@@ -62,8 +62,8 @@
         log::info!(
             request:% = job.caller.id, route:% = job.route.id, service:% = job.service,
             org = job.org.as_ref().map_or("", |o| o.id.as_str()), tier = job.tier.0,
-            version = job.version.0, endpoint = endpoint, sends = progress.sends.made(),
-            verdict:% = progress.sends.verdict(), cause = progress.cause.unwrap_or(""),
+            version = job.version.0, endpoint = endpoint, sends = progress.sends(),
+            verdict:% = progress.verdict(), cause = progress.cause.unwrap_or(""),
             expected_ms = progress.expected.as_millis() as u64,
             ahead_ms = progress.ahead.as_millis() as u64,
             first_ms = first, events = progress.events, took_ms = took.as_millis() as u64,
--- a/crates/relay/src/request/job.rs
+++ b/crates/relay/src/request/job.rs
@@ -34,6 +34,21 @@
     pub(crate) counted: bool,
 }
 
+impl Progress {
+    /// Endpoints that got the request, the one at work included.
+    pub(crate) fn sends(&self) -> u32 {
+        self.sends.made() + u32::from(self.flying)
+    }
+
+    /// The verdict so far; a request under way may have run.
+    pub(crate) fn verdict(&self) -> Verdict {
+        if self.flying {
+            return Verdict::MayHaveRun;
+        }
+        self.sends.verdict()
+    }
+}
+
 /// A request.
 pub(crate) struct Job {
     pub(crate) caller: CallerHead,
@@ -60,11 +75,7 @@
 
     /// The verdict so far; a request under way may have run.
     pub(crate) fn verdict(&self) -> Verdict {
-        let progress = self.progress.lock();
-        if progress.flying {
-            return Verdict::MayHaveRun;
-        }
-        progress.sends.verdict()
+        self.progress.lock().verdict()
     }
 
     /// Marks the request as counted; false if it was before.
@@ -72,7 +83,7 @@
         !std::mem::replace(&mut self.progress.lock().counted, true)
     }
 
-    /// Endpoints that got the request.
+    /// Sends that have ended.
     pub(crate) fn sends(&self) -> u32 {
         self.progress.lock().sends.made()
     }
