Shared parts are fetched, overflow stays with a session's engines

New engines became homes without a cache; VMs that acted on the same late news sent all overflow to the one engine that had been free (56 of 580 requests of a second at one engine of 140); forecasts counted on parts that no cache had, so that engines were let run into 1.4 s of backlog and then got nothing for two seconds. Ruled out: lists of what engines hold (priced and late); less weight for homes (more parts are read again); lapsed entries (the 62 that went in the compaction had been told to leave before). Change: an engine that likely lacks the shared parts fetches them from a settled home (Kv-Fetch); four homes for each session, and only these take its overflow; short prompts spread by a hash instead of the least load; a factor learned from first tokens corrects forecasts; more weight for taken slots; fewer quiet engines, each fuller; a larger start, bursts seen over one second, sizes decided twice a second.

--- a/crates/fleet/src/zone/sizer.rs
+++ b/crates/fleet/src/zone/sizer.rs
@@ -9,7 +9,7 @@
 
 /// Share of an engine's time that prompts may fill on average: beyond it, bursts delay first tokens and
 /// pauses past their targets.
-const FILL: f64 = 0.28;
+const FILL: f64 = 0.22;
 /// Weight of a second's work in its mean, when it rises and when it falls.
 const RISE: f64 = 0.7;
 const FALL: f64 = 0.02;
@@ -19,6 +19,9 @@
 const STEADY_FLOOR: u32 = 1;
 /// Engines kept in each zone in all while there is no work to go by.
 const FIRST_SHARE: u32 = 3;
+/// Engines kept by whoever takes over, against those that are there: what traffic needs is not known yet,
+/// and new engines start with empty caches.
+const START_SHARE: f64 = 1.3;
 /// Time that enough engines must have been there before steady ones are given up.
 const SETTLED: Duration = Duration::from_secs(3);
 /// Time before cheap engines are ordered again where none could be had.
@@ -96,7 +99,7 @@
             // Whoever takes over keeps what is there until the work shows what is needed; the list of
             // what is there fills as engines write their entries.
             let present: u32 = view.zones.iter().map(|p| p.steady + p.cheap).sum();
-            self.work = self.work.max(f64::from(present) * FILL);
+            self.work = self.work.max(f64::from(present) * FILL * START_SHARE);
             return Vec::new();
         }
         let weight = if view.work > self.work { RISE } else { FALL };
--- a/crates/relay/src/port/dialect.rs
+++ b/crates/relay/src/port/dialect.rs
@@ -4,7 +4,7 @@
     compact_str::CompactString,
     h1::{Headers, ResponseHead},
     route::Prompt,
-    std::{error::Error, fmt, time::Duration},
+    std::{error::Error, fmt, net::SocketAddr, time::Duration},
     types::{AttemptId, EndpointId, OrgId, Tier},
 };
 
@@ -51,6 +51,8 @@
     pub tier: Option<Tier>,
     /// Event after which a stream goes on.
     pub last_event: Option<u64>,
+    /// Engine from whose cache the endpoint is to fetch what it lacks of the prompt.
+    pub fetch: Option<SocketAddr>,
 }
 
 /// What an endpoint's response head says.
--- a/crates/relay/src/process/capacity.rs
+++ b/crates/relay/src/process/capacity.rs
@@ -15,7 +15,7 @@
 };
 
 /// Time between two decisions.
-const EVERY: Duration = Duration::from_secs(1);
+const EVERY: Duration = Duration::from_millis(500);
 /// Status of an order for engines of which none can be had.
 const NONE_LEFT: u16 = 409;
 
--- a/crates/relay/src/process/placing.rs
+++ b/crates/relay/src/process/placing.rs
@@ -162,13 +162,21 @@
             return Err(job.overloaded(wait));
         }
         let addr = registry.open(&choice.id).map(|e| e.addr);
+        let source = choice.fetch.as_ref().and_then(|id| registry.open(id));
+        let fetch = source.map(|e| e.addr);
         drop(placers);
         drop(registry);
         let Some(addr) = addr else {
             log::error!(endpoint:% = choice.id; "placer holds an endpoint that is not listed");
             return Err(job.unplaced("endpoint is not listed"));
         };
-        Ok(Slot::new(self.clone(), job.service.clone(), choice, addr))
+        Ok(Slot::new(
+            self.clone(),
+            job.service.clone(),
+            choice,
+            addr,
+            fetch,
+        ))
     }
 
     /// Whether a request is let in at a chosen endpoint; an error is the time to come back after.
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -182,6 +182,7 @@
         org: job.org.as_ref().map(|o| &o.id),
         tier: job.caller.prompt.as_ref().map(|_| job.tier),
         last_event,
+        fetch: slot.fetch,
     };
     node.dialect.forward(&mut head.headers, &hop);
     if !job.body.is_empty() || head.method != "GET" {
--- a/crates/relay/src/request/slot.rs
+++ b/crates/relay/src/request/slot.rs
@@ -17,6 +17,8 @@
     began: Stamp,
     /// Where the endpoint listens.
     pub(crate) addr: SocketAddr,
+    /// Where the engine listens that likely has what this one lacks of the prompt.
+    pub(crate) fetch: Option<SocketAddr>,
 }
 
 impl Slot {
@@ -25,6 +27,7 @@
         service: ServiceId,
         choice: Choice,
         addr: SocketAddr,
+        fetch: Option<SocketAddr>,
     ) -> Self {
         let began = node.clock.now();
         Self {
@@ -34,6 +37,7 @@
             ended: Ended::Cancelled,
             began,
             addr,
+            fetch,
         }
     }
 
--- a/crates/route/src/place/cost.rs
+++ b/crates/route/src/place/cost.rs
@@ -19,8 +19,23 @@
 const RISK_FROM: f64 = 0.35;
 const RISK_TO: f64 = 1.1;
 /// Cost of a thousand shared tokens that are read again though another engine has them: their price
-/// against the worth of a request, times the chance that they were used within the priced span.
-const REREAD: f64 = 0.05;
+/// against the worth of a request of the usual size.
+const REREAD: f64 = 0.07;
+/// Cost of a thousand shared tokens that are fetched from another engine: the price of their bytes.
+const FETCH: f64 = 0.014;
+/// Cost of another engine than the home: one more copy of the parts takes memory from those of others.
+const AWAY: f64 = 0.06;
+/// Cost of an engine that is none of a session's homes. Overflow goes to each session's own few engines:
+/// VMs that act on the same news a second late would otherwise all send theirs to the one that was free.
+const STRAY: f64 = 0.8;
+/// Fewest shared tokens for which a home and a fetch pay: a fetch's set-up takes as long as reading a few
+/// hundred.
+const FETCH_FROM: u64 = 1_000;
+/// Spread of the costs of equal engines: VMs that act on the same news a second late would all choose the
+/// same one otherwise.
+const SPREAD: f64 = 0.06;
+/// Cost of an engine whose slots are all taken; it grows with the square of the share taken.
+const CROWDED: f64 = 0.2;
 /// Cost of another availability zone: the price of a request's bytes.
 const ZONE: f64 = 0.015;
 /// Cost of a delicate stream at an engine that is not quiet, and of a long prompt at one that is.
@@ -43,9 +58,9 @@
 const LONG_PROMPT: u64 = 2_048;
 /// Share of a shared part that is taken as cached at the endpoints that all VMs prefer for it, once they
 /// have served for long.
-const HOME_CACHED: [f64; 2] = [0.75, 0.25];
+const HOME_CACHED: [f64; 4] = [0.85, 0.3, 0.15, 0.1];
 /// Time in which a new endpoint's cache fills: about the time between two uses of a session.
-const FILLING: Duration = Duration::from_secs(10);
+const FILLING: Duration = Duration::from_secs(5);
 /// Share of failures above the usual one that costs nothing, so that a recovered endpoint is used again.
 const USUAL_FAILURES: f64 = 0.1;
 /// Latency of a plain service before any is known, in milliseconds.
@@ -58,8 +73,12 @@
     /// Latency of a usual endpoint, in milliseconds.
     latency: f64,
     homes: Vec<EndpointId>,
+    /// Endpoints that shared parts can be fetched from, best first: the second one serves the first.
+    sources: Vec<EndpointId>,
     quiet: BTreeSet<EndpointId>,
     delicate: bool,
+    /// Reading time that turns out, against the one that the forecast is made from.
+    drift: f64,
 }
 
 pub(super) fn cheapest(placer: &Placer, now: Stamp, wish: &Wish<'_>) -> Option<Choice> {
@@ -71,14 +90,25 @@
         usual,
         latency: median(known).unwrap_or(PLAIN_MS),
         homes: Vec::new(),
+        sources: Vec::new(),
         quiet: BTreeSet::new(),
         delicate: false,
+        drift: placer.drift.factor(),
     };
     if let (Some(profile), Some(_)) = (&placer.profile, wish.prompt) {
         let delicate: u32 = open().map(|r| all(r, now).delicate).sum();
         scene.quiet = quiet(fit(), delicate);
         scene.delicate = is_delicate(profile, wish);
-        scene.homes = homes(fit(), wish, &scene);
+        let ranked = match wish.prompt.map(crate::Prompt::shared_tokens) {
+            Some(tokens) if tokens >= FETCH_FROM => ranked(fit(), wish, &scene),
+            _ => Vec::new(),
+        };
+        let ids = |rows: &mut dyn Iterator<Item = &&Row>, most: usize| {
+            rows.take(most).map(|r| r.place.id.clone()).collect()
+        };
+        scene.homes = ids(&mut ranked.iter(), HOME_CACHED.len());
+        let settled = |r: &&&Row| now.since(r.since) >= FILLING;
+        scene.sources = ids(&mut ranked.iter().filter(settled), 2);
     }
     let allowed = open().filter(|r| !wish.avoid.contains(&r.place.id));
     let priced = allowed.map(|row| price(placer, now, wish, row, &scene));
@@ -93,22 +123,17 @@
     !long && pause.is_some_and(|p| profile.crowded_ms() > p * 0.9)
 }
 
-/// Endpoints that all VMs prefer for the request's deepest shared part, best first.
-fn homes<'a>(
-    rows: impl Iterator<Item = &'a Row>,
-    wish: &Wish<'_>,
-    scene: &Scene,
-) -> Vec<EndpointId> {
+/// Endpoints in the order in which all VMs prefer them for the request's deepest shared part.
+fn ranked<'a>(rows: impl Iterator<Item = &'a Row>, wish: &Wish<'_>, scene: &Scene) -> Vec<&'a Row> {
     let Some(part) = wish.prompt.and_then(|p| p.shared()) else {
         return Vec::new();
     };
     let suited = rows.filter(|r| scene.quiet.contains(&r.place.id) == scene.delicate);
     let mut ranked: Vec<_> = suited
-        .map(|r| (parts::weight(part, &r.place.id), &r.place.id))
+        .map(|r| (parts::weight(part, &r.place.id), r))
         .collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    let best = ranked.into_iter().take(HOME_CACHED.len());
-    best.map(|(_, id)| id.clone()).collect()
+    ranked.sort_unstable_by(|(a, x), (b, y)| (b, &y.place.id).cmp(&(a, &x.place.id)));
+    ranked.into_iter().map(|(_, row)| row).collect()
 }
 
 /// The lower median.
@@ -168,6 +193,7 @@
         id: row.place.id.clone(),
         expected: millis(latency + wait),
         ahead: millis(latency * (turns - 1.0).max(0.0)),
+        fetch: None,
         load: Load {
             flying: 1,
             ..Load::default()
@@ -187,17 +213,32 @@
         return plain(wish, row, (all, scene));
     };
     let rank_home = scene.homes.iter().position(|id| *id == row.place.id);
-    let (unread, reread) = unread(now, prompt, row, rank_home);
+    let cached = Cached::at(now, prompt, row, rank_home, &scene.sources);
+    let unread = cached.unread(prompt);
     let beyond = (all.flying + 1).saturating_sub(row.place.slots);
-    // Each request beyond the slots waits for the end of one, which takes some hundred steps.
-    let queue_ms =
-        f64::from(beyond) * profile.step_ms(all.flying) * 100.0 / f64::from(row.place.slots.max(1));
-    let ahead_ms = profile.read_ms(all.ahead(wish.tier)) + queue_ms;
+    // Each request beyond the slots waits for the end of one, which takes some hundred steps; while
+    // prompts wait, each step reads a chunk of them.
+    let chunk_ms = profile.read_ms(all.unread().min(u64::from(profile.chunk)));
+    let turn_ms = (profile.step_ms(all.flying) + chunk_ms) * 100.0;
+    let queue_ms = f64::from(beyond) * turn_ms / f64::from(row.place.slots.max(1));
+    let drift = scene.drift;
+    let ahead_ms = drift * profile.read_ms(all.ahead(wish.tier)) + queue_ms;
     let first_ms = profile.first.as_secs_f64() * 1e3 + profile.step_ms(all.flying);
-    let expected_ms = first_ms + ahead_ms + profile.read_ms(unread);
+    let expected_ms = first_ms + ahead_ms + drift * profile.read_ms(unread);
     let mut cost = LATE * risk(expected_ms, wish.target);
     cost += BALANCE * (expected_ms + profile.read_ms(all.unread())) / 100.0;
-    cost += REREAD * reread as f64 / 1e3 + BEYOND * f64::from(beyond);
+    cost += (REREAD * cached.reread + FETCH * cached.fetched) / 1e3;
+    let taken = f64::from(all.flying) / f64::from(row.place.slots.max(1));
+    cost += BEYOND * f64::from(beyond) + CROWDED * taken * taken;
+    if scene.homes.is_empty() {
+        cost += SPREAD * parts::draw(prompt, &row.place.id);
+    } else {
+        cost += match rank_home {
+            Some(0) => 0.0,
+            Some(_) => AWAY,
+            None => STRAY,
+        };
+    }
     let memory = prompt.memory().0;
     let filled = (all.memory + memory) as f64 / profile.memory.0.max(1) as f64;
     cost += (filled - MEMORY_SHARE).max(0.0) * MEMORY;
@@ -222,34 +263,67 @@
         id: row.place.id.clone(),
         expected: millis(expected_ms),
         ahead: millis(ahead_ms),
+        fetch: cached.source,
         load,
     };
     (cost, choice)
 }
 
-/// Tokens of the prompt that the endpoint has to read: those after the first part it lacks; and how
-/// many of them belong to parts that other requests share.
-fn unread(now: Stamp, prompt: &crate::Prompt, row: &Row, rank_home: Option<usize>) -> (u64, u64) {
-    let age = now.since(row.since).as_secs_f64() / FILLING.as_secs_f64();
-    let filled = 1.0 - (-age).exp();
-    let mut cached = 0.0;
-    let mut reread = 0.0;
-    let mut lacks = false;
-    let last = prompt.parts.len().saturating_sub(1);
-    for (at, (part, tokens)) in prompt.parts.iter().enumerate() {
-        let tokens = tokens.0 as f64;
-        let share = match rank_home {
-            _ if lacks => 0.0,
-            _ if row.parts.has(now, *part) => 1.0,
-            Some(rank) if at < last => HOME_CACHED[rank] * filled,
-            _ => 0.0,
+/// What is expected of a prompt's parts at one endpoint, in tokens.
+struct Cached {
+    /// In its cache.
+    kept: f64,
+    /// Fetched from another endpoint.
+    fetched: f64,
+    /// Of parts that other requests share, read again.
+    reread: f64,
+    /// Where to fetch from.
+    source: Option<EndpointId>,
+}
+
+impl Cached {
+    fn at(
+        now: Stamp,
+        prompt: &crate::Prompt,
+        row: &Row,
+        rank_home: Option<usize>,
+        sources: &[EndpointId],
+    ) -> Self {
+        let age = now.since(row.since).as_secs_f64() / FILLING.as_secs_f64();
+        let filled = 1.0 - (-age).exp();
+        let last = prompt.parts.len().saturating_sub(1);
+        let (mut kept, mut missing, mut lacks) = (0.0, 0.0, false);
+        for (at, (part, tokens)) in prompt.parts.iter().enumerate() {
+            let tokens = tokens.0 as f64;
+            let share = match rank_home {
+                _ if lacks => 0.0,
+                _ if row.parts.has(now, *part) => 1.0,
+                Some(rank) if at < last => HOME_CACHED[rank] * filled,
+                _ => 0.0,
+            };
+            lacks |= share == 0.0;
+            kept += share * tokens;
+            if at < last {
+                missing += (1.0 - share) * tokens;
+            }
+        }
+        let source = sources.iter().find(|id| **id != row.place.id);
+        let source = source.filter(|_| missing >= FETCH_FROM as f64).cloned();
+        let fetched = match source {
+            Some(_) => missing * HOME_CACHED[0],
+            None => 0.0,
         };
-        lacks |= share == 0.0;
-        cached += share * tokens;
-        if at < last {
-            reread += (1.0 - share) * tokens;
+        Self {
+            kept,
+            fetched,
+            reread: missing - fetched,
+            source,
         }
     }
-    let unread = prompt.input.0.saturating_sub(cached as u64);
-    (unread, reread as u64)
+
+    /// Tokens that the endpoint has to read.
+    fn unread(&self, prompt: &crate::Prompt) -> u64 {
+        let had = (self.kept + self.fetched) as u64;
+        prompt.input.0.saturating_sub(had)
+    }
 }
--- a/crates/route/src/place/meter.rs
+++ b/crates/route/src/place/meter.rs
@@ -7,6 +7,9 @@
 /// Slices that the rate is taken over: short enough to see a burst within two seconds.
 const SLICES: usize = 4;
 
+/// Newest slices that count alone when they hold more: a burst shows within a second.
+const NEWEST: usize = 2;
+
 /// Counts what comes in slices of time.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Meter {
@@ -22,12 +25,15 @@
         self.slices[0] += amount;
     }
 
-    /// Amount a second over the complete slices.
+    /// Amount a second over the complete slices, or over the newest ones if that is more.
     pub(super) fn rate(&mut self, now: Stamp) -> u64 {
         self.advance(now);
-        let sum: u64 = self.slices[1..].iter().sum();
-        let span = SLICE.as_secs_f64() * SLICES as f64;
-        (sum as f64 / span) as u64
+        let over = |slices: &[u64]| {
+            let span = SLICE.as_secs_f64() * slices.len() as f64;
+            slices.iter().sum::<u64>() as f64 / span
+        };
+        let (all, newest) = (over(&self.slices[1..]), over(&self.slices[1..=NEWEST]));
+        all.max(newest) as u64
     }
 
     fn advance(&mut self, now: Stamp) {
--- a/crates/route/src/place/mod.rs
+++ b/crates/route/src/place/mod.rs
@@ -5,6 +5,7 @@
 //! silent or slow down; and other VMs that place requests at the same time.
 
 mod cost;
+mod drift;
 mod health;
 mod load;
 mod meter;
--- a/crates/route/src/place/parts.rs
+++ b/crates/route/src/place/parts.rs
@@ -11,7 +11,7 @@
 };
 
 /// Time after its last use that a part is taken as cached: engines evict the least recently used.
-const KEPT: Duration = Duration::from_secs(20);
+const KEPT: Duration = Duration::from_secs(10);
 /// Most parts remembered for one endpoint.
 const MOST: usize = 4096;
 
@@ -44,3 +44,11 @@
     (part, id.as_str()).hash(&mut hasher);
     hasher.finish()
 }
+
+/// A number from 0 to 1 for a request at an endpoint.
+pub(super) fn draw(prompt: &crate::Prompt, id: &EndpointId) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    let own = prompt.parts.last().map(|(part, _)| part);
+    (own, prompt.input, id.as_str()).hash(&mut hasher);
+    hasher.finish() as f64 / u64::MAX as f64
+}
--- a/crates/route/src/place/placer.rs
+++ b/crates/route/src/place/placer.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         cost,
+        drift::Drift,
         health::Health,
         load::{Foreign, Load, PeerLoad},
         meter::Meter,
@@ -61,6 +62,8 @@
     pub expected: Duration,
     /// The part of it that is spent on other requests.
     pub ahead: Duration,
+    /// Endpoint that likely has the shared parts which this one lacks.
+    pub fetch: Option<EndpointId>,
     /// Load that the request adds.
     pub load: Load,
 }
@@ -109,6 +112,7 @@
     pub(super) rows: BTreeMap<EndpointId, Row>,
     forgave: Stamp,
     meter: Meter,
+    pub(super) drift: Drift,
     /// Tokens a second of other VMs, and until when they count.
     rates: BTreeMap<VmId, (u64, Stamp)>,
 }
@@ -181,6 +185,9 @@
         };
         row.own.sub(read);
         choice.load.unread = Default::default();
+        if let Some(profile) = &self.profile {
+            self.drift.heard(profile, choice.expected, took);
+        }
         let ms = took.as_secs_f64() * 1e3;
         row.latency = match row.latency {
             mean if mean > 0.0 => mean + NEWEST * (ms - mean),
--- a/crates/route/src/place/quiet.rs
+++ b/crates/route/src/place/quiet.rs
@@ -16,9 +16,9 @@
 /// Delicate requests that one quiet engine is meant to run at most.
 const DELICATE_EACH: u32 = 40;
 /// Share of an engine's slots that delicate requests are meant to take: leaves room for their swings.
-const DELICATE_SHARE: f64 = 0.5;
+const DELICATE_SHARE: f64 = 0.75;
 /// Largest share of engines that are quiet.
-const MOST_QUIET: f64 = 0.5;
+const MOST_QUIET: f64 = 0.4;
 
 /// The quiet engines among `rows` for `delicate` requests of the fleet.
 pub(super) fn quiet<'a>(
--- a/crates/route/src/prompt.rs
+++ b/crates/route/src/prompt.rs
@@ -24,6 +24,12 @@
         self.input + self.output
     }
 
+    /// Tokens of the parts that other requests may share.
+    pub fn shared_tokens(&self) -> u64 {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|(_, t)| t.0).sum()
+    }
+
     /// The deepest part that other requests may share.
     pub fn shared(&self) -> Option<PartId> {
         let at = self.parts.len().checked_sub(2)?;
