The next reader of a zone turns to the platform before the others

Ruled out: reading at the start alone (about 730 calls, once). Change: a VM asks the second reader of its zone first where the drain bound leaves time for it; only three VMs a zone contend for the seat; failed reads pause up to 1.2 s, as all bounds begin seconds after a return; reads of endpoints wait for changes instead of polling; counts are stored every three seconds. Test: only_the_next_reader_turns_to_the_platform_when_the_first_one_hangs.

--- a/crates/fleet/src/zone/sizer.rs
+++ b/crates/fleet/src/zone/sizer.rs
@@ -10,9 +10,9 @@
 /// Share of an engine's time that prompts may fill on average: beyond it, bursts delay first tokens and
 /// pauses past their targets.
 const FILL: f64 = 0.22;
-/// Weight of a second's work in its mean, when it rises and when it falls.
-const RISE: f64 = 0.7;
-const FALL: f64 = 0.02;
+/// Weight of the newest work in its mean, twice a second, when it rises and when it falls.
+const RISE: f64 = 0.6;
+const FALL: f64 = 0.01;
 /// Time after taking over in which nothing is ordered: engines write their entries every second or so.
 const LOOK_ROUND: Duration = Duration::from_millis(3_500);
 /// Steady engines kept in each zone: they carry what may not be lost when cheap ones are reclaimed.
@@ -21,7 +21,7 @@
 const FIRST_SHARE: u32 = 3;
 /// Engines kept by whoever takes over, against those that are there: what traffic needs is not known yet,
 /// and new engines start with empty caches.
-const START_SHARE: f64 = 1.3;
+const START_SHARE: f64 = 1.5;
 /// Time that enough engines must have been there before steady ones are given up.
 const SETTLED: Duration = Duration::from_secs(3);
 /// Time before cheap engines are ordered again where none could be had.
@@ -93,7 +93,7 @@
         }
     }
 
-    /// Decides what to order; called about once a second.
+    /// Decides what to order; called about twice a second.
     pub fn decide(&mut self, now: Stamp, view: &SizeView) -> Vec<SizeOrder> {
         if now.since(self.since) < LOOK_ROUND {
             // Whoever takes over keeps what is there until the work shows what is needed; the list of
--- a/crates/relay/src/peers/table.rs
+++ b/crates/relay/src/peers/table.rs
@@ -74,16 +74,20 @@
         }
     }
 
-    /// The VM that reads the platform for this zone, unless it is this one: the strongest that is heard
-    /// and stays.
-    pub(crate) fn reader(&self, now: Stamp) -> Option<SocketAddr> {
+    /// VMs that read the platform for this zone before this one does: the stronger ones that are heard and
+    /// stay, strongest first.
+    pub(crate) fn readers(&self, now: Stamp) -> Vec<SocketAddr> {
         let live = self.peers.iter().filter(|(_, p)| {
             let settled = now.since(p.first) >= READER_AGE.max(FOR_EACH * 100);
             settled && now.since(p.heard) < READER_SILENT.max(self.pause(now) * 3)
         });
         let fit = live.filter(|(_, p)| p.zone == self.zone && !p.leaving);
-        let (vm, best) = fit.max_by_key(|(vm, p)| (p.power, *vm))?;
-        ((best.power, vm) > (self.power, &self.vm)).then_some(best.addr)
+        let mut stronger: Vec<_> = fit
+            .map(|(vm, p)| ((p.power, vm), p.addr))
+            .filter(|(rank, _)| *rank > (self.power, &self.vm))
+            .collect();
+        stronger.sort_unstable_by(|(a, _), (b, _)| b.cmp(a));
+        stronger.into_iter().map(|(_, addr)| addr).collect()
     }
 
     /// Takes in a datagram; nothing if it is older than one that was taken in before.
--- a/crates/relay/src/process/duty.rs
+++ b/crates/relay/src/process/duty.rs
@@ -3,6 +3,7 @@
 use {
     super::{Node, capacity::Capacity},
     crate::port::{Appended, Duties, Fence, SharedLog, Topic},
+    clock::Stamp,
     coord::{Sealed, Seat, SeatRecord, SeatStep, SeatTimes},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     types::OrgId,
@@ -13,6 +14,9 @@
 const HOLDER_PAUSE: Duration = Duration::from_millis(250);
 /// Time between two looks while another VM holds it: each one is a call.
 const OTHER_PAUSE: Duration = Duration::from_millis(1_800);
+/// VMs of each zone that contend for the seat while they read the platform: one is enough unless the
+/// platform turns single VMs away.
+const CONTENDERS: usize = 3;
 /// Pause after a failed call.
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
 /// Time between renewals.
@@ -75,8 +79,8 @@
             return OTHER_PAUSE;
         }
         let now = self.node.clock.now();
-        if !self.seat.is_own() && !self.node.reads_platform(now) {
-            // Those who read the platform contend; a VM that begins to reads the log first.
+        if !self.seat.is_own() && !self.contends(now) {
+            // A VM that begins to contend reads the log first.
             self.seat.unsure();
             self.note();
             return OTHER_PAUSE;
@@ -102,6 +106,13 @@
         }
     }
 
+    /// Whether this VM contends for the seat: it reads the platform, and is one of the first of its zone to do
+    /// so. When all VMs turn to the platform, the others leave the log alone.
+    fn contends(&self, now: Stamp) -> bool {
+        let before = self.node.peers.lock().readers(now).len();
+        before < CONTENDERS && self.node.reads_platform(now)
+    }
+
     fn epoch(&self) -> Option<Fence> {
         let epoch = self.seat.epoch(self.node.clock.now())?;
         Some(Fence { epoch })
@@ -263,8 +274,9 @@
     }
 }
 
-/// Time between two records of this VM's counts.
-const TALLY_PAUSE: Duration = Duration::from_millis(2_000);
+/// Time between two records of this VM's counts: with one call that gets no answer it is below the time
+/// after which a window is sealed.
+const TALLY_PAUSE: Duration = Duration::from_millis(3_000);
 
 /// Stores counts until it is dropped: those of this VM and of VMs that follow it.
 pub(super) async fn store_counts(node: Arc<Node>, log: Arc<dyn SharedLog>) {
--- a/crates/relay/src/process/follow.rs
+++ b/crates/relay/src/process/follow.rs
@@ -7,15 +7,15 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Time that a read of the configuration waits for changes: with the call's own limit and one more read
+/// Time that a read waits for changes: with the call's own limit and one more read
 /// it stays below the shortest bound of a change, also for those who follow this VM.
 const WAIT: Duration = Duration::from_millis(600);
-/// Pause between reads of endpoints, which do not wait, as heartbeats would end each wait at once: with a
-/// call that gets no answer and one more read it stays below the shortest drain bound.
-const ENDPOINT_PAUSE: Duration = Duration::from_millis(450);
-/// Pause after a failed read: first and longest, with as much jitter.
+/// Pause after news: many entries change at once, and one read brings them all.
+const PAUSE: Duration = Duration::from_millis(150);
+/// Pause after a failed read: first and longest, with up to half as much jitter. All bounds of changes
+/// begin seconds after the platform's return.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
-const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
 /// Pause between two looks at whether this VM reads the platform.
 const LOOK: Duration = Duration::from_millis(100);
 /// Age from which what a VM read counts as old: a waiting read, and a call that is fifty times slower
@@ -109,17 +109,16 @@
 
     /// Reads changes; returns the offset to follow from, or nothing when everything has to be read again.
     async fn go_on(&mut self, from: u64) -> Option<u64> {
-        let wait = match self.kind {
-            FeedKind::Configuration => WAIT,
-            FeedKind::Endpoints => Duration::ZERO,
-        };
-        match self.feed.follow(self.kind, from, wait).await {
+        match self.feed.follow(self.kind, from, WAIT).await {
             Ok(News::Changes(changes, next)) => {
                 self.read();
+                let changed = !changes.is_empty();
                 take_in(&self.node, changes);
                 if self.kind == FeedKind::Endpoints {
                     self.node.registry.lock().caught_up();
-                    self.node.clock.sleep(ENDPOINT_PAUSE).await;
+                }
+                if changed {
+                    self.node.clock.sleep(PAUSE).await;
                 }
                 Some(next)
             }
@@ -157,7 +156,7 @@
         if self.kind == FeedKind::Endpoints {
             self.node.registry.lock().unreachable(self.node.clock.now());
         }
-        let jitter = self.pause.mul_f64(fastrand::f64());
+        let jitter = self.pause.mul_f64(fastrand::f64() / 2.0);
         self.node.clock.sleep(self.pause + jitter).await;
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -97,7 +97,7 @@
 
     /// Whether this VM reads the platform: for its zone, or as it gets no fresh news.
     pub(crate) fn reads_platform(&self, now: Stamp) -> bool {
-        now < *self.alone.lock() || self.peers.lock().reader(now).is_none()
+        now < *self.alone.lock() || self.peers.lock().readers(now).is_empty()
     }
 
     /// Makes this VM read the platform itself until `until`.
--- a/crates/relay/src/process/relay.rs
+++ b/crates/relay/src/process/relay.rs
@@ -11,7 +11,7 @@
         port::FeedKind,
         version::{Catalog, CatalogDoc},
     },
-    clock::within,
+    clock::{Stamp, within},
     h1::{Headers, RequestHead, call},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -31,6 +31,9 @@
 const LOOK: Duration = Duration::from_millis(150);
 /// Time that a VM reads the platform itself after it got no fresh news.
 const ALONE: Duration = Duration::from_secs(4);
+/// Shortest drain bound for which a second reader is asked: two calls without an answer and a read of the
+/// platform take less.
+const DEPUTY_DRAIN: Duration = Duration::from_millis(2_800);
 /// Time that the platform gets at the start before any VM is asked.
 const PLATFORM_FIRST: Duration = Duration::from_millis(600);
 /// Pause between two rounds at the start.
@@ -132,36 +135,68 @@
     }
 }
 
-/// Follows the reader of this zone until it is dropped.
-pub(super) async fn follow_reader(node: Arc<Node>) {
+/// Which of a zone's readers is followed.
+#[derive(Debug, Default)]
+struct Turn {
+    /// Place in the order of readers.
+    at: usize,
+    /// When the first one is tried again.
+    until: Stamp,
+}
+
+impl Turn {
+    fn pick(&mut self, now: Stamp, readers: &[SocketAddr]) -> Option<SocketAddr> {
+        if now >= self.until || self.at >= readers.len() {
+            self.at = 0;
+        }
+        readers.get(self.at).copied()
+    }
+
+    /// Turns to the next reader; false if none is left.
+    fn pass(&mut self, now: Stamp, readers: usize) -> bool {
+        self.at = (self.at + 1) % readers.max(1);
+        self.until = now + ALONE;
+        self.at != 0
+    }
+}
+
+/// Follows the readers of this zone until it is dropped.
+///
+/// Answers this load: the store or the link of a zone's reader fails, and all VMs of the zone turn to the
+/// store in the same moment. They turn to the next reader first, which does so alone.
+pub(super) async fn follow_readers(node: Arc<Node>) {
+    let drain = node.settings.rules.drain;
+    let most = if drain >= DEPUTY_DRAIN { 2 } else { 1 };
     let mut since = None;
+    let mut turn = Turn::default();
     loop {
         let now = node.clock.now();
-        let reader = node.peers.lock().reader(now);
-        let (Some(reader), false) = (reader, node.reads_platform(now)) else {
+        let mut readers = node.peers.lock().readers(now);
+        readers.truncate(most);
+        let picked = turn.pick(now, &readers);
+        let (Some(reader), false) = (picked, node.reads_platform(now)) else {
             since = None;
             node.clock.sleep(LOOK).await;
             continue;
         };
         let addr = SocketAddr::new(reader.ip(), node.settings.control.port());
-        match ask(&node, addr, since, true).await {
-            Ok(told)
-                if told
-                    .ages
-                    .iter()
-                    .all(|age| u128::from(*age) < FRESH.as_millis()) =>
-            {
+        let asked = ask(&node, addr, since, true).await;
+        let fresh = |age: &u64| u128::from(*age) < FRESH.as_millis();
+        match asked {
+            Ok(told) if told.ages.iter().all(fresh) => {
                 since = Some((told.inc, told.next));
                 take_in(&node, told);
+                continue;
             }
-            Ok(told) => {
-                log::info!(reader:% = addr, ages:? = told.ages; "reader's news are old, reading the platform");
-                node.read_alone(now + ALONE);
-            }
-            Err(cause) => {
-                log::info!(reader:% = addr, cause = cause.as_str(); "reader lost, reading the platform");
-                node.read_alone(now + ALONE);
-            }
+            Ok(told) => log::info!(reader:% = addr, ages:? = told.ages; "reader's news are old"),
+            Err(cause) => log::info!(reader:% = addr, cause = cause.as_str(); "reader lost"),
+        }
+        if turn.pass(node.clock.now(), readers.len()) {
+            // The next reader notices at the same time and needs a moment to read.
+            node.clock.sleep(LOOK).await;
+        } else {
+            log::info!(readers = readers.len(); "no fresh news, reading the platform");
+            node.read_alone(now + ALONE);
         }
     }
 }
--- a/crates/relay/src/process/run.rs
+++ b/crates/relay/src/process/run.rs
@@ -7,7 +7,7 @@
         duty::{run_duties, store_counts},
         follow::follow,
         gossip,
-        relay::{NEWS_PATH, fetch_first, follow_reader, tell},
+        relay::{NEWS_PATH, fetch_first, follow_readers, tell},
     },
     crate::{
         connection::{Answering, Page, listen, serve_front, serve_pages},
@@ -62,7 +62,7 @@
         ex.spawn(gossip::hear(node.clone(), socket.clone())),
         ex.spawn(gossip::speak(node.clone(), socket)),
         ex.spawn(fetch_first(node.clone())),
-        ex.spawn(follow_reader(node.clone())),
+        ex.spawn(follow_readers(node.clone())),
         ex.spawn(run_duties(node.clone(), log.clone(), duties)),
         ex.spawn(store_counts(node.clone(), log.clone())),
         ex.spawn(sweep(node.clone())),
--- a/crates/relay/tests/common/fakes.rs
+++ b/crates/relay/tests/common/fakes.rs
@@ -12,7 +12,7 @@
         collections::{BTreeMap, HashMap},
         sync::{
             Mutex,
-            atomic::{AtomicBool, Ordering::SeqCst},
+            atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst},
         },
         time::Duration,
     },
@@ -76,6 +76,8 @@
     pub(crate) down: AtomicBool,
     /// Calls get no answer until their limit.
     pub(crate) stuck: AtomicBool,
+    /// Calls so far.
+    pub(crate) calls: AtomicUsize,
 }
 
 /// The adapter's limit of a read.
@@ -83,6 +85,7 @@
 
 impl FakeFeed {
     async fn call(&self, wait: Duration) -> Result<(), PlatformError> {
+        self.calls.fetch_add(1, SeqCst);
         if self.stuck.load(SeqCst) {
             async_io::Timer::after(wait + READ_LIMIT).await;
             return Err(PlatformError::Unreachable(Verdict::MayHaveRun));
--- a/crates/relay/tests/common/router.rs
+++ b/crates/relay/tests/common/router.rs
@@ -96,6 +96,8 @@
     /// Addresses; VMs of one fleet have the same ports at different addresses.
     pub(crate) ip: IpAddr,
     pub(crate) ports: Ports,
+    /// Time after which a leaving endpoint may get no more requests.
+    pub(crate) drain: Duration,
 }
 
 /// Ports of a fleet.
@@ -119,6 +121,7 @@
             name: "vm-1",
             ip: IpAddr::from([127, 0, 0, 1]),
             ports: Ports::free(),
+            drain: Duration::from_secs(2),
         }
     }
 }
@@ -150,7 +153,8 @@
         for endpoint in spec.endpoints {
             feed.push(FeedKind::Endpoints, Change::Listed(endpoint));
         }
-        let settings = settings(spec.name, spec.seeds, (spec.ip, spec.ports));
+        let mut settings = settings(spec.name, spec.seeds, (spec.ip, spec.ports));
+        settings.rules.drain = spec.drain;
         let duties: Arc<FakeDuties> = Arc::default();
         let stop = Stop::default();
         let router = Self {
--- a/crates/relay/tests/stopping.rs
+++ b/crates/relay/tests/stopping.rs
@@ -186,6 +186,48 @@
     assert_eq!(server.count(), before);
 }
 
+#[test]
+fn only_the_next_reader_turns_to_the_platform_when_the_first_one_hangs() {
+    let server = answering("hello");
+    let ports = Ports::free();
+    let spec = |name, ip: [u8; 4]| RouterSpec {
+        name,
+        ip: ip.into(),
+        ports,
+        drain: Duration::from_secs(3),
+        ..RouterSpec::new(Kind::Once, vec![endpoint("e1", server.addr)])
+    };
+    let first = Router::start(spec("vm-9", [127, 0, 0, 5]));
+    let mut second = spec("vm-8", [127, 0, 0, 6]);
+    second.seeds = vec![first.control];
+    let mut third = spec("vm-1", [127, 0, 0, 7]);
+    third.seeds = vec![first.control];
+    let (second, third) = (Router::start(second), Router::start(third));
+    [&first, &second, &third]
+        .into_iter()
+        .for_each(Router::wait_ready);
+    // Until all have heard each other for long enough to follow.
+    thread::sleep(Duration::from_millis(3_000));
+    let calls = |router: &Router| router.feed.calls.load(SeqCst);
+    let (before, idle) = (calls(&second), calls(&third));
+    first.feed.stuck.store(true, SeqCst);
+    let begun = std::time::Instant::now();
+    second.wait_for(|| calls(&second) > before);
+    thread::sleep(Duration::from_millis(2_500));
+    assert_eq!(calls(&third), idle, "the third VM read the platform");
+    // It still learns of a leaving endpoint, from the second one.
+    let mut leaving = endpoint("e1", server.addr);
+    leaving.leaving = true;
+    second
+        .feed
+        .push(FeedKind::Endpoints, Change::Listed(leaving));
+    third.wait_for(|| {
+        let answer = third.exchange(&ask("Connection: close\r\n"));
+        answer.starts_with("HTTP/1.1 503")
+    });
+    assert!(begun.elapsed() < Duration::from_secs(8));
+}
+
 /// How old a router says that its view of configuration and endpoints is, in milliseconds.
 fn told_ages(router: &Router) -> [u64; 2] {
     type Ask = (Option<(u64, u64)>, u64, Vec<u8>, bool);
