Starts sized by the age of news, fresh answers of a new reader

Cause: with 79 VMs a round of news takes 0.8 s, and peaks at single engines last while caches fill; a burst in the first second found 120 engines with empty caches.

--- a/crates/fleet/src/zone/sizer.rs
+++ b/crates/fleet/src/zone/sizer.rs
@@ -9,7 +9,7 @@
 
 /// Share of an engine's time that prompts may fill on average: beyond it, bursts delay first tokens and
 /// pauses past their targets.
-const FILL: f64 = 0.22;
+const FILL: f64 = 0.21;
 /// Weight of the newest work in its mean, twice a second, when it rises and when it falls.
 const RISE: f64 = 0.6;
 const FALL: f64 = 0.01;
@@ -22,6 +22,9 @@
 /// Engines kept by whoever takes over, against those that are there: what traffic needs is not known yet,
 /// and new engines start with empty caches.
 const START_SHARE: f64 = 1.5;
+/// Share added to it for each second between two rounds of news: the older the news that VMs place by, the
+/// higher the peaks at single engines, and it is while caches fill that these last.
+const START_PER_S: f64 = 0.85;
 /// Time that enough engines must have been there before steady ones are given up.
 const SETTLED: Duration = Duration::from_secs(3);
 /// Time before cheap engines are ordered again where none could be had.
@@ -99,7 +102,8 @@
             // Whoever takes over keeps what is there until the work shows what is needed; the list of
             // what is there fills as engines write their entries.
             let present: u32 = view.zones.iter().map(|p| p.steady + p.cheap).sum();
-            self.work = self.work.max(f64::from(present) * FILL * START_SHARE);
+            let share = START_SHARE + START_PER_S * view.news_every.as_secs_f64();
+            self.work = self.work.max(f64::from(present) * FILL * share);
             return Vec::new();
         }
         let weight = if view.work > self.work { RISE } else { FALL };
--- a/crates/fleet/src/zone/view.rs
+++ b/crates/fleet/src/zone/view.rs
@@ -1,6 +1,6 @@
 //! What sizing looks at, and what it decides.
 
-use types::ZoneId;
+use {std::time::Duration, types::ZoneId};
 
 /// Bounds of the engines of one service in each zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,6 +33,8 @@
     pub zones: Vec<PoolCount>,
     /// Work of the fleet, in engines that it would fill completely.
     pub work: f64,
+    /// Time between two rounds of news among VMs, beyond the shortest.
+    pub news_every: Duration,
 }
 
 /// A number of engines wanted.
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -79,6 +79,7 @@
             },
             zones: zones.collect(),
             work: self.work,
+            news_every: Duration::ZERO,
         };
         for order in self.sizer.decide(self.now, &view) {
             self.orders += 1;
@@ -172,3 +173,38 @@
     world.run(60);
     assert!(world.orders - before <= 6, "{}", world.orders - before);
 }
+
+#[test]
+fn fleet_that_hears_news_late_starts_with_more_engines() {
+    let total = |news_every: Duration| {
+        let now = Stamp::from_nanos(1 << 40);
+        let mut sizer = ZoneSizer::new(now);
+        let mut wanted = [3; 3];
+        for step in 0..10 {
+            let pool = |at: usize| PoolCount {
+                zone: zone(at),
+                steady: 3,
+                cheap: 0,
+            };
+            let view = SizeView {
+                bounds: SizeBounds {
+                    min: 1,
+                    max: 20,
+                    cheap: true,
+                },
+                zones: (0..3).map(pool).collect(),
+                work: 0.0,
+                news_every,
+            };
+            let now = now + Duration::from_millis(500 * step);
+            for order in sizer.decide(now, &view).iter().filter(|o| o.cheap) {
+                let at = (0..3).find(|at| zone(*at) == order.zone).unwrap();
+                wanted[at] = order.count + 1;
+            }
+        }
+        wanted.iter().sum::<u32>()
+    };
+    // Nine engines are there; what traffic needs is not known yet.
+    assert!(total(Duration::ZERO) >= 13);
+    assert!(total(Duration::from_millis(600)) >= 18);
+}
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -5,5 +5,5 @@
 
 pub(crate) use {
     news::PeerNews,
-    table::{PeerTable, SILENT},
+    table::{PeerTable, SHORTEST, SILENT},
 };
--- a/crates/relay/src/peers/table.rs
+++ b/crates/relay/src/peers/table.rs
@@ -14,7 +14,7 @@
 /// Time without a datagram after which a VM no longer counts, and its load is dropped.
 pub(crate) const SILENT: Duration = Duration::from_secs(3);
 /// Shortest time between two datagrams to one VM.
-const SHORTEST: Duration = Duration::from_millis(200);
+pub(crate) const SHORTEST: Duration = Duration::from_millis(200);
 /// Time between two datagrams for each VM heard: keeps those received below 100 a second.
 const FOR_EACH: Duration = Duration::from_millis(10);
 /// Time after which a silent VM is no longer written to.
--- a/crates/relay/src/process/account.rs
+++ b/crates/relay/src/process/account.rs
@@ -58,6 +58,7 @@
         let took = self.clock.now().since(job.arrived);
         let progress = job.progress.lock();
         let endpoint = progress.endpoint.as_ref().map_or("", |e| e.as_str());
+        let source = progress.source.as_ref().map_or("", |e| e.as_str());
         let first = progress.first.map_or(0, |d| d.as_millis() as u64);
         log::info!(
             request:% = job.caller.id, route:% = job.route.id, service:% = job.service,
@@ -65,7 +66,7 @@
             version = job.version.0, endpoint = endpoint, sends = progress.sends(),
             verdict:% = progress.verdict(), cause = progress.cause.unwrap_or(""),
             expected_ms = progress.expected.as_millis() as u64,
-            ahead_ms = progress.ahead.as_millis() as u64,
+            ahead_ms = progress.ahead.as_millis() as u64, fetched_from = source,
             first_ms = first, events = progress.events, took_ms = took.as_millis() as u64,
             status = status, outcome = outcome;
             "request ended"
--- a/crates/relay/src/process/capacity.rs
+++ b/crates/relay/src/process/capacity.rs
@@ -3,6 +3,7 @@
 use {
     super::Node,
     crate::{
+        peers::SHORTEST,
         port::{CapacityOrder, Duties, Fence},
         version::Scaling,
     },
@@ -110,6 +111,7 @@
             }
         });
         let zones = zones.collect();
+        let news_every = self.node.peers.lock().pause(now).saturating_sub(SHORTEST);
         let mut placers = self.node.placers.lock();
         SizeView {
             bounds: SizeBounds {
@@ -119,6 +121,7 @@
             },
             zones,
             work: placers.get_mut(id).map_or(0.0, |p| p.work(now)),
+            news_every,
         }
     }
 
--- a/crates/relay/src/process/duty.rs
+++ b/crates/relay/src/process/duty.rs
@@ -22,7 +22,7 @@
 /// Time between renewals.
 const RENEW: Duration = Duration::from_millis(600);
 /// Time after a window's end at which its figures are fixed: all VMs have stored their counts then.
-const SEAL_AFTER: Duration = Duration::from_millis(4_500);
+const SEAL_AFTER: Duration = Duration::from_millis(5_000);
 /// Windows that are still reported, counted from the newest ended one.
 const OPEN_WINDOWS: u64 = 4;
 /// Spread of claims after a lapse.
@@ -276,7 +276,7 @@
 
 /// Time between two records of this VM's counts: with one call that gets no answer it is below the time
 /// after which a window is sealed.
-const TALLY_PAUSE: Duration = Duration::from_millis(3_000);
+const TALLY_PAUSE: Duration = Duration::from_millis(2_000);
 
 /// Stores counts until it is dropped: those of this VM and of VMs that follow it.
 pub(super) async fn store_counts(node: Arc<Node>, log: Arc<dyn SharedLog>) {
--- a/crates/relay/src/process/placing.rs
+++ b/crates/relay/src/process/placing.rs
@@ -153,7 +153,7 @@
         let Some(choice) = choice else {
             return Err(job.unplaced("no endpoint is listed").retry_if_not_run());
         };
-        job.forecast(choice.expected, choice.ahead);
+        job.forecast(&choice);
         if let Err(wait) = self.admit(job, &choice, now) {
             let slot = choice;
             if let Some(placer) = placers.get_mut(&job.service) {
--- a/crates/relay/src/process/relay.rs
+++ b/crates/relay/src/process/relay.rs
@@ -27,6 +27,8 @@
 const LIMIT: Duration = Duration::from_millis(450);
 /// Largest accepted answer.
 const MOST: Bytes = Bytes(8 * 1024 * 1024);
+/// Pause between two looks whether the own news are fresh.
+const FRESH_LOOK: Duration = Duration::from_millis(40);
 /// Pause between two looks at who reads the platform.
 const LOOK: Duration = Duration::from_millis(150);
 /// Time that a VM reads the platform itself after it got no fresh news.
@@ -80,6 +82,10 @@
     }
     if ask.waits {
         let waiting = async {
+            // A VM that has just become its zone's reader has asked the platform, and will know in a moment.
+            while !is_fresh(&node) {
+                node.clock.sleep(FRESH_LOOK).await;
+            }
             loop {
                 let news = node.news.listen();
                 if has_news(&node, &ask) {
@@ -102,6 +108,13 @@
     }
 }
 
+fn is_fresh(node: &Node) -> bool {
+    let now = node.clock.now();
+    let fresh = node.fresh.lock();
+    let young = FeedKind::ALL.map(|kind| fresh.age(now, kind) < FRESH);
+    young == [true; 2]
+}
+
 fn has_news(node: &Node, ask: &Ask) -> bool {
     let next = node.history.lock().next();
     let version = node.catalog().map(|c| c.doc.version);
--- a/crates/relay/src/request/job.rs
+++ b/crates/relay/src/request/job.rs
@@ -8,6 +8,7 @@
     clock::Stamp,
     h1::RequestHead,
     parking_lot::Mutex,
+    route::Choice,
     std::{sync::Arc, time::Duration},
     types::{Attempt, EndpointId, Reason, Refusal, ServiceId, Tier, Verdict, Version},
 };
@@ -30,6 +31,8 @@
     /// Forecast for the last endpoint: time to the first event, and the part of it for others.
     pub(crate) expected: Duration,
     pub(crate) ahead: Duration,
+    /// Engine that the last endpoint was told to fetch shared parts from.
+    pub(crate) source: Option<EndpointId>,
     /// Whether the request is counted in a usage window.
     pub(crate) counted: bool,
 }
@@ -89,10 +92,11 @@
     }
 
     /// Records the forecast that the last choice was made by.
-    pub(crate) fn forecast(&self, expected: Duration, ahead: Duration) {
+    pub(crate) fn forecast(&self, choice: &Choice) {
         let mut progress = self.progress.lock();
-        progress.expected = expected;
-        progress.ahead = ahead;
+        progress.expected = choice.expected;
+        progress.ahead = choice.ahead;
+        progress.source = choice.fetch.clone();
     }
 
     /// The refusal of a request that would come too late.
