--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -113,3 +113,18 @@
     assert!(registry.open(&one.id).is_none());
     assert_eq!(registry.forget(&one.id), RegistryChange::None);
 }
+
+#[test]
+fn entry_removed_soon_after_an_outage_is_not_kept_past_the_drain_bound() {
+    let mut registry = Registry::default();
+    registry.list(endpoint("e1"));
+    for ms in [0, 2_000, 4_000] {
+        registry.unreachable(at(ms));
+    }
+    // The platform may have returned, and the endpoint left, right after the last failed read; requests may
+    // reach it for two seconds from then on.
+    registry.reached(at(5_500));
+    registry.unlist(at(5_500), &"e1".parse().unwrap());
+    registry.expire(at(6_000));
+    assert!(registry.open(&"e1".parse().unwrap()).is_none());
+}
