--- a/crates/relay/src/endpoints/mod.rs
+++ b/crates/relay/src/endpoints/mod.rs
@@ -2,9 +2,13 @@
 
 mod change_history;
 mod endpoint;
+mod read_span;
 mod registry;
 
-pub(crate) use change_history::{ChangeHistory, EndpointChange};
+pub(crate) use {
+    change_history::{ChangeHistory, EndpointChange},
+    read_span::{ReadAges, ReadSpan},
+};
 pub use {
     endpoint::Endpoint,
     registry::{Registry, RegistryChange},
--- a/crates/relay/src/endpoints/registry.rs
+++ b/crates/relay/src/endpoints/registry.rs
@@ -3,6 +3,11 @@
 //!
 //! Endpoints renew their entries by heartbeats. In an outage the heartbeats fail, so that the entry
 //! of a running endpoint may expire and be removed. Such a lapsed entry is kept for a while.
+//!
+//! A read after an outage cannot tell a lapsed entry from that of an endpoint that has left right
+//! after the platform's return. The grace period therefore begins with the last failed read, before
+//! which the platform cannot have acknowledged that an endpoint leaves. An entry cannot have lapsed
+//! while another VM was able to read the list.
 
 use {
     super::Endpoint,
@@ -12,9 +17,9 @@
 };
 
 /// Shortest outage in which entries lapse: three heartbeat intervals of the endpoints.
-const MIN_LAPSE_OUTAGE: Duration = Duration::from_secs(3);
-/// Time that a lapsed entry is still used after the platform's return. Running endpoints are listed
-/// again within two seconds.
+pub(crate) const MIN_LAPSE_OUTAGE: Duration = Duration::from_secs(3);
+/// Time that a lapsed entry is still used after the last failed read. Running endpoints are listed
+/// again within two seconds of the platform's return.
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
 /// Effect of a change on the list.
@@ -45,28 +50,37 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     rows: BTreeMap<EndpointId, Row>,
-    /// First failed read since the last successful one.
-    outage_since: Option<Instant>,
-    /// Whether a removal may be the expiry of an entry during the last outage.
-    lapse_possible: bool,
+    /// First and last failed read since the last successful one.
+    failed_reads: Option<(Instant, Instant)>,
+    /// When entries that expired during the last outage are dropped, while a removal may be such an
+    /// expiry.
+    lapse_end: Option<Instant>,
 }
 
 impl Registry {
-    /// Records that a read of the list failed.
-    pub fn read_failed(&mut self, now: Instant) {
-        self.outage_since.get_or_insert(now);
+    /// Records that a read of the list failed that was sent at `sent`.
+    pub fn read_failed(&mut self, sent: Instant) {
+        let first = self.failed_reads.map_or(sent, |(first, _)| first);
+        self.failed_reads = Some((first, sent));
+    }
+
+    /// When the first of the reads was sent that have failed since the last successful one.
+    pub fn failing_since(&self) -> Option<Instant> {
+        self.failed_reads.map(|(first, _)| first)
     }
 
-    /// Records that a read succeeded; call it before applying the changes of the read.
-    pub fn read_succeeded(&mut self, now: Instant) {
-        let since = self.outage_since.take();
-        self.lapse_possible = since.is_some_and(|since| now.since(since) >= MIN_LAPSE_OUTAGE);
+    /// Records that a read succeeded; call it before applying the changes of the read. With
+    /// `read_by_others`, other VMs were able to read the list while the reads of this one failed.
+    pub fn read_succeeded(&mut self, now: Instant, read_by_others: bool) {
+        let failed = self.failed_reads.take().filter(|_| !read_by_others);
+        let outage = failed.filter(|(first, _)| now.since(*first) >= MIN_LAPSE_OUTAGE);
+        self.lapse_end = outage.map(|(_, last)| last + LAPSE_GRACE);
     }
 
     /// Records that all changes of a read were applied. Later removals don't stem from the outage
     /// before.
     pub fn read_applied(&mut self) {
-        self.lapse_possible = false;
+        self.lapse_end = None;
     }
 
     /// Adds or updates an endpoint.
@@ -87,12 +101,12 @@
 
     /// Removes an entry, or marks it as lapsed if it may have expired in an outage.
     pub fn remove(&mut self, now: Instant, id: &EndpointId) -> RegistryChange {
-        let lapse_possible = self.lapse_possible;
+        let lapse_end = self.lapse_end.filter(|end| now < *end);
         let Some(row) = self.rows.get_mut(id) else {
             return RegistryChange::None;
         };
-        if lapse_possible && !row.endpoint.leaving {
-            row.expires = Some(now + LAPSE_GRACE);
+        if lapse_end.is_some() && !row.endpoint.leaving {
+            row.expires = lapse_end;
             return RegistryChange::Lapsed;
         }
         self.rows.remove(id);
--- a/crates/relay/src/peers/gossip_message.rs
+++ b/crates/relay/src/peers/gossip_message.rs
@@ -1,6 +1,7 @@
 //! The gossip datagram.
 
 use {
+    crate::endpoints::ReadAges,
     route::Load,
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -36,4 +37,7 @@
     pub(crate) unix_ms: u64,
     /// Addresses of some VMs that it receives datagrams from.
     pub(crate) addrs: Vec<SocketAddr>,
+    /// When it could read the endpoint list; `None` if it doesn't read the platform itself.
+    #[serde(default)]
+    pub(crate) reads: Option<ReadAges>,
 }
--- a/crates/relay/src/peers/peer_table.rs
+++ b/crates/relay/src/peers/peer_table.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{GossipMessage, gossip_message::MAX_ADDRS},
+    crate::endpoints::ReadSpan,
     clock::Instant,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -35,6 +36,8 @@
     offset_ms: i64,
     /// Endpoints in its last datagram.
     loaded_endpoints: BTreeSet<EndpointId>,
+    /// When it could read the endpoint list.
+    reads: Option<ReadSpan>,
 }
 
 /// Effect of a received datagram.
@@ -125,6 +128,7 @@
             leaving: message.leaving,
             offset_ms: i64::try_from(message.unix_ms).unwrap_or(i64::MAX) - own_ms,
             loaded_endpoints,
+            reads: message.reads.map(|ages| ages.span_at(now)),
         };
         let cleared = previously_loaded
             .difference(&peer.loaded_endpoints)
@@ -183,6 +187,12 @@
         self.live_peers(now).map(|p| p.offset_ms).collect()
     }
 
+    /// Whether another VM was able to read the endpoint list from `since` to `now`.
+    pub(crate) fn platform_read_since(&self, since: Instant, now: Instant) -> bool {
+        let mut spans = self.peers.values().filter_map(|p| p.reads);
+        spans.any(|span| span.covers(since, now))
+    }
+
     /// Interval between two rounds of datagrams.
     pub(crate) fn send_interval(&self, now: Instant) -> Duration {
         let count = u32::try_from(self.live_peers(now).count()).unwrap_or(u32::MAX);
--- a/crates/relay/src/process/feed_reader.rs
+++ b/crates/relay/src/process/feed_reader.rs
@@ -2,7 +2,10 @@
 
 use {
     super::Node,
-    crate::adapter::{Feed, FeedChange, FeedKind, FeedUpdate},
+    crate::{
+        adapter::{Feed, FeedChange, FeedKind, FeedUpdate},
+        endpoints::ReadSpan,
+    },
     clock::Instant,
     std::{sync::Arc, time::Duration},
 };
@@ -14,10 +17,14 @@
 /// Pause after a read that returned changes: many entries often change at once, and the next read
 /// returns them together.
 const BATCH_PAUSE: Duration = Duration::from_millis(150);
-/// Shortest and longest pause after a failed read; up to half as much jitter is added. The bounds
-/// for applying changes only begin seconds after the platform's return.
+/// Shortest pause after a failed read; up to half as much jitter is added.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(150);
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_200);
+/// Longest pause after a failed read of the configuration: the bound for applying one only begins
+/// seconds after the platform's return.
+const MAX_CONFIG_PAUSE: Duration = Duration::from_millis(1_200);
+/// Longest pause after a failed read of the endpoints. The grace period of lapsed entries begins
+/// with the last failed read, and running endpoints need most of it to be listed again.
+const MAX_ENDPOINTS_PAUSE: Duration = Duration::from_millis(200);
 /// Interval between two checks of whether this VM has to read the platform.
 const ROLE_POLL: Duration = Duration::from_millis(100);
 /// Age from which the state of a VM counts as stale: covers a read that waits for changes, and a
@@ -28,7 +35,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Freshness {
     config: Option<Instant>,
-    endpoints: Option<Instant>,
+    endpoints: Option<ReadSpan>,
 }
 
 impl Freshness {
@@ -36,7 +43,7 @@
     pub(crate) fn age(&self, now: Instant, kind: FeedKind) -> Duration {
         let read = match kind {
             FeedKind::Configuration => self.config,
-            FeedKind::Endpoints => self.endpoints,
+            FeedKind::Endpoints => self.endpoints.map(|span| span.last),
         };
         read.map_or(Duration::MAX, |at| now.since(at))
     }
@@ -44,9 +51,16 @@
     fn mark_read(&mut self, now: Instant, kind: FeedKind) {
         match kind {
             FeedKind::Configuration => self.config = Some(now),
-            FeedKind::Endpoints => self.endpoints = Some(now),
+            FeedKind::Endpoints => {
+                self.endpoints = Some(ReadSpan::extended(self.endpoints, now));
+            }
         }
     }
+
+    /// The time in which this VM has read the endpoints without a longer gap.
+    pub(crate) fn endpoints_span(&self) -> Option<ReadSpan> {
+        self.endpoints
+    }
 }
 
 /// Reads one feed of the platform and applies its changes.
@@ -86,6 +100,7 @@
 impl FeedReader {
     /// Reads a snapshot; returns the offset to follow the feed from.
     async fn read_snapshot(&mut self) -> Option<u64> {
+        let sent = self.node.clock.now();
         match self.feed.snapshot(self.kind).await {
             Ok((changes, next)) => {
                 self.record_success();
@@ -105,7 +120,7 @@
                 Some(next)
             }
             Err(e) => {
-                self.back_off(&e.to_string()).await;
+                self.back_off(sent, &e.to_string()).await;
                 None
             }
         }
@@ -113,7 +128,14 @@
 
     /// Reads changes; returns the offset to read from next, or `None` if a new snapshot is needed.
     async fn read_changes(&mut self, from: u64) -> Option<u64> {
-        match self.feed.follow(self.kind, from, MAX_WAIT).await {
+        let sent = self.node.clock.now();
+        // During an outage a read that doesn't wait fails sooner.
+        let wait = if self.available {
+            MAX_WAIT
+        } else {
+            Duration::ZERO
+        };
+        match self.feed.follow(self.kind, from, wait).await {
             Ok(FeedUpdate::Changes(changes, next)) => {
                 self.record_success();
                 let changed = !changes.is_empty();
@@ -131,7 +153,7 @@
                 None
             }
             Err(e) => {
-                self.back_off(&e.to_string()).await;
+                self.back_off(sent, &e.to_string()).await;
                 Some(from)
             }
         }
@@ -147,12 +169,22 @@
             log::info!(feed = self.kind.as_str(); "platform feed available again");
         }
         if self.kind == FeedKind::Endpoints {
-            self.node.registry.lock().read_succeeded(now);
+            let mut registry = self.node.registry.lock();
+            let failing_since = registry.failing_since();
+            let read_by_others = failing_since
+                .is_some_and(|since| self.node.peers.lock().platform_read_since(since, now));
+            registry.read_succeeded(now, read_by_others);
+            if let Some(since) = failing_since {
+                log::info!(
+                    failing_ms = now.since(since).as_millis(), read_by_others = read_by_others;
+                    "endpoints read after failed reads"
+                );
+            }
         }
     }
 
-    /// Records a failed read and pauses.
-    async fn back_off(&mut self, cause: &str) {
+    /// Records a failed read that was sent at `sent`, and pauses.
+    async fn back_off(&mut self, sent: Instant, cause: &str) {
         let feed = self.kind.as_str();
         metrics::counter!("celerystage_feed_failures_total", "feed" => feed).increment(1);
         if self.available {
@@ -160,11 +192,15 @@
             log::warn!(feed = feed, cause = cause; "platform feed unavailable");
         }
         if self.kind == FeedKind::Endpoints {
-            self.node.registry.lock().read_failed(self.node.clock.now());
+            self.node.registry.lock().read_failed(sent);
         }
         let jitter = self.retry_pause.mul_f64(fastrand::f64() / 2.0);
         self.node.clock.sleep(self.retry_pause + jitter).await;
-        self.retry_pause = (self.retry_pause * 2).min(MAX_RETRY_PAUSE);
+        let max_pause = match self.kind {
+            FeedKind::Configuration => MAX_CONFIG_PAUSE,
+            FeedKind::Endpoints => MAX_ENDPOINTS_PAUSE,
+        };
+        self.retry_pause = (self.retry_pause * 2).min(max_pause);
     }
 }
 
--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -2,7 +2,10 @@
 
 use {
     super::Node,
-    crate::peers::{GossipMessage, PEER_TIMEOUT},
+    crate::{
+        endpoints::ReadAges,
+        peers::{GossipMessage, PEER_TIMEOUT},
+    },
     async_io::Async,
     route::PeerLoad,
     std::{
@@ -68,6 +71,8 @@
         (loads, rates)
     };
     let addrs = node.peers.lock().sample_addresses(now);
+    let reads = node.freshness.lock().endpoints_span();
+    let reads = reads.map(|span| ReadAges::of(span, now));
     loop {
         let message = GossipMessage {
             vm: node.settings.vm.clone(),
@@ -82,6 +87,7 @@
             unix_ms: u64::try_from(node.wall_clock.uncorrected(now).as_millis())
                 .unwrap_or(u64::MAX),
             addrs: addrs.clone(),
+            reads,
         };
         let Ok(bytes) = rmp_serde::to_vec(&message) else {
             log::error!("cannot encode a gossip datagram");
