Reset connections whose request was given up before its answer

A stream was sent to an engine behind a cut zone, went silent and was resumed at another engine, where it was served. The socket was closed normally, so that the kernel went on sending the request and delivered it 3 s after the cut had healed, 2,362 ms after the engine had reported that it leaves.

Change: a connection that is dropped after a request was sent, at least partly, and before the head of its response arrived is reset, which discards undelivered bytes. This holds for requests of callers and for calls of the platform; the latter had it for timeouts only.

Result: connection_of_an_abandoned_request_is_reset fails on the code before and passes now.

--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -83,10 +83,6 @@
         ))
     };
     let outcome = timeout(clock, time_limit, exchange).await;
-    if outcome.is_err() {
-        // A reset discards unsent bytes, so that the request cannot arrive much later.
-        conn.reset_on_drop();
-    }
     let (response, fully_sent) = outcome
         .map_err(|_| CallError::timed_out(Verdict::MayHaveRun))?
         .map_err(|cause| CallError {
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -33,6 +33,19 @@
     io: Async<TcpStream>,
     buf: Vec<u8>,
     pos: usize,
+    /// Whether a request was sent, at least partly, that has no response yet.
+    unanswered: bool,
+}
+
+/// Discards undelivered bytes of a request that was given up. Otherwise the system would go on
+/// sending them, and after a network partition they would arrive seconds late.
+impl Drop for Conn {
+    fn drop(&mut self) {
+        if self.unanswered {
+            // If this fails, the connection closes normally; nothing better can be done.
+            sockopt::set_socket_linger(self.io.get_ref(), Some(Duration::ZERO)).unwrap_or_default();
+        }
+    }
 }
 
 impl Conn {
@@ -49,6 +62,7 @@
             io,
             buf: Vec::new(),
             pos: 0,
+            unanswered: false,
         })
     }
 
@@ -57,12 +71,6 @@
         Self::new(Async::<TcpStream>::connect(addr).await?)
     }
 
-    /// Makes the connection send a reset when it is dropped, which discards undelivered bytes.
-    pub fn reset_on_drop(&mut self) {
-        // If this fails, the connection closes normally; nothing better can be done.
-        sockopt::set_socket_linger(self.io.get_ref(), Some(Duration::ZERO)).unwrap_or_default();
-    }
-
     /// Bytes that were read and not yet consumed.
     pub fn buffered(&self) -> &[u8] {
         &self.buf[self.pos..]
@@ -188,6 +196,17 @@
         &mut self,
         request: &[u8],
         limit: Bytes,
+    ) -> io::Result<(ResponseHead, bool)> {
+        self.unanswered = true;
+        let answer = self.send_and_read_head(request, limit).await?;
+        self.unanswered = !answer.1;
+        Ok(answer)
+    }
+
+    async fn send_and_read_head(
+        &mut self,
+        request: &[u8],
+        limit: Bytes,
     ) -> io::Result<(ResponseHead, bool)> {
         let mut sent = 0;
         let mut write_failed = false;
--- a/crates/h1/tests/framing.rs
+++ b/crates/h1/tests/framing.rs
@@ -8,7 +8,7 @@
     },
     quickcheck::{Gen, QuickCheck},
     std::{
-        io::Write,
+        io::{Read, Write},
         net::{TcpListener, TcpStream},
         thread,
         time::Duration,
@@ -191,3 +191,36 @@
     thread::sleep(Duration::from_millis(50));
     assert!(!conn.is_reusable());
 }
+
+/// Reads to the end of a connection; the error that ended it, if any.
+fn read_to_end(mut peer: TcpStream) -> Option<std::io::ErrorKind> {
+    let mut bytes = Vec::new();
+    peer.read_to_end(&mut bytes).err().map(|e| e.kind())
+}
+
+#[test]
+fn connection_of_an_abandoned_request_is_reset() {
+    let (mut near, peer) = connected_pair();
+    block_on(async {
+        let exchange = near.exchange(b"GET / HTTP/1.1\r\n\r\n", SIZE_LIMIT);
+        let given_up = async_io::Timer::after(Duration::from_millis(50));
+        let outcome = futures_lite::future::or(async { exchange.await.is_ok() }, async {
+            given_up.await;
+            false
+        });
+        assert!(!outcome.await);
+    });
+    drop(near);
+    assert_eq!(read_to_end(peer), Some(std::io::ErrorKind::ConnectionReset));
+}
+
+#[test]
+fn connection_of_an_answered_request_is_closed_normally() {
+    let (mut near, mut peer) = connected_pair();
+    peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        .unwrap();
+    let answer = block_on(near.exchange(b"GET / HTTP/1.1\r\n\r\n", SIZE_LIMIT));
+    assert!(answer.is_ok_and(|(head, sent)| head.status == 200 && sent));
+    drop(near);
+    assert_eq!(read_to_end(peer), None);
+}
