--- a/crates/fleet/src/service/sizer.rs
+++ b/crates/fleet/src/service/sizer.rs
@@ -25,11 +25,10 @@
 /// Engines planned after taking over, relative to the present ones. The required number is not
 /// known yet, and new engines start with empty caches.
 const TAKEOVER_FACTOR: f64 = 1.5;
-/// Increase of that factor per second between two rounds of gossip. The older the load reports that
-/// VMs place by, the higher the load peaks at single engines, which last while the caches fill.
+/// Increase of that factor per second of age of the load reports that VMs place by. The older they are, the higher the load peaks at single engines, which last while the caches fill.
 const TAKEOVER_FACTOR_PER_S: f64 = 0.85;
 /// Time for which enough engines must have been present before steady ones are released.
-const SETTLE_TIME: Duration = Duration::from_secs(3);
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 /// Time before cheap engines are ordered again in a zone that had none available.
 const CHEAP_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Time within which ordered engines are expected to be in service.
@@ -68,8 +67,13 @@
 /// Decides the number of engines of one service in each zone.
 #[derive(Debug, Clone)]
 pub struct ServiceSizer {
+    /// Smoothed load that cheap engines are planned for; begins with a reserve after taking over.
     smoothed_load: f64,
+    /// Smoothed load as measured.
+    measured_load: f64,
     taken_over: Instant,
+    /// Number of engines that were present after taking over.
+    initial_engines: u32,
     zones: BTreeMap<ZoneId, ZoneState>,
 }
 
@@ -78,7 +82,9 @@
     pub fn new(now: Instant) -> Self {
         Self {
             smoothed_load: 0.0,
+            measured_load: 0.0,
             taken_over: now,
+            initial_engines: 0,
             zones: BTreeMap::new(),
         }
     }
@@ -109,26 +115,29 @@
             // The present engines are kept until the measured load shows what is needed. Their list
             // grows while engines write their registry entries.
             let present: u32 = view.zones.iter().map(|c| c.steady + c.cheap).sum();
+            self.initial_engines = self.initial_engines.max(present);
             let factor = TAKEOVER_FACTOR + TAKEOVER_FACTOR_PER_S * view.gossip_delay.as_secs_f64();
             self.smoothed_load = self
                 .smoothed_load
                 .max(f64::from(present) * TARGET_UTILISATION * factor);
             return Vec::new();
         }
-        let weight = if view.offered_load > self.smoothed_load {
-            RISE_WEIGHT
-        } else {
-            FALL_WEIGHT
-        };
         if view.offered_load > 0.0 {
-            self.smoothed_load += weight * (view.offered_load - self.smoothed_load);
+            for smoothed in [&mut self.smoothed_load, &mut self.measured_load] {
+                let weight = if view.offered_load > *smoothed {
+                    RISE_WEIGHT
+                } else {
+                    FALL_WEIGHT
+                };
+                *smoothed += weight * (view.offered_load - *smoothed);
+            }
         }
         for counts in &view.zones {
             self.zones.entry(counts.zone.clone()).or_default();
         }
         let targets = self.cheap_targets(now, view);
         let mut orders = Vec::new();
-        let mut shortfall = self.desired_total(view);
+        let mut shortfall = self.required_total(view);
         for counts in &view.zones {
             let cheap = targets.get(&counts.zone).copied().unwrap_or_default();
             let expected = self.order_cheap(now, view, counts, cheap, &mut orders);
@@ -142,6 +151,19 @@
         orders
     }
 
+    /// Number of engines in all zones that must be present, as steady ones if cheap ones cannot be
+    /// had: those for the measured load, or as many as there were before until it is known.
+    fn required_total(&self, view: &ServiceView) -> u32 {
+        let desired = self.desired_total(view);
+        if self.measured_load == 0.0 {
+            return self.initial_engines.min(desired);
+        }
+        let needed = (self.measured_load / TARGET_UTILISATION).ceil() as u32;
+        needed
+            .max(view.zones.len() as u32 * MIN_ENGINES.min(view.bounds.max))
+            .min(desired)
+    }
+
     fn min_steady(&self, view: &ServiceView) -> u32 {
         MIN_STEADY.max(view.bounds.min).min(view.bounds.max)
     }
--- a/crates/fleet/src/service/view.rs
+++ b/crates/fleet/src/service/view.rs
@@ -33,7 +33,7 @@
     pub zones: Vec<EngineCounts>,
     /// Offered prefill load of the fleet, as the number of engines it would fully occupy.
     pub offered_load: f64,
-    /// Time between two rounds of gossip among VMs, minus the shortest possible.
+    /// Mean age of the loads that VMs place by, minus that in a small fleet.
     pub gossip_delay: Duration,
 }
 
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -215,3 +215,20 @@
     assert!(total(Duration::ZERO) >= 13);
     assert!(total(Duration::from_millis(600)) >= 18);
 }
+
+/// Replays a takeover with as many steady engines as leave no room for the planned cheap ones.
+#[test]
+fn steady_engines_make_room_for_cheap_ones_after_a_takeover() {
+    let mut sim = PlatformSim::new();
+    sim.steady = vec![4; 3];
+    sim.offered_load = 1.8;
+    let (mut steady_seconds, before) = (0, sim.total());
+    for _ in 0..30 {
+        sim.step();
+        steady_seconds += sim.steady.iter().sum::<u32>();
+    }
+    assert_eq!(sim.steady, [1, 1, 1]);
+    assert!(sim.min_total >= before - 3, "fell to {}", sim.min_total);
+    // Twelve for 12 s, in which cheap ones start, and three after that.
+    assert!(steady_seconds <= 12 * 12 + 3 * 18, "{steady_seconds}");
+}
--- a/crates/relay/src/adapter/settings.rs
+++ b/crates/relay/src/adapter/settings.rs
@@ -60,3 +60,10 @@
     /// Whether ordering endpoints is one of the duties.
     pub orders_capacity: bool,
 }
+
+impl NodeSettings {
+    /// Whether the other VMs know this one from their settings.
+    pub(crate) fn is_seed(&self) -> bool {
+        self.seeds.is_empty() || self.seeds.contains(&self.control)
+    }
+}
--- a/crates/relay/src/endpoints/read_span.rs
+++ b/crates/relay/src/endpoints/read_span.rs
@@ -20,7 +20,8 @@
         let first = span
             .filter(|span| now.since(span.last) < MIN_LAPSE_OUTAGE)
             .map_or(now, |span| span.first);
-        Self { first, last: now }
+        let last = span.map_or(now, |span| span.last.max(now));
+        Self { first, last }
     }
 
     /// Whether no entry could lapse from `since` to `now`.
--- a/crates/relay/src/peers/gossip_message.rs
+++ b/crates/relay/src/peers/gossip_message.rs
@@ -8,8 +8,8 @@
     types::{EndpointId, Incarnation, ServiceId, Version, VmId, ZoneId},
 };
 
-/// Largest number of addresses of other VMs in one datagram.
-pub(crate) const MAX_ADDRS: usize = 8;
+/// Largest number of addresses of other VMs in one datagram: two hubs in each of 13 zones.
+pub(crate) const MAX_ADDRS: usize = 26;
 
 /// The state that a VM sends to the others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,7 +27,7 @@
     pub(crate) seq: u64,
     /// Version of its configuration.
     pub(crate) version: Version,
-    /// Load that it has placed on each endpoint.
+    /// Load that it has placed on each endpoint; empty for VMs that receive summaries instead.
     pub(crate) loads: Vec<(EndpointId, Load)>,
     /// Rate of its prompt tokens by service, in tokens per second.
     pub(crate) rates: Vec<(ServiceId, u64)>,
@@ -40,4 +40,13 @@
     /// When it could read the endpoint list; `None` if it doesn't read the platform itself.
     #[serde(default)]
     pub(crate) reads: Option<ReadAges>,
+    /// Number of live VMs that it knows of, itself included.
+    #[serde(default)]
+    pub(crate) vms: u32,
+    /// Whether it is a hub of its zone.
+    #[serde(default)]
+    pub(crate) hub: bool,
+    /// Whether it asks for the addresses of hubs.
+    #[serde(default)]
+    pub(crate) seeks: bool,
 }
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -1,10 +1,18 @@
-//! Gossip between VMs: each sends its load at each endpoint to the others by UDP, a few times a
-//! second.
+//! Gossip between VMs by UDP, a few times a second.
+//!
+//! In a small fleet each VM sends its load at each endpoint to all others. In a large one that would
+//! cost each VM as much as the fleet has VMs. There, the VMs of a zone send their loads to its hubs,
+//! its strongest VMs. The first hub sends the sum to the hubs of the other zones, and the sum over
+//! the fleet to the VMs of its zone.
 
 mod gossip_message;
+mod load_summary;
 mod peer_table;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use {
     gossip_message::GossipMessage,
-    peer_table::{MIN_SEND_INTERVAL, PEER_TIMEOUT, PeerTable},
+    load_summary::{LoadSummary, Scope},
+    peer_table::{MIN_SEND_INTERVAL, PEER_TIMEOUT, PeerTable, Target},
 };
--- a/crates/relay/src/peers/peer_table.rs
+++ b/crates/relay/src/peers/peer_table.rs
@@ -21,6 +21,18 @@
 const INTERVAL_PER_PEER: Duration = Duration::from_millis(10);
 /// Time without a datagram after which this VM stops sending to an address.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// Number of addresses that a gossip message carries unless it answers a VM that seeks hubs.
+const MESH_SAMPLE: usize = 8;
+/// Largest fleet in which each VM sends to all others. At this size each of them receives 100
+/// datagrams a second.
+const MAX_MESH_VMS: u32 = 40;
+/// Number of hubs in each zone of a larger fleet. The second one takes over if the first one fails.
+const HUBS_PER_ZONE: usize = 2;
+/// Time from the first datagram received until a VM may be a hub: it hears of the stronger ones.
+const HUB_DELAY: Duration = Duration::from_millis(600);
+/// Intervals between two rounds of datagrams in a larger fleet, of hubs and of other VMs.
+const HUB_INTERVAL: Duration = Duration::from_millis(400);
+const MEMBER_INTERVAL: Duration = Duration::from_millis(250);
 
 #[derive(Debug, Clone)]
 struct Peer {
@@ -38,6 +50,18 @@
     loaded_endpoints: BTreeSet<EndpointId>,
     /// When it could read the endpoint list.
     reads: Option<ReadSpan>,
+    /// Number of live VMs that it knows of.
+    vms: u32,
+    /// Whether it is a hub.
+    hub: bool,
+}
+
+/// An address to send gossip to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Target {
+    pub(crate) addr: SocketAddr,
+    /// Whether the loads of this VM are sent there.
+    pub(crate) with_loads: bool,
 }
 
 /// Effect of a received datagram.
@@ -64,6 +88,12 @@
     peers: BTreeMap<VmId, Peer>,
     /// Addresses that no datagram has come from yet, and when they were learnt.
     unconfirmed: BTreeMap<SocketAddr, Instant>,
+    /// When the first datagram arrived.
+    first_contact: Option<Instant>,
+    /// Number of live VMs of the fleet as told by the first hub, and when.
+    fleet: Option<(u32, Instant)>,
+    /// Number of live VMs of other zones as told by their first hubs, and when.
+    zone_vms: BTreeMap<ZoneId, (u32, Instant)>,
 }
 
 impl PeerTable {
@@ -75,6 +105,9 @@
             millicores,
             peers: BTreeMap::new(),
             unconfirmed: BTreeMap::new(),
+            first_contact: None,
+            fleet: None,
+            zone_vms: BTreeMap::new(),
         }
     }
 
@@ -82,18 +115,130 @@
     /// zone that are not leaving and have a larger CPU share, largest first. Ties are decided by
     /// name.
     pub(crate) fn readers(&self, now: Instant) -> Vec<SocketAddr> {
+        let timeout = if self.uses_hubs(now) {
+            READER_TIMEOUT
+        } else {
+            READER_TIMEOUT.max(self.mesh_interval(now) * 3)
+        };
         let live = self.peers.iter().filter(|(_, p)| {
-            let established =
-                now.since(p.first_heard) >= MIN_READER_AGE.max(INTERVAL_PER_PEER * 100);
-            established && now.since(p.last_heard) < READER_TIMEOUT.max(self.send_interval(now) * 3)
+            let established = now.since(p.first_heard) >= MIN_READER_AGE;
+            established && now.since(p.last_heard) < timeout
         });
-        let eligible = live.filter(|(_, p)| p.zone == self.zone && !p.leaving);
-        let mut stronger: Vec<_> = eligible
-            .map(|(vm, p)| ((p.millicores, vm), p.addr))
-            .filter(|(rank, _)| *rank > (self.millicores, &self.vm))
-            .collect();
-        stronger.sort_unstable_by(|(a, _), (b, _)| b.cmp(a));
-        stronger.into_iter().map(|(_, addr)| addr).collect()
+        let uses_hubs = self.uses_hubs(now);
+        let eligible = live.filter(|(vm, p)| {
+            p.zone == self.zone && self.yields_to(vm, p) && (p.hub || !uses_hubs)
+        });
+        ranked(eligible).map(|(_, p)| p.addr).collect()
+    }
+
+    /// Whether a live VM of this zone is known that precedes this one as reader, however short it
+    /// has been known.
+    pub(crate) fn knows_stronger(&self, now: Instant) -> bool {
+        self.live(now)
+            .any(|(vm, p)| p.zone == self.zone && self.yields_to(vm, p))
+    }
+
+    /// Addresses of the live VMs of this zone that precede this one as reader, strongest first.
+    pub(crate) fn stronger_addresses(&self, now: Instant) -> Vec<SocketAddr> {
+        let stronger = self
+            .live(now)
+            .filter(|(vm, p)| p.zone == self.zone && self.yields_to(vm, p));
+        ranked(stronger).map(|(_, p)| p.addr).collect()
+    }
+
+    fn yields_to(&self, vm: &VmId, peer: &Peer) -> bool {
+        !peer.leaving && (peer.millicores, vm) > (self.millicores, &self.vm)
+    }
+
+    /// Whether the fleet is too large for each VM to send to all others.
+    pub(crate) fn uses_hubs(&self, now: Instant) -> bool {
+        let heard = (1 + self.live_peers(now).count() + self.unconfirmed.len()) as u32;
+        let told = self.live_peers(now).map(|p| p.vms).max();
+        heard.max(told.unwrap_or_default()).max(self.fleet_vms(now)) > MAX_MESH_VMS
+    }
+
+    /// Whether this VM is a hub of its zone.
+    pub(crate) fn is_hub(&self, now: Instant) -> bool {
+        let stronger = self.live(now).filter(|(vm, p)| {
+            p.zone == self.zone
+                && self.yields_to(vm, p)
+                && (p.hub || p.millicores > self.millicores)
+        });
+        let is_settled = self
+            .first_contact
+            .is_some_and(|at| now.since(at) >= HUB_DELAY);
+        is_settled && self.uses_hubs(now) && stronger.count() < HUBS_PER_ZONE
+    }
+
+    /// Whether this VM is the first hub of its zone, which sends summaries.
+    pub(crate) fn is_first_hub(&self, now: Instant) -> bool {
+        self.uses_hubs(now) && self.readers(now).is_empty()
+    }
+
+    /// Whether this VM needs addresses of hubs.
+    pub(crate) fn seeks_hubs(&self, now: Instant) -> bool {
+        if !self.uses_hubs(now) {
+            return self.live_peers(now).next().is_none();
+        }
+        self.is_hub(now) || self.hubs_of(now, &self.zone).count() < HUBS_PER_ZONE
+    }
+
+    fn hubs_of(&self, now: Instant, zone: &ZoneId) -> impl Iterator<Item = (&VmId, &Peer)> {
+        let live = self.live(now);
+        live.filter(move |(_, p)| p.hub && !p.leaving && p.zone == *zone)
+    }
+
+    /// Addresses for a VM of `zone` that seeks hubs: those of its zone, or of all zones for a hub.
+    pub(crate) fn hub_addresses(
+        &self,
+        now: Instant,
+        zone: &ZoneId,
+        is_hub: bool,
+    ) -> Vec<SocketAddr> {
+        let eligible = |p: &Peer| !p.leaving && (p.zone == *zone || is_hub && p.hub);
+        let mut by_zone: BTreeMap<&ZoneId, Vec<(&VmId, &Peer)>> = BTreeMap::new();
+        for (vm, peer) in self.live(now).filter(|(_, p)| eligible(p)) {
+            by_zone.entry(&peer.zone).or_default().push((vm, peer));
+        }
+        let strongest = by_zone
+            .into_values()
+            .flat_map(|peers| ranked(peers.into_iter()).take(HUBS_PER_ZONE));
+        strongest.map(|(_, p)| p.addr).take(MAX_ADDRS).collect()
+    }
+
+    /// Records the number of live VMs of the fleet as told by the first hub.
+    pub(crate) fn set_fleet_vms(&mut self, now: Instant, vms: u32) -> bool {
+        let changed = self.fleet_vms(now) != vms;
+        self.fleet = Some((vms, now));
+        changed
+    }
+
+    fn fleet_vms(&self, now: Instant) -> u32 {
+        let told = self.fleet.filter(|(_, at)| now.since(*at) < PEER_TIMEOUT);
+        told.map_or(0, |(vms, _)| vms)
+    }
+
+    /// Records the number of live VMs of another zone as told by its first hub.
+    pub(crate) fn set_zone_vms(&mut self, now: Instant, zone: &ZoneId, vms: u32) {
+        self.zone_vms.insert(zone.clone(), (vms, now));
+    }
+
+    /// Number of live VMs of this zone, this one included, as known by a hub.
+    pub(crate) fn own_zone_vms(&self, now: Instant) -> u32 {
+        let in_zone = self
+            .live_peers(now)
+            .filter(|p| p.zone == self.zone && !p.leaving);
+        1 + in_zone.count() as u32
+    }
+
+    /// Number of live VMs of the fleet, as known by a first hub.
+    pub(crate) fn summed_vms(&self, now: Instant) -> u32 {
+        let current = self
+            .zone_vms
+            .iter()
+            .filter(|(zone, (_, at))| **zone != self.zone && now.since(*at) < PEER_TIMEOUT);
+        let others: u32 = current.map(|(_, (vms, _))| vms).sum();
+        self.own_zone_vms(now) + others
     }
 
     /// Applies a datagram; `None` if it is older than the last one of its sender.
@@ -105,6 +250,7 @@
         own_addr: SocketAddr,
         own_ms: i64,
     ) -> Option<Received> {
+        self.first_contact.get_or_insert(now);
         let previous = self.peers.get(&message.vm);
         if previous.is_some_and(|p| (p.inc, p.seq) >= (message.inc, message.seq)) {
             return None;
@@ -129,6 +275,8 @@
             offset_ms: i64::try_from(message.unix_ms).unwrap_or(i64::MAX) - own_ms,
             loaded_endpoints,
             reads: message.reads.map(|ages| ages.span_at(now)),
+            vms: message.vms,
+            hub: message.hub,
         };
         let cleared = previously_loaded
             .difference(&peer.loaded_endpoints)
@@ -145,27 +293,62 @@
         Some(Received { is_new, cleared })
     }
 
-    /// Adds addresses to send to, such as those of the seeds.
-    pub(crate) fn add_addresses(
-        &mut self,
-        now: Instant,
-        addrs: impl IntoIterator<Item = SocketAddr>,
-    ) {
-        for addr in addrs {
-            if !self.peers.values().any(|p| p.addr == addr) {
-                self.unconfirmed.insert(addr, now);
-            }
-        }
-    }
-
-    /// The addresses to send to now.
-    pub(crate) fn targets(&mut self, now: Instant) -> Vec<SocketAddr> {
+    /// The addresses to send to now. `seeds` are sent to while no hub is known, and by hubs, so that
+    /// they can tell new VMs of them.
+    pub(crate) fn targets(&mut self, now: Instant, seeds: &[SocketAddr]) -> Vec<Target> {
         self.unconfirmed
             .retain(|_, at| now.since(*at) < FORGET_AFTER);
         self.peers
             .retain(|_, p| now.since(p.last_heard) < FORGET_AFTER);
-        let peers = self.peers.values().map(|p| p.addr);
-        peers.chain(self.unconfirmed.keys().copied()).collect()
+        let addrs: BTreeSet<SocketAddr> = if !self.uses_hubs(now) {
+            let peers = self.peers.values().map(|p| p.addr);
+            let unconfirmed = self.unconfirmed.keys().copied();
+            peers
+                .chain(unconfirmed)
+                .chain(seeds.iter().copied())
+                .collect()
+        } else if self.is_hub(now) {
+            let known = self.peers.values().filter(|p| p.zone == self.zone || p.hub);
+            let unconfirmed = self.unconfirmed.keys().copied();
+            let known = known.map(|p| p.addr);
+            known
+                .chain(unconfirmed)
+                .chain(seeds.iter().copied())
+                .collect()
+        } else {
+            let hubs = ranked(self.hubs_of(now, &self.zone)).take(HUBS_PER_ZONE);
+            let hubs: BTreeSet<_> = hubs.map(|(_, p)| p.addr).collect();
+            if hubs.len() == HUBS_PER_ZONE {
+                hubs
+            } else {
+                let unconfirmed = self.unconfirmed.keys().copied();
+                hubs.into_iter()
+                    .chain(unconfirmed)
+                    .chain(seeds.iter().copied())
+                    .collect()
+            }
+        };
+        let uses_hubs = self.uses_hubs(now);
+        let upstream: BTreeSet<_> = self.stronger_addresses(now).into_iter().collect();
+        let target = |addr| Target {
+            addr,
+            with_loads: !uses_hubs || upstream.contains(&addr),
+        };
+        addrs.into_iter().map(target).collect()
+    }
+
+    /// Addresses of the hubs of other zones.
+    pub(crate) fn other_hubs(&self, now: Instant) -> Vec<SocketAddr> {
+        let hubs = self
+            .live_peers(now)
+            .filter(|p| p.hub && p.zone != self.zone);
+        hubs.map(|p| p.addr).collect()
+    }
+
+    /// Addresses of the hubs of other zones, and of the other VMs of this zone.
+    pub(crate) fn summary_targets(&self, now: Instant) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let members = self.live_peers(now).filter(|p| p.zone == self.zone);
+        (self.other_hubs(now), members.map(|p| p.addr).collect())
     }
 
     /// A random sample of the addresses of live VMs.
@@ -173,13 +356,26 @@
         let live = self.live_peers(now).map(|p| p.addr);
         let mut addrs: Vec<_> = live.collect();
         fastrand::shuffle(&mut addrs);
-        addrs.truncate(MAX_ADDRS);
+        addrs.truncate(MESH_SAMPLE);
         addrs
     }
 
     /// Number of live VMs that are not leaving, this one included.
-    pub(crate) fn vm_count(&self, now: Instant) -> usize {
-        1 + self.live_peers(now).filter(|p| !p.leaving).count()
+    pub(crate) fn vm_count(&self, now: Instant) -> u32 {
+        let known = self.known_vms(now);
+        if !self.uses_hubs(now) || self.fleet_vms(now) > 0 {
+            return known;
+        }
+        let told = self.live_peers(now).map(|p| p.vms).max();
+        known.max(told.unwrap_or_default())
+    }
+
+    /// Number of live VMs as told by the first hub, or else as heard from.
+    pub(crate) fn known_vms(&self, now: Instant) -> u32 {
+        match self.fleet_vms(now) {
+            0 => 1 + self.live_peers(now).filter(|p| !p.leaving).count() as u32,
+            told => told,
+        }
     }
 
     /// How far the clocks of the live VMs are ahead of that of this VM, in milliseconds.
@@ -195,12 +391,46 @@
 
     /// Interval between two rounds of datagrams.
     pub(crate) fn send_interval(&self, now: Instant) -> Duration {
+        if self.uses_hubs(now) {
+            return if self.is_hub(now) {
+                HUB_INTERVAL
+            } else {
+                MEMBER_INTERVAL
+            };
+        }
+        self.mesh_interval(now)
+    }
+
+    /// Interval between two rounds of datagrams while each VM sends to all others.
+    fn mesh_interval(&self, now: Instant) -> Duration {
         let count = u32::try_from(self.live_peers(now).count()).unwrap_or(u32::MAX);
         MIN_SEND_INTERVAL.max(INTERVAL_PER_PEER * count)
     }
 
+    /// Mean age of the loads that VMs place by: time to a hub, to another one, and from there.
+    pub(crate) fn load_age(&self, now: Instant) -> Duration {
+        if self.uses_hubs(now) {
+            return (MEMBER_INTERVAL + HUB_INTERVAL * 2) / 2;
+        }
+        self.send_interval(now) / 2
+    }
+
+    fn live(&self, now: Instant) -> impl Iterator<Item = (&VmId, &Peer)> {
+        let peers = self.peers.iter();
+        peers.filter(move |(_, p)| now.since(p.last_heard) < PEER_TIMEOUT)
+    }
+
     fn live_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        let peers = self.peers.values();
-        peers.filter(move |p| now.since(p.last_heard) < PEER_TIMEOUT)
+        self.live(now).map(|(_, p)| p)
     }
 }
+
+/// VMs in the order in which they become readers and hubs: largest CPU share first, ties decided by
+/// name.
+fn ranked<'a>(
+    peers: impl Iterator<Item = (&'a VmId, &'a Peer)>,
+) -> impl Iterator<Item = (&'a VmId, &'a Peer)> {
+    let mut sorted: Vec<_> = peers.collect();
+    sorted.sort_unstable_by(|(a, x), (b, y)| (y.millicores, b).cmp(&(x.millicores, a)));
+    sorted.into_iter()
+}
--- /dev/null
+++ b/crates/relay/src/peers/tests.rs
@@ -0,0 +1,265 @@
+//! Fleets of peer tables that exchange gossip messages over a lossy network in simulated time.
+
+use {
+    super::{GossipMessage, LoadSummary, PeerTable, Scope},
+    clock::Instant,
+    fastrand::Rng,
+    route::Load,
+    std::{
+        collections::BTreeMap,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        time::Duration,
+    },
+    types::{Incarnation, Version, ZoneId},
+};
+
+const TICK: Duration = Duration::from_millis(50);
+const LOSS: f64 = 0.02;
+const ZONES: usize = 5;
+const SEEDS: usize = 3;
+/// Strong VMs in each zone, which come last in the order of names.
+const STRONG: usize = 3;
+
+struct Vm {
+    table: PeerTable,
+    addr: SocketAddr,
+    zone: ZoneId,
+    millicores: u32,
+    seq: u64,
+    next_send: Instant,
+    alive: bool,
+    received_bytes: usize,
+}
+
+struct Fleet {
+    vms: Vec<Vm>,
+    now: Instant,
+    rng: Rng,
+}
+
+fn addr_of(at: usize) -> SocketAddr {
+    let host = Ipv4Addr::from_bits(0x0a00_0000 + at as u32);
+    SocketAddr::new(IpAddr::V4(host), 7_000)
+}
+
+fn zone_of(at: usize) -> ZoneId {
+    format!("z{}", at % ZONES).parse().unwrap()
+}
+
+impl Fleet {
+    fn new(size: usize) -> Self {
+        let now = Instant::from_nanos(1 << 40);
+        let mut rng = Rng::with_seed(7);
+        let vms = (0..size).map(|at| {
+            let millicores = if at >= size - STRONG * ZONES {
+                500
+            } else {
+                120
+            };
+            let name = format!("vm-{at:04}").parse().unwrap();
+            Vm {
+                table: PeerTable::new(name, zone_of(at), millicores),
+                addr: addr_of(at),
+                zone: zone_of(at),
+                millicores,
+                seq: 0,
+                next_send: now + Duration::from_millis(rng.u64(0..300)),
+                alive: true,
+                received_bytes: 0,
+            }
+        });
+        Self {
+            vms: vms.collect(),
+            now,
+            rng,
+        }
+    }
+
+    fn message(&mut self, at: usize, addrs: Vec<SocketAddr>) -> GossipMessage {
+        let now = self.now;
+        let vm = &mut self.vms[at];
+        vm.seq += 1;
+        GossipMessage {
+            vm: format!("vm-{at:04}").parse().unwrap(),
+            inc: Incarnation(1),
+            zone: vm.zone.clone(),
+            millicores: vm.millicores,
+            seq: vm.seq,
+            version: Version(1),
+            loads: Vec::new(),
+            rates: Vec::new(),
+            leaving: false,
+            unix_ms: 0,
+            addrs,
+            reads: None,
+            vms: vm.table.known_vms(now),
+            hub: vm.table.is_hub(now),
+            seeks: vm.table.seeks_hubs(now),
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: SocketAddr, message: &GossipMessage) {
+        let Some(to) = (0..self.vms.len()).find(|at| addr_of(*at) == to) else {
+            return;
+        };
+        if !self.vms[to].alive || self.rng.f64() < LOSS {
+            return;
+        }
+        let size = rmp_serde::to_vec(message).unwrap().len();
+        let (now, own, sender) = (self.now, addr_of(to), addr_of(from));
+        let vm = &mut self.vms[to];
+        vm.received_bytes += size;
+        vm.table.receive(now, sender, message, own, 0);
+        if message.seeks {
+            let addrs = vm.table.hub_addresses(now, &message.zone, message.hub);
+            let mut reply = self.message(to, addrs);
+            // A reply is not answered in turn.
+            reply.seeks = false;
+            self.deliver(to, sender, &reply);
+        }
+    }
+
+    fn send(&mut self, at: usize) {
+        let now = self.now;
+        let own = addr_of(at);
+        let seeds: Vec<_> = (0..SEEDS).map(addr_of).filter(|a| *a != own).collect();
+        let targets = self.vms[at].table.targets(now, &seeds);
+        let addrs = self.vms[at].table.sample_addresses(now);
+        let message = self.message(at, addrs);
+        for target in targets {
+            self.deliver(at, target.addr, &message);
+        }
+        if self.vms[at].table.is_first_hub(now) {
+            self.send_counts(at);
+        }
+        self.vms[at].next_send = now + self.vms[at].table.send_interval(now);
+    }
+
+    /// The part of the summaries that tells numbers of VMs.
+    fn send_counts(&mut self, at: usize) {
+        let now = self.now;
+        let zone = self.vms[at].zone.clone();
+        let (hubs, members) = self.vms[at].table.summary_targets(now);
+        let in_zone = self.vms[at].table.own_zone_vms(now);
+        let in_fleet = self.vms[at].table.summed_vms(now);
+        self.vms[at].table.set_fleet_vms(now, in_fleet);
+        for vm in self.vms.iter_mut().filter(|vm| vm.alive) {
+            if hubs.contains(&vm.addr) && vm.table.is_first_hub(now) {
+                vm.table.set_zone_vms(now, &zone, in_zone);
+            }
+            if members.contains(&vm.addr) && !vm.table.is_first_hub(now) {
+                vm.table.set_fleet_vms(now, in_fleet);
+            }
+        }
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            for at in 0..self.vms.len() {
+                if self.vms[at].alive && self.vms[at].next_send <= self.now {
+                    self.send(at);
+                }
+            }
+            self.now = self.now + TICK;
+        }
+    }
+
+    /// The strongest live VM of each zone.
+    fn strongest(&self) -> BTreeMap<ZoneId, SocketAddr> {
+        let live = self.vms.iter().filter(|vm| vm.alive);
+        live.map(|vm| (vm.zone.clone(), vm.addr)).collect()
+    }
+
+    /// Number of live VMs whose first reader isn't the strongest VM of their zone.
+    fn misled(&self) -> usize {
+        let strongest = self.strongest();
+        let live = self.vms.iter().filter(|vm| vm.alive);
+        let wrong = live.filter(|vm| {
+            let first = vm.table.readers(self.now).first().copied();
+            first.unwrap_or(vm.addr) != strongest[&vm.zone]
+        });
+        wrong.count()
+    }
+}
+
+#[test]
+fn all_vms_find_the_first_hub_of_their_zone_after_a_common_start() {
+    for size in [20, 80, 300] {
+        let mut fleet = Fleet::new(size);
+        fleet.run(Duration::from_secs(4));
+        assert_eq!(fleet.misled(), 0, "{size} VMs");
+    }
+}
+
+/// The target for control traffic is 4 KB a second for each VM.
+#[test]
+fn membership_costs_a_vm_less_than_the_target_whatever_the_size() {
+    for size in [80, 300] {
+        let mut fleet = Fleet::new(size);
+        fleet.run(Duration::from_secs(4));
+        let now = fleet.now;
+        fleet.vms.iter_mut().for_each(|vm| vm.received_bytes = 0);
+        fleet.run(Duration::from_secs(10));
+        let members = fleet.vms.iter().filter(|vm| !vm.table.is_hub(now));
+        let most = members.map(|vm| vm.received_bytes / 10).max().unwrap();
+        assert!(most <= 4_096, "{most} bytes a second at {size} VMs");
+    }
+}
+
+#[test]
+fn second_hub_takes_over_when_the_first_one_dies() {
+    let mut fleet = Fleet::new(300);
+    fleet.run(Duration::from_secs(5));
+    let first = fleet.strongest()[&zone_of(0)];
+    let dead = fleet.vms.iter_mut().find(|vm| vm.addr == first).unwrap();
+    dead.alive = false;
+    fleet.run(Duration::from_secs(3));
+    assert_eq!(fleet.misled(), 0);
+}
+
+#[test]
+fn zone_without_its_hubs_elects_new_ones() {
+    let mut fleet = Fleet::new(300);
+    fleet.run(Duration::from_secs(5));
+    for vm in &mut fleet.vms {
+        vm.alive = vm.zone != zone_of(0) || vm.millicores < 500;
+    }
+    fleet.run(Duration::from_secs(8));
+    assert_eq!(fleet.misled(), 0);
+}
+
+#[test]
+fn every_vm_knows_the_size_of_the_fleet() {
+    let mut fleet = Fleet::new(300);
+    fleet.run(Duration::from_secs(6));
+    for vm in &fleet.vms {
+        let known = vm.table.vm_count(fleet.now);
+        assert!((290..=300).contains(&known), "{known}");
+    }
+}
+
+#[test]
+fn summary_survives_encoding_in_parts() {
+    let load = Load {
+        in_flight: 3,
+        ..Load::default()
+    };
+    let loads = (0..240).map(|at| (format!("e{at}").parse().unwrap(), load));
+    let summary = LoadSummary {
+        vm: "vm-1".parse().unwrap(),
+        zone: zone_of(0),
+        scope: Scope::Fleet,
+        vms: 295,
+        loads: loads.collect(),
+        rates: vec![("s".parse().unwrap(), 9)],
+    };
+    let parts = summary.encode().unwrap();
+    assert!(parts.iter().all(|part| part.len() <= 1_400));
+    let decoded = parts
+        .iter()
+        .map(|part| LoadSummary::decode(part).unwrap().unwrap());
+    let loads: Vec<_> = decoded.flat_map(|part| part.loads).collect();
+    assert_eq!(loads, summary.loads);
+    assert!(LoadSummary::decode(&rmp_serde::to_vec(&summary).unwrap()).is_none());
+}
--- a/crates/relay/src/process/capacity_planner.rs
+++ b/crates/relay/src/process/capacity_planner.rs
@@ -111,12 +111,8 @@
             }
         });
         let zones = zones.collect();
-        let gossip_delay = self
-            .node
-            .peers
-            .lock()
-            .send_interval(now)
-            .saturating_sub(MIN_SEND_INTERVAL);
+        let load_age = self.node.peers.lock().load_age(now);
+        let gossip_delay = load_age.saturating_sub(MIN_SEND_INTERVAL / 2);
         let mut placers = self.node.placers.lock();
         ServiceView {
             bounds: ScalingBounds {
--- a/crates/relay/src/process/feed_reader.rs
+++ b/crates/relay/src/process/feed_reader.rs
@@ -25,6 +25,7 @@
 /// Longest pause after a failed read of the endpoints. The grace period of lapsed entries begins
 /// with the last failed read, and running endpoints need most of it to be listed again.
 const MAX_ENDPOINTS_PAUSE: Duration = Duration::from_millis(200);
+const NANOS_PER_MILLI: u64 = 1_000_000;
 /// Interval between two checks of whether this VM has to read the platform.
 const ROLE_POLL: Duration = Duration::from_millis(100);
 /// Age from which the state of a VM counts as stale: covers a read that waits for changes, and a
@@ -50,13 +51,24 @@
 
     fn mark_read(&mut self, now: Instant, kind: FeedKind) {
         match kind {
-            FeedKind::Configuration => self.config = Some(now),
+            FeedKind::Configuration => self.config = self.config.max(Some(now)),
             FeedKind::Endpoints => {
                 self.endpoints = Some(ReadSpan::extended(self.endpoints, now));
             }
         }
     }
 
+    /// Records that another VM's state was received, whose reads have the given ages in
+    /// milliseconds.
+    pub(crate) fn mark_received(&mut self, now: Instant, ages: [u64; 2]) {
+        for (kind, age) in FeedKind::ALL.into_iter().zip(ages) {
+            let read = now
+                .nanos()
+                .saturating_sub(age.saturating_mul(NANOS_PER_MILLI));
+            self.mark_read(Instant::from_nanos(read), kind);
+        }
+    }
+
     /// The time in which this VM has read the endpoints without a longer gap.
     pub(crate) fn endpoints_span(&self) -> Option<ReadSpan> {
         self.endpoints
--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -4,20 +4,32 @@
     super::Node,
     crate::{
         endpoints::ReadAges,
-        peers::{GossipMessage, PEER_TIMEOUT},
+        peers::{GossipMessage, LoadSummary, PEER_TIMEOUT, Scope, Target},
     },
     async_io::Async,
-    route::PeerLoad,
+    clock::Instant,
+    route::{Load, PeerLoad, Reporter},
     std::{
+        collections::BTreeMap,
         io,
         net::{SocketAddr, UdpSocket},
-        sync::Arc,
+        sync::{Arc, atomic::Ordering::SeqCst},
+        time::Duration,
     },
-    types::Version,
+    types::{EndpointId, ServiceId, Version},
 };
 
 /// Largest datagram that is sent; fits into one packet of a common link.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Time for which a summary counts: three rounds of a hub.
+const SUMMARY_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// The loads and rates that this VM last sent to its hub; its summaries contain them.
+#[derive(Debug, Default)]
+pub(crate) struct SentLoads {
+    loads: BTreeMap<EndpointId, Load>,
+    rates: BTreeMap<ServiceId, u64>,
+}
 
 /// Sends gossip to the other VMs until it is dropped.
 pub(super) async fn send_gossip(node: Arc<Node>, socket: Arc<Async<UdpSocket>>) {
@@ -29,50 +41,131 @@
         .map(|seed| SocketAddr::new(seed.ip(), own_addr.port()))
         .filter(|addr| *addr != own_addr)
         .collect();
-    let mut seq = 0;
     loop {
-        seq += 1;
         let now = node.clock.now();
-        let (targets, interval, offsets) = {
+        let (targets, interval, offsets, is_first_hub, addrs) = {
             let mut peers = node.peers.lock();
-            peers.add_addresses(now, seeds.iter().copied());
             (
-                peers.targets(now),
+                peers.targets(now, &seeds),
                 peers.send_interval(now),
                 peers.clock_offsets(now),
+                peers.is_first_hub(now),
+                peers.sample_addresses(now),
             )
         };
         if let Some(offset) = node.wall_clock.update_offset(offsets) {
             log::warn!(offset_ms = offset; "wall clock corrected from the clocks of the other VMs");
         }
-        let bytes = encode(&node, seq);
+        let with_loads = encode(&node, Contents::loads(&node, now), addrs.clone());
+        let without = encode(&node, Contents::default(), addrs);
         for target in targets {
-            if let Err(e) = socket.send_to(&bytes, target).await {
-                log::debug!(peer:% = target, error:% = e; "cannot send a datagram");
-            }
+            let Target {
+                addr,
+                with_loads: full,
+            } = target;
+            send(&socket, addr, if full { &with_loads } else { &without }).await;
+        }
+        if is_first_hub {
+            send_summaries(&node, &socket).await;
         }
         node.clock.sleep(interval).await;
     }
 }
 
-/// Encodes the state of this VM; the smallest loads are left out if the datagram would be too
-/// large.
-fn encode(node: &Node, seq: u64) -> Vec<u8> {
+async fn send(socket: &Async<UdpSocket>, addr: SocketAddr, bytes: &[u8]) {
+    if let Err(e) = socket.send_to(bytes, addr).await {
+        log::debug!(peer:% = addr, error:% = e; "cannot send a datagram");
+    }
+}
+
+/// Sends the sum over this zone to the hubs of the other zones, and the sum over the fleet to the
+/// VMs of this zone.
+async fn send_summaries(node: &Node, socket: &Async<UdpSocket>) {
     let now = node.clock.now();
-    let version = node.config().map_or(Version::default(), |c| c.doc.version);
-    let (mut loads, rates) = {
+    let (hubs, members) = node.peers.lock().summary_targets(now);
+    for (scope, addrs) in [(Scope::Zone, hubs), (Scope::Fleet, members)] {
+        let parts = match summarize(node, now, scope).encode() {
+            Ok(parts) => parts,
+            Err(e) => {
+                log::error!(error:% = e; "cannot encode a load summary");
+                return;
+            }
+        };
+        for addr in addrs {
+            for part in &parts {
+                send(socket, addr, part).await;
+            }
+        }
+    }
+}
+
+fn summarize(node: &Node, now: Instant, scope: Scope) -> LoadSummary {
+    let matches = |reporter: &Reporter| match (scope, reporter) {
+        (_, Reporter::Vm(_)) | (Scope::Fleet, Reporter::Zone(_)) => true,
+        (Scope::Zone, Reporter::Zone(_)) | (_, Reporter::Fleet) => false,
+    };
+    let mut placers = node.placers.lock();
+    let loads = placers.values().flat_map(|p| p.summed_loads(now, matches));
+    let loads = loads.collect();
+    let rates = placers.iter_mut();
+    let rates = rates
+        .map(|(id, p)| (id.clone(), p.summed_rate(now, matches)))
+        .collect();
+    let mut peers = node.peers.lock();
+    let vms = match scope {
+        Scope::Zone => peers.own_zone_vms(now),
+        Scope::Fleet => peers.summed_vms(now),
+    };
+    if scope == Scope::Fleet {
+        peers.set_fleet_vms(now, vms);
+    }
+    LoadSummary {
+        vm: node.settings.vm.clone(),
+        zone: node.settings.zone.clone(),
+        scope,
+        vms,
+        loads,
+        rates,
+    }
+}
+
+/// The loads and rates of a gossip message.
+#[derive(Debug, Clone, Default)]
+struct Contents {
+    loads: Vec<(EndpointId, Load)>,
+    rates: Vec<(ServiceId, u64)>,
+}
+
+impl Contents {
+    /// The loads and rates of this VM.
+    fn loads(node: &Node, now: Instant) -> Self {
         let mut placers = node.placers.lock();
-        let rates: Vec<_> = placers
-            .iter_mut()
+        let rates = placers.iter_mut();
+        let rates = rates
             .map(|(id, p)| (id.clone(), p.prompt_rate(now)))
             .collect();
-        let own_loads = placers.values().flat_map(|p| p.own_loads());
-        let loads: Vec<_> = own_loads.map(|(id, load)| (id.clone(), load)).collect();
-        (loads, rates)
-    };
-    let addrs = node.peers.lock().sample_addresses(now);
+        let loads = placers.values().flat_map(|p| p.own_loads());
+        let loads = loads.map(|(id, load)| (id.clone(), load)).collect();
+        Self { loads, rates }
+    }
+}
+
+/// Encodes the state of this VM; the smallest loads are left out if the datagram would be too
+/// large.
+fn encode(node: &Node, contents: Contents, addrs: Vec<SocketAddr>) -> Vec<u8> {
+    let now = node.clock.now();
+    let seq = node.gossip_seq.fetch_add(1, SeqCst);
+    let version = node.config().map_or(Version::default(), |c| c.doc.version);
     let reads = node.freshness.lock().endpoints_span();
-    let reads = reads.map(|span| ReadAges::of(span, now));
+    let Contents { mut loads, rates } = contents;
+    let (vms, hub, seeks) = {
+        let peers = node.peers.lock();
+        (
+            peers.known_vms(now),
+            peers.is_hub(now),
+            peers.seeks_hubs(now),
+        )
+    };
     loop {
         let message = GossipMessage {
             vm: node.settings.vm.clone(),
@@ -87,13 +180,22 @@
             unix_ms: u64::try_from(node.wall_clock.uncorrected(now).as_millis())
                 .unwrap_or(u64::MAX),
             addrs: addrs.clone(),
-            reads,
+            reads: reads.map(|span| ReadAges::of(span, now)),
+            vms,
+            hub,
+            seeks,
         };
         let Ok(bytes) = rmp_serde::to_vec(&message) else {
             log::error!("cannot encode a gossip datagram");
             return Vec::new();
         };
         if bytes.len() <= MAX_DATAGRAM_BYTES || loads.is_empty() {
+            if !rates.is_empty() {
+                *node.sent_loads.lock() = SentLoads {
+                    loads: loads.into_iter().collect(),
+                    rates: rates.into_iter().collect(),
+                };
+            }
             return bytes;
         }
         // Drops the smallest loads, which matter least.
@@ -107,7 +209,11 @@
     let mut buf = [0u8; 2048];
     loop {
         match socket.recv_from(&mut buf).await {
-            Ok((size, from)) => apply_message(&node, from, &buf[..size]),
+            Ok((size, from)) => {
+                if let Some(reply) = apply_datagram(&node, from, &buf[..size]) {
+                    send(&socket, from, &reply).await;
+                }
+            }
             Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
             Err(e) => {
                 log::warn!(error:% = e; "cannot receive datagrams");
@@ -117,43 +223,111 @@
     }
 }
 
-/// Applies a datagram to the peer table and the placers.
-fn apply_message(node: &Node, from: SocketAddr, bytes: &[u8]) {
+/// Applies a datagram; returns the reply to a VM that asks for the addresses of hubs.
+fn apply_datagram(node: &Node, from: SocketAddr, bytes: &[u8]) -> Option<Vec<u8>> {
+    match LoadSummary::decode(bytes) {
+        Some(Ok(summary)) => {
+            apply_summary(node, &summary);
+            None
+        }
+        Some(Err(e)) => {
+            log::debug!(peer:% = from, error:% = e; "cannot decode a load summary");
+            None
+        }
+        None => apply_message(node, from, bytes),
+    }
+}
+
+/// Applies a gossip message to the peer table and the placers.
+fn apply_message(node: &Node, from: SocketAddr, bytes: &[u8]) -> Option<Vec<u8>> {
     let Ok(message) = rmp_serde::from_slice::<GossipMessage>(bytes) else {
         log::debug!(peer:% = from; "cannot decode a datagram");
-        return;
+        return None;
     };
     if message.vm == node.settings.vm {
-        return;
+        return None;
     }
     let now = node.clock.now();
     let own_ms = i64::try_from(node.wall_clock.uncorrected(now).as_millis()).unwrap_or(i64::MAX);
-    let (received, count) = {
+    let (received, count, uses_loads, hubs) = {
         let mut peers = node.peers.lock();
-        let received = peers.receive(now, from, &message, node.settings.peers, own_ms);
-        let Some(received) = received else {
-            return;
-        };
-        (received, peers.vm_count(now))
+        let received = peers.receive(now, from, &message, node.settings.peers, own_ms)?;
+        let uses_loads = !peers.uses_hubs(now) || peers.is_first_hub(now);
+        let hubs = message
+            .seeks
+            .then(|| peers.hub_addresses(now, &message.zone, message.hub));
+        (received, peers.vm_count(now), uses_loads, hubs)
     };
     if received.is_new {
         log::info!(peer:% = message.vm, addr:% = from, vms = count; "peer VM discovered");
         node.set_budget_reserves(count);
     }
+    if uses_loads {
+        apply_loads(node, now, &message, &received.cleared);
+    }
+    hubs.map(|addrs| encode(node, Contents::loads(node, now), addrs))
+}
+
+fn apply_loads(node: &Node, now: Instant, message: &GossipMessage, cleared: &[EndpointId]) {
     let until = now + PEER_TIMEOUT;
+    let reporter = Reporter::Vm(message.vm.clone());
     let mut placers = node.placers.lock();
     for (service, rate) in &message.rates {
         if let Some(placer) = placers.get_mut(service) {
-            placer.set_peer_rate(&message.vm, *rate, until);
+            placer.set_peer_rate(&reporter, *rate, until);
         }
     }
     for placer in placers.values_mut() {
         for (id, load) in &message.loads {
-            placer.set_peer_load(&message.vm, id, PeerLoad { load: *load, until });
+            placer.set_peer_load(&reporter, id, PeerLoad { load: *load, until });
+        }
+        for id in cleared {
+            let load = Load::default();
+            placer.set_peer_load(&reporter, id, PeerLoad { load, until });
+        }
+    }
+}
+
+/// Applies the summary of a hub to the peer table and the placers.
+fn apply_summary(node: &Node, summary: &LoadSummary) {
+    let now = node.clock.now();
+    let own_zone = summary.zone == node.settings.zone;
+    let reporter = {
+        let mut peers = node.peers.lock();
+        let is_first_hub = peers.is_first_hub(now);
+        match summary.scope {
+            Scope::Fleet if own_zone && !is_first_hub => {
+                if peers.set_fleet_vms(now, summary.vms) {
+                    drop(peers);
+                    node.set_budget_reserves(summary.vms);
+                }
+                Reporter::Fleet
+            }
+            Scope::Zone if !own_zone && is_first_hub => {
+                peers.set_zone_vms(now, &summary.zone, summary.vms);
+                Reporter::Zone(summary.zone.clone())
+            }
+            Scope::Fleet | Scope::Zone => return,
+        }
+    };
+    let until = now + SUMMARY_TIMEOUT;
+    let sent = node.sent_loads.lock();
+    let is_fleet = reporter == Reporter::Fleet;
+    let mut placers = node.placers.lock();
+    for (service, rate) in &summary.rates {
+        let own = sent.rates.get(service).filter(|_| is_fleet);
+        if let Some(placer) = placers.get_mut(service) {
+            let others = rate.saturating_sub(own.copied().unwrap_or_default());
+            placer.set_peer_rate(&reporter, others, until);
+        }
+    }
+    for (id, load) in &summary.loads {
+        let mut load = *load;
+        if let Some(own) = sent.loads.get(id).filter(|_| is_fleet) {
+            load.sub(*own);
         }
-        for id in &received.cleared {
-            let load = route::Load::default();
-            placer.set_peer_load(&message.vm, id, PeerLoad { load, until });
+        for placer in placers.values_mut() {
+            placer.set_peer_load(&reporter, id, PeerLoad { load, until });
         }
     }
 }
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -1,10 +1,11 @@
 //! State that all tasks of the process share.
 //!
-//! Lock order: config, registry, placers, retry_budgets, peers, window_counter, history, freshness.
+//! Lock order: config, registry, sent_loads, placers, retry_budgets, peers, window_counter, history,
+//! freshness.
 //! No lock is held across an await.
 
 use {
-    super::{Freshness, Lifecycle, WallClock},
+    super::{Freshness, Lifecycle, WallClock, gossip::SentLoads},
     crate::{
         adapter::{HeaderCodec, NodeSettings},
         configuration::{CallerLimits, Config},
@@ -17,7 +18,11 @@
     h1::Pool,
     parking_lot::{Mutex, RwLock},
     route::{Placer, SlidingRetryBudget},
-    std::{collections::BTreeMap, sync::Arc},
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, atomic::AtomicU64},
+        time::Duration,
+    },
     types::{Incarnation, OrgId, ServiceId},
     usage::{WindowCountRecord, WindowCounter},
 };
@@ -25,6 +30,12 @@
 /// The process services that the router uses: executor, clock and stop signal.
 pub type NodeProcess = daemon::Process;
 
+/// Time after the start in which a VM waits for word from the seeds before it reads the platform.
+const FIRST_CONTACT: Duration = Duration::from_millis(400);
+/// Time after the start in which a stronger VM of the zone counts as its reader as soon as it is
+/// heard of.
+const MAX_START_DEFERRAL: Duration = Duration::from_millis(2_500);
+
 /// State shared by all tasks.
 pub(crate) struct Node {
     pub(crate) executor: Arc<Executor<'static>>,
@@ -37,6 +48,9 @@
     pub(crate) placers: Mutex<BTreeMap<ServiceId, Placer>>,
     pub(crate) retry_budgets: Mutex<BTreeMap<ServiceId, SlidingRetryBudget>>,
     pub(crate) peers: Mutex<PeerTable>,
+    pub(crate) sent_loads: Mutex<SentLoads>,
+    /// Sequence number of the next gossip message.
+    pub(crate) gossip_seq: AtomicU64,
     pub(crate) window_counter: Mutex<WindowCounter>,
     /// Usage counts of VMs that read through this one, to be stored.
     pub(crate) peer_counts: Mutex<Vec<WindowCountRecord>>,
@@ -48,6 +62,7 @@
     /// Time until which this VM reads the platform itself, although another VM of its zone does
     /// too.
     direct_until: Mutex<Instant>,
+    started: Instant,
     pub(crate) pool: Pool,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) wall_clock: WallClock,
@@ -74,12 +89,15 @@
                 settings.zone.clone(),
                 settings.millicores,
             )),
+            sent_loads: Mutex::default(),
+            gossip_seq: AtomicU64::new(1),
             window_counter: Mutex::default(),
             peer_counts: Mutex::default(),
             history: Mutex::default(),
             changed: Event::new(),
             freshness: Mutex::default(),
             direct_until: Mutex::default(),
+            started: process.clock.now(),
             settings,
             pool: Pool::default(),
             lifecycle: Lifecycle::default(),
@@ -98,9 +116,34 @@
     }
 
     /// Whether this VM has to read the platform: as the reader of its zone, or because the reader's
-    /// state is stale.
+    /// state is stale. At the start it first learns whether its zone has another reader; otherwise
+    /// all VMs that start together would read the platform.
     pub(crate) fn reads_platform(&self, now: Instant) -> bool {
-        now < *self.direct_until.lock() || self.peers.lock().readers(now).is_empty()
+        if now < *self.direct_until.lock() {
+            return true;
+        }
+        let age = now.since(self.started);
+        let peers = self.peers.lock();
+        if age < FIRST_CONTACT && !self.settings.is_seed() {
+            return false;
+        }
+        if age < MAX_START_DEFERRAL && peers.knows_stronger(now) {
+            return false;
+        }
+        peers.readers(now).is_empty()
+    }
+
+    /// Whether this VM may read the platform because the state of its readers is stale: in a large
+    /// fleet only the hubs may, and none does while its readers may still be starting.
+    pub(crate) fn may_read_directly(&self, now: Instant) -> bool {
+        let peers = self.peers.lock();
+        now.since(self.started) >= MAX_START_DEFERRAL
+            && (!peers.uses_hubs(now) || peers.is_hub(now))
+    }
+
+    /// Whether this VM uses the state of other zones' hubs while it cannot read the platform.
+    pub(crate) fn may_ask_other_zones(&self, now: Instant) -> bool {
+        now.since(self.started) >= MAX_START_DEFERRAL && self.peers.lock().is_hub(now)
     }
 
     /// Makes this VM read the platform itself until `until`.
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -19,7 +19,7 @@
 
 /// Smallest number of VMs that the retry reserve is divided by: at the start not all VMs are known
 /// yet.
-const ASSUMED_VMS: usize = 8;
+const ASSUMED_VMS: u32 = 8;
 /// `Retry-After` for a request that no endpoint could take: about the time of one request.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -250,15 +250,15 @@
         let bounds = self.settings.bounds;
         let mut budgets = self.retry_budgets.lock();
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let reserve = bounds.retry_reserve / ASSUMED_VMS as f64;
+            let reserve = bounds.retry_reserve / f64::from(ASSUMED_VMS);
             SlidingRetryBudget::new(bounds.retry_ratio, bounds.retry_window, reserve)
         });
         access(budget)
     }
 
     /// Divides the fixed part of the retry budgets among the live VMs.
-    pub(crate) fn set_budget_reserves(&self, vms: usize) {
-        let reserve = self.settings.bounds.retry_reserve / vms.max(ASSUMED_VMS) as f64;
+    pub(crate) fn set_budget_reserves(&self, vms: u32) {
+        let reserve = self.settings.bounds.retry_reserve / f64::from(vms.max(ASSUMED_VMS));
         let mut budgets = self.retry_budgets.lock();
         budgets.values_mut().for_each(|b| b.set_reserve(reserve));
     }
--- a/crates/relay/src/process/state_sync.rs
+++ b/crates/relay/src/process/state_sync.rs
@@ -14,7 +14,7 @@
     clock::{Instant, timeout},
     h1::{Headers, RequestHead, call},
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
     types::{Bytes, EndpointId, Incarnation, Version},
     usage::WindowCountRecord,
 };
@@ -41,6 +41,8 @@
 const MIN_DRAIN_FOR_SECOND_READER: Duration = Duration::from_millis(2_800);
 /// Time that the VM tries the platform at the start before it asks other VMs.
 const PLATFORM_HEAD_START: Duration = Duration::from_millis(600);
+/// Number of hubs of other zones that are asked for their state in one round.
+const MAX_HUBS_ASKED: usize = 2;
 /// Pause between two rounds of asking other VMs at the start.
 const FETCH_RETRY_PAUSE: Duration = Duration::from_millis(700);
 
@@ -77,6 +79,14 @@
     ages: [u64; 2],
 }
 
+impl StateResponse {
+    /// Whether the responder read both feeds recently.
+    fn is_fresh(&self) -> bool {
+        let fresh = |age: &u64| u128::from(*age) < MAX_FRESH_AGE.as_millis();
+        self.ages.iter().all(fresh)
+    }
+}
+
 /// Serves a state request of another VM.
 pub(super) async fn serve_state(node: Arc<Node>, body: Vec<u8>) -> (u16, Vec<u8>) {
     let Ok(request) = rmp_serde::from_slice::<StateRequest>(&body) else {
@@ -201,6 +211,7 @@
     };
     let mut since = None;
     let mut cursor = ReaderCursor::default();
+    let mut other_zone = OtherZone::default();
     loop {
         let now = node.clock.now();
         let mut readers = node.peers.lock().readers(now);
@@ -208,14 +219,16 @@
         let current = cursor.current(now, &readers);
         let (Some(reader), false) = (current, node.reads_platform(now)) else {
             since = None;
+            if !is_fresh(&node) && node.may_ask_other_zones(now) {
+                other_zone.refresh(&node).await;
+            }
             node.clock.sleep(READER_POLL).await;
             continue;
         };
         let addr = SocketAddr::new(reader.ip(), node.settings.control.port());
         let result = request_state(&node, addr, since, true).await;
-        let fresh = |age: &u64| u128::from(*age) < MAX_FRESH_AGE.as_millis();
         match result {
-            Ok(response) if response.ages.iter().all(fresh) => {
+            Ok(response) if response.is_fresh() => {
                 since = Some((response.inc, response.next));
                 apply_response(&node, response);
                 continue;
@@ -231,6 +244,8 @@
             // The next reader notices the failure at the same time, and needs a moment to read the
             // platform.
             node.clock.sleep(READER_POLL).await;
+        } else if !node.may_read_directly(now) {
+            node.clock.sleep(READER_POLL).await;
         } else {
             log::info!(readers = readers.len(); "no reader has fresh state, reading the platform");
             node.read_platform_until(now + DIRECT_READ_TIME);
@@ -238,6 +253,48 @@
     }
 }
 
+/// The hub of another zone whose state this VM uses while its own reads of the platform fail, so
+/// that the VMs of its zone needn't all read the platform themselves.
+#[derive(Debug, Default)]
+struct OtherZone {
+    /// Address, and the position of its last response.
+    hub: Option<(SocketAddr, (Incarnation, u64))>,
+}
+
+impl OtherZone {
+    /// Applies the state of the first hub that has read the platform recently.
+    async fn refresh(&mut self, node: &Node) {
+        let hubs = node.peers.lock().other_hubs(node.clock.now());
+        let control = |a: SocketAddr| SocketAddr::new(a.ip(), node.settings.control.port());
+        let mut addrs: Vec<_> = hubs.into_iter().map(control).collect();
+        fastrand::shuffle(&mut addrs);
+        addrs.sort_by_key(|addr| self.hub.is_none_or(|(hub, _)| hub != *addr));
+        for addr in addrs.into_iter().take(MAX_HUBS_ASKED) {
+            let since = self.hub.filter(|(hub, _)| *hub == addr).map(|(_, at)| at);
+            match request_state(node, addr, since, false).await {
+                Ok(response) if response.is_fresh() => {
+                    if since.is_none() {
+                        log::info!(hub:% = addr; "platform not readable, using the state of another zone's hub");
+                    }
+                    self.hub = Some((addr, (response.inc, response.next)));
+                    node.freshness
+                        .lock()
+                        .mark_received(node.clock.now(), response.ages);
+                    apply_response(node, response);
+                    return;
+                }
+                Ok(response) => {
+                    log::debug!(hub:% = addr, ages:? = response.ages; "state of another zone's hub is stale");
+                }
+                Err(cause) => {
+                    log::debug!(hub:% = addr, cause = cause.as_str(); "no state from another zone's hub");
+                }
+            }
+        }
+        self.hub = None;
+    }
+}
+
 /// Requests the state of other VMs at the start, however old, until this VM knows a configuration
 /// and endpoints.
 pub(super) async fn fetch_initial_state(node: Arc<Node>) {
@@ -259,22 +316,24 @@
     }
 }
 
-/// Control addresses of the seeds and of live VMs.
+/// Control addresses of the VMs to ask for state: those that precede this one as reader, then the
+/// seeds and other live VMs.
 fn known_vms(node: &Node) -> Vec<SocketAddr> {
     let own_addr = node.settings.control;
-    let gossiped = node.peers.lock().sample_addresses(node.clock.now());
-    let gossiped = gossiped
-        .iter()
-        .map(|a| SocketAddr::new(a.ip(), own_addr.port()));
-    let mut all: Vec<_> = node
-        .settings
-        .seeds
-        .iter()
-        .copied()
-        .chain(gossiped)
+    let (stronger, others) = {
+        let (peers, now) = (node.peers.lock(), node.clock.now());
+        (peers.stronger_addresses(now), peers.sample_addresses(now))
+    };
+    let control = |a: SocketAddr| SocketAddr::new(a.ip(), own_addr.port());
+    let mut all: Vec<_> = stronger
+        .into_iter()
+        .map(control)
+        .chain(node.settings.seeds.iter().copied())
+        .chain(others.into_iter().map(control))
         .collect();
     all.retain(|a| *a != own_addr);
-    all.dedup();
+    let mut seen = BTreeSet::new();
+    all.retain(|a| seen.insert(*a));
     all
 }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -20,7 +20,7 @@
     picker::{Candidate, LoadReport, Picker, RequestOutcome, Requirements},
     placement::{
         EndpointSpec, EngineProfile, Load, PeerLoad, Placement, PlacementOutcome, PlacementRequest,
-        Placer,
+        Placer, Reporter,
     },
     prompt::Prompt,
     round_robin::RoundRobin,
--- a/crates/route/src/placement/load.rs
+++ b/crates/route/src/placement/load.rs
@@ -4,9 +4,20 @@
     clock::Instant,
     serde::{Deserialize, Serialize},
     std::collections::HashMap,
-    types::{Tier, VmId},
+    types::{Tier, VmId, ZoneId},
 };
 
+/// Whose load a report contains.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Reporter {
+    /// One VM.
+    Vm(VmId),
+    /// All VMs of an availability zone.
+    Zone(ZoneId),
+    /// All other VMs.
+    Fleet,
+}
+
 /// Number of tier ranks by which pending prefill is broken down; all lower tiers share the last
 /// rank.
 const TIER_RANKS: usize = 3;
@@ -34,7 +45,8 @@
 }
 
 impl Load {
-    pub(super) fn add(&mut self, other: Self) {
+    /// Adds a load.
+    pub fn add(&mut self, other: Self) {
         self.in_flight += other.in_flight;
         self.pause_sensitive += other.pause_sensitive;
         for (own, more) in self.pending_prefill.iter_mut().zip(other.pending_prefill) {
@@ -43,7 +55,8 @@
         self.memory += other.memory;
     }
 
-    pub(super) fn sub(&mut self, other: Self) {
+    /// Subtracts a load; no amount falls below zero.
+    pub fn sub(&mut self, other: Self) {
         self.in_flight = self.in_flight.saturating_sub(other.in_flight);
         self.pause_sensitive = self.pause_sensitive.saturating_sub(other.pause_sensitive);
         for (own, less) in self.pending_prefill.iter_mut().zip(other.pending_prefill) {
@@ -63,7 +76,7 @@
     }
 }
 
-/// Load reported by another VM.
+/// A reported load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PeerLoad {
     /// The load.
@@ -74,22 +87,28 @@
 
 /// Latest reported loads of the other VMs.
 #[derive(Debug, Clone, Default)]
-pub(super) struct PeerLoads(HashMap<VmId, PeerLoad>);
+pub(super) struct PeerLoads(HashMap<Reporter, PeerLoad>);
 
 impl PeerLoads {
-    pub(super) fn set(&mut self, vm: &VmId, load: PeerLoad) {
+    pub(super) fn set(&mut self, reporter: &Reporter, load: PeerLoad) {
         if load.load == Load::default() {
-            self.0.remove(vm);
+            self.0.remove(reporter);
         } else {
-            self.0.insert(vm.clone(), load);
+            self.0.insert(reporter.clone(), load);
         }
     }
 
-    pub(super) fn sum(&self, now: Instant) -> Load {
+    /// Sum of the loads whose reporters match.
+    pub(super) fn sum_of(&self, now: Instant, matches: impl Fn(&Reporter) -> bool) -> Load {
         let mut sum = Load::default();
-        for peer in self.0.values().filter(|p| p.until > now) {
+        let current = self.0.iter().filter(|(_, p)| p.until > now);
+        for (_, peer) in current.filter(|(reporter, _)| matches(reporter)) {
             sum.add(peer.load);
         }
         sum
     }
+
+    pub(super) fn sum(&self, now: Instant) -> Load {
+        self.sum_of(now, |_| true)
+    }
 }
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -15,7 +15,7 @@
 mod reserved;
 
 pub use {
-    load::{Load, PeerLoad},
+    load::{Load, PeerLoad, Reporter},
     placer::{EndpointSpec, Placement, PlacementOutcome, PlacementRequest, Placer},
     profile::EngineProfile,
 };
--- a/crates/route/src/placement/placer.rs
+++ b/crates/route/src/placement/placer.rs
@@ -6,14 +6,14 @@
         correction::PrefillCorrection,
         cost,
         health::Health,
-        load::{Load, PeerLoad, PeerLoads},
+        load::{Load, PeerLoad, PeerLoads, Reporter},
         profile::EngineProfile,
         rate_meter::RateMeter,
     },
     crate::Prompt,
     clock::Instant,
     std::{collections::BTreeMap, time::Duration},
-    types::{EndpointId, PromptPartId, Tier, VmId, ZoneId},
+    types::{EndpointId, PromptPartId, Tier, ZoneId},
 };
 
 /// Factor by which failure shares decay in each interval.
@@ -117,7 +117,7 @@
     prompt_meter: RateMeter,
     pub(super) correction: PrefillCorrection,
     /// Prompt tokens per second of other VMs, with the time when the report expires.
-    peer_rates: BTreeMap<VmId, (u64, Instant)>,
+    peer_rates: BTreeMap<Reporter, (u64, Instant)>,
 }
 
 impl Placer {
@@ -250,13 +250,28 @@
             .is_some_and(|e| e.health.is_silent(now))
     }
 
-    /// Sets the load that another VM reports for an endpoint.
-    pub fn set_peer_load(&mut self, vm: &VmId, id: &EndpointId, load: PeerLoad) {
+    /// Sets the load of other VMs that is reported for an endpoint.
+    pub fn set_peer_load(&mut self, reporter: &Reporter, id: &EndpointId, load: PeerLoad) {
         if let Some(entry) = self.endpoints.get_mut(id) {
-            entry.peer_loads.set(vm, load);
+            entry.peer_loads.set(reporter, load);
         }
     }
 
+    /// Sum of this VM's load and of the loads whose reporters match, by endpoint; endpoints without
+    /// load are left out.
+    pub fn summed_loads(
+        &self,
+        now: Instant,
+        matches: impl Fn(&Reporter) -> bool,
+    ) -> Vec<(EndpointId, Load)> {
+        let sums = self.endpoints.iter().map(|(id, entry)| {
+            let mut sum = entry.peer_loads.sum_of(now, &matches);
+            sum.add(entry.own_load);
+            (id.clone(), sum)
+        });
+        sums.filter(|(_, sum)| *sum != Load::default()).collect()
+    }
+
     /// This VM's load by endpoint, to be reported to other VMs.
     pub fn own_loads(&self) -> impl Iterator<Item = (&EndpointId, Load)> {
         let endpoints = self
@@ -285,16 +300,26 @@
         self.prompt_meter.rate(now)
     }
 
-    /// Sets the prompt token rate that another VM reports.
-    pub fn set_peer_rate(&mut self, vm: &VmId, rate: u64, until: Instant) {
-        self.peer_rates.insert(vm.clone(), (rate, until));
+    /// Sets the reported prompt token rate of other VMs.
+    pub fn set_peer_rate(&mut self, reporter: &Reporter, rate: u64, until: Instant) {
+        self.peer_rates.insert(reporter.clone(), (rate, until));
+    }
+
+    /// Sum of this VM's prompt token rate and of the rates whose reporters match.
+    pub fn summed_rate(&mut self, now: Instant, matches: impl Fn(&Reporter) -> bool) -> u64 {
+        let current = self
+            .peer_rates
+            .iter()
+            .filter(|(_, (_, until))| *until > now);
+        let matching = current.filter(|(reporter, _)| matches(reporter));
+        let others: u64 = matching.map(|(_, (rate, _))| rate).sum();
+        others + self.prompt_meter.rate(now)
     }
 
     /// Offered prefill load of all VMs, as the number of engines it would fully occupy.
     pub fn offered_load(&mut self, now: Instant) -> f64 {
         self.peer_rates.retain(|_, (_, until)| *until > now);
-        let others: u64 = self.peer_rates.values().map(|(rate, _)| rate).sum();
-        let rate = self.prompt_meter.rate(now) + others;
+        let rate = self.summed_rate(now, |_| true);
         self.profile
             .map_or(0.0, |p| rate as f64 / (p.prefill_rate * 1e3))
     }
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -4,7 +4,7 @@
 
 use {
     common::{complete, id, placer_with_engines, prompt, request, spec, start, zone},
-    route::{Load, PeerLoad, PlacementOutcome, Placer},
+    route::{Load, PeerLoad, PlacementOutcome, Placer, Reporter},
     std::{collections::BTreeMap, time::Duration},
     types::EndpointId,
 };
@@ -116,7 +116,7 @@
     load.pending_prefill[0] = 60_000;
     let until = now + Duration::from_secs(1);
     placer.set_peer_load(
-        &"vm-2".parse().unwrap(),
+        &Reporter::Vm("vm-2".parse().unwrap()),
         &unloaded.id,
         PeerLoad { load, until },
     );
@@ -127,7 +127,7 @@
     let later = until + Duration::from_millis(1);
     let mut placer = placer_with_engines(2);
     placer.set_peer_load(
-        &"vm-2".parse().unwrap(),
+        &Reporter::Vm("vm-2".parse().unwrap()),
         &unloaded.id,
         PeerLoad { load, until },
     );
--- a/crates/route/tests/placement_fleet.rs
+++ b/crates/route/tests/placement_fleet.rs
@@ -5,7 +5,7 @@
 use {
     clock::Instant,
     common::{complete, id, placer_with_engines, prompt, request, spec, start, zone},
-    route::{Load, PeerLoad, Placer},
+    route::{Load, PeerLoad, Placer, Reporter},
     std::{collections::BTreeMap, time::Duration},
     types::EndpointId,
 };
@@ -57,7 +57,7 @@
     let mut counts: BTreeMap<EndpointId, u32> = BTreeMap::new();
     for vm in 0..40 {
         let mut placer = placer_with_engines(40);
-        let peer = "peer".parse().unwrap();
+        let peer = Reporter::Vm("peer".parse().unwrap());
         for at in 0..40 {
             // Enough streams run for many engines to be reserved.
             let load = Load {
@@ -121,7 +121,7 @@
     let mut counts: BTreeMap<EndpointId, u32> = BTreeMap::new();
     for vm in 0..40 {
         let mut placer = placer_with_engines(40);
-        let peer = "peer".parse().unwrap();
+        let peer = Reporter::Vm("peer".parse().unwrap());
         for at in 2..40 {
             let load = Load {
                 in_flight: 8,
