Let the route's tier decide urgency among organisations of one tier

Change: the urgency sent to an engine is the organisation's tier first and the route's tier second, as long as the ten levels hold both; with more than three tiers it is the tier alone, as before.

--- a/crates/relay/src/adapter/header_codec.rs
+++ b/crates/relay/src/adapter/header_codec.rs
@@ -1,11 +1,12 @@
 //! Header fields of callers and endpoints.
 
 use {
+    crate::configuration::Urgency,
     compact_str::CompactString,
     h1::{Headers, ResponseHead},
     route::Prompt,
     std::{error::Error, fmt, net::SocketAddr, time::Duration},
-    types::{AttemptId, EndpointId, OrgId, Tier},
+    types::{AttemptId, EndpointId, OrgId},
 };
 
 /// A required header field of a caller that is missing, or one that cannot be parsed.
@@ -47,8 +48,8 @@
     pub timeout: Option<Duration>,
     /// Organisation that the request is accounted to.
     pub org: Option<&'a OrgId>,
-    /// Priority tier for the engine's own queue; none for services that do not generate.
-    pub tier: Option<Tier>,
+    /// Urgency in the engine's own queue; none for services that do not generate.
+    pub urgency: Option<Urgency>,
     /// Event after which a stream resumes.
     pub last_event: Option<u64>,
     /// Engine whose KV cache holds prompt parts that the endpoint lacks and fetches from there.
--- a/crates/relay/src/configuration/config.rs
+++ b/crates/relay/src/configuration/config.rs
@@ -48,6 +48,15 @@
     pub keys: Vec<CompactString>,
 }
 
+/// Number of route tiers that are told apart within one tier of organisations.
+const ROUTE_LEVELS: u8 = 3;
+/// Number of urgency levels that an engine distinguishes.
+const URGENCY_LEVELS: u8 = 10;
+
+/// Urgency of a request at an engine; 0 is served first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Urgency(pub u8);
+
 /// A configuration as published by the platform and exchanged between VMs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ConfigDoc {
@@ -72,6 +81,8 @@
     hosts: HashMap<CompactString, Vec<Arc<Route>>>,
     /// Organisations by API key.
     keys: HashMap<CompactString, Arc<Org>>,
+    /// Largest number of a tier, of routes and organisations.
+    last_tier: Tier,
 }
 
 impl Config {
@@ -95,7 +106,25 @@
                 keys.insert(key.clone(), shared.clone());
             }
         }
-        Self { doc, hosts, keys }
+        let route_tiers = doc.routes.iter().map(|r| r.tier);
+        let org_tiers = doc.orgs.iter().flatten().filter_map(|o| o.tier);
+        let last_tier = route_tiers.chain(org_tiers).max().unwrap_or(Tier(0));
+        Self {
+            doc,
+            hosts,
+            keys,
+            last_tier,
+        }
+    }
+
+    /// Urgency at an engine of a request of `tier` on a route. Most organisations often share one
+    /// tier, which takes precedence over that of the route; among their requests, the route's tier
+    /// decides as far as the engine's levels allow.
+    pub fn urgency(&self, tier: Tier, route: &Route) -> Urgency {
+        if self.last_tier.0 >= URGENCY_LEVELS / ROUTE_LEVELS {
+            return Urgency(tier.0.min(URGENCY_LEVELS - 1));
+        }
+        Urgency(tier.0 * ROUTE_LEVELS + route.tier.0.min(ROUTE_LEVELS - 1))
     }
 
     /// The route of a request: among those of the host, the one with the longest prefix of the
--- a/crates/relay/src/configuration/mod.rs
+++ b/crates/relay/src/configuration/mod.rs
@@ -5,7 +5,7 @@
 mod service;
 
 pub use {
-    config::{CallerLimits, Config, ConfigDoc, Org},
+    config::{CallerLimits, Config, ConfigDoc, Org, Urgency},
     route::{Route, RouteKind},
     service::{EngineSpec, Scaling, Service},
 };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
     },
     configuration::{
         CallerLimits, Config, ConfigDoc, EngineSpec, Org, Route, RouteKind, Scaling, Service,
+        Urgency,
     },
     endpoints::{Endpoint, Registry, RegistryChange},
     process::{Adapter, NodeProcess, run_node},
--- a/crates/relay/src/request/accept.rs
+++ b/crates/relay/src/request/accept.rs
@@ -63,6 +63,7 @@
         service,
         org,
         tier,
+        urgency: config.urgency(tier, route),
         head,
         body,
         version: config.doc.version,
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -191,7 +191,7 @@
         endpoint: slot.endpoint(),
         timeout: Some(request.deadline.since(node.clock.now())),
         org: request.org.as_ref().map(|o| &o.id),
-        tier: request.caller.prompt.as_ref().map(|_| request.tier),
+        urgency: request.caller.prompt.as_ref().map(|_| request.urgency),
         last_event,
         kv_source: slot.kv_source,
     };
--- a/crates/relay/src/request/routed_request.rs
+++ b/crates/relay/src/request/routed_request.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         adapter::CallerHeaders,
-        configuration::{Org, Route},
+        configuration::{Org, Route, Urgency},
     },
     clock::Instant,
     h1::RequestHead,
@@ -60,6 +60,7 @@
     pub(crate) service: ServiceId,
     pub(crate) org: Option<Arc<Org>>,
     pub(crate) tier: Tier,
+    pub(crate) urgency: Urgency,
     /// Request head without hop-by-hop header fields.
     pub(crate) head: RequestHead,
     pub(crate) body: Vec<u8>,
