--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -6,6 +6,7 @@
 //! the fleet to the VMs of its zone.
 
 mod gossip_message;
+mod hubs;
 mod load_summary;
 mod peer_table;
 #[cfg(test)]
@@ -13,6 +14,7 @@
 
 pub(crate) use {
     gossip_message::GossipMessage,
+    hubs::Target,
     load_summary::{LoadSummary, Scope},
-    peer_table::{MIN_SEND_INTERVAL, PEER_TIMEOUT, PeerTable, Target},
+    peer_table::{MIN_SEND_INTERVAL, PEER_TIMEOUT, PeerTable},
 };
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -7,6 +7,7 @@
 mod gossip;
 mod lifecycle;
 mod node;
+mod other_zone;
 mod placement;
 mod run;
 mod shutdown;
--- a/crates/relay/src/process/state_sync.rs
+++ b/crates/relay/src/process/state_sync.rs
@@ -5,7 +5,7 @@
 //! counts travel the other way, so that the reader stores them for its zone.
 
 use {
-    super::{Node, feed_reader::MAX_FRESH_AGE},
+    super::{Node, feed_reader::MAX_FRESH_AGE, other_zone::OtherZone},
     crate::{
         adapter::FeedKind,
         configuration::{Config, ConfigDoc},
@@ -41,8 +41,6 @@
 const MIN_DRAIN_FOR_SECOND_READER: Duration = Duration::from_millis(2_800);
 /// Time that the VM tries the platform at the start before it asks other VMs.
 const PLATFORM_HEAD_START: Duration = Duration::from_millis(600);
-/// Number of hubs of other zones that are asked for their state in one round.
-const MAX_HUBS_ASKED: usize = 2;
 /// Pause between two rounds of asking other VMs at the start.
 const FETCH_RETRY_PAUSE: Duration = Duration::from_millis(700);
 
@@ -62,11 +60,11 @@
 
 /// Response to a state request.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-struct StateResponse {
+pub(super) struct StateResponse {
     /// Incarnation of the responder.
-    inc: Incarnation,
+    pub(super) inc: Incarnation,
     /// Number of its next change.
-    next: u64,
+    pub(super) next: u64,
     /// The configuration, if it is newer than the requester's.
     #[serde(rename = "catalog")]
     config: Option<ConfigDoc>,
@@ -76,12 +74,12 @@
     changes: Vec<EndpointChange>,
     /// Milliseconds since the responder read configuration and endpoints from the platform;
     /// `u64::MAX` while its list has entries that lapsed in an outage.
-    ages: [u64; 2],
+    pub(super) ages: [u64; 2],
 }
 
 impl StateResponse {
     /// Whether the responder read both feeds recently.
-    fn is_fresh(&self) -> bool {
+    pub(super) fn is_fresh(&self) -> bool {
         let fresh = |age: &u64| u128::from(*age) < MAX_FRESH_AGE.as_millis();
         self.ages.iter().all(fresh)
     }
@@ -253,48 +251,6 @@
     }
 }
 
-/// The hub of another zone whose state this VM uses while its own reads of the platform fail, so
-/// that the VMs of its zone needn't all read the platform themselves.
-#[derive(Debug, Default)]
-struct OtherZone {
-    /// Address, and the position of its last response.
-    hub: Option<(SocketAddr, (Incarnation, u64))>,
-}
-
-impl OtherZone {
-    /// Applies the state of the first hub that has read the platform recently.
-    async fn refresh(&mut self, node: &Node) {
-        let hubs = node.peers.lock().other_hubs(node.clock.now());
-        let control = |a: SocketAddr| SocketAddr::new(a.ip(), node.settings.control.port());
-        let mut addrs: Vec<_> = hubs.into_iter().map(control).collect();
-        fastrand::shuffle(&mut addrs);
-        addrs.sort_by_key(|addr| self.hub.is_none_or(|(hub, _)| hub != *addr));
-        for addr in addrs.into_iter().take(MAX_HUBS_ASKED) {
-            let since = self.hub.filter(|(hub, _)| *hub == addr).map(|(_, at)| at);
-            match request_state(node, addr, since, false).await {
-                Ok(response) if response.is_fresh() => {
-                    if since.is_none() {
-                        log::info!(hub:% = addr; "platform not readable, using the state of another zone's hub");
-                    }
-                    self.hub = Some((addr, (response.inc, response.next)));
-                    node.freshness
-                        .lock()
-                        .mark_received(node.clock.now(), response.ages);
-                    apply_response(node, response);
-                    return;
-                }
-                Ok(response) => {
-                    log::debug!(hub:% = addr, ages:? = response.ages; "state of another zone's hub is stale");
-                }
-                Err(cause) => {
-                    log::debug!(hub:% = addr, cause = cause.as_str(); "no state from another zone's hub");
-                }
-            }
-        }
-        self.hub = None;
-    }
-}
-
 /// Requests the state of other VMs at the start, however old, until this VM knows a configuration
 /// and endpoints.
 pub(super) async fn fetch_initial_state(node: Arc<Node>) {
@@ -339,7 +295,7 @@
 
 /// Requests the state of the VM at `addr`. With `waits` the request also carries this VM's usage
 /// counts and waits for changes.
-async fn request_state(
+pub(super) async fn request_state(
     node: &Node,
     addr: SocketAddr,
     since: Option<(Incarnation, u64)>,
@@ -382,7 +338,7 @@
     response
 }
 
-fn apply_response(node: &Node, response: StateResponse) {
+pub(super) fn apply_response(node: &Node, response: StateResponse) {
     if let Some(doc) = response.config {
         node.apply_config(Arc::new(Config::new(doc)));
     }
