--- a/crates/relay/src/peers/hubs.rs
+++ b/crates/relay/src/peers/hubs.rs
@@ -21,6 +21,7 @@
 const HUBS_PER_ZONE: usize = 2;
 /// Time from the first datagram received until a VM may be a hub: it hears of the stronger ones.
 const HUB_DELAY: Duration = Duration::from_millis(600);
+
 /// An address to send gossip to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Target {
