--- a/crates/fleet/src/service/sizer.rs
+++ b/crates/fleet/src/service/sizer.rs
@@ -25,7 +25,8 @@
 /// Engines planned after taking over, relative to the present ones. The required number is not
 /// known yet, and new engines start with empty caches.
 const TAKEOVER_FACTOR: f64 = 1.5;
-/// Increase of that factor per second of age of the load reports that VMs place by. The older they are, the higher the load peaks at single engines, which last while the caches fill.
+/// Increase of that factor per second of age of the load reports that VMs place by. The older they
+/// are, the higher the load peaks at single engines, which last while the caches fill.
 const TAKEOVER_FACTOR_PER_S: f64 = 0.85;
 /// Time for which enough engines must have been present before steady ones are released.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
--- a/crates/relay/src/process/feed_reader.rs
+++ b/crates/relay/src/process/feed_reader.rs
@@ -25,6 +25,7 @@
 /// Longest pause after a failed read of the endpoints. The grace period of lapsed entries begins
 /// with the last failed read, and running endpoints need most of it to be listed again.
 const MAX_ENDPOINTS_PAUSE: Duration = Duration::from_millis(200);
+/// Nanoseconds in a millisecond.
 const NANOS_PER_MILLI: u64 = 1_000_000;
 /// Interval between two checks of whether this VM has to read the platform.
 const ROLE_POLL: Duration = Duration::from_millis(100);
