--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -24,6 +24,27 @@
 /// Time for which a summary counts: three rounds of a hub.
 const SUMMARY_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Why a datagram is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DatagramKind {
+    /// A message of a regular round.
+    Round,
+    /// The reply to a VM that asks for the addresses of hubs.
+    Reply,
+    /// A part of a load summary.
+    Summary,
+}
+
+impl DatagramKind {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Round => "round",
+            Self::Reply => "reply",
+            Self::Summary => "summary",
+        }
+    }
+}
+
 /// The loads and rates that this VM last sent to its hub; its summaries contain them.
 #[derive(Debug, Default)]
 pub(crate) struct SentLoads {
@@ -63,7 +84,8 @@
                 addr,
                 with_loads: full,
             } = target;
-            send(&socket, addr, if full { &with_loads } else { &without }).await;
+            let bytes = if full { &with_loads } else { &without };
+            send(&socket, addr, bytes, DatagramKind::Round).await;
         }
         if is_first_hub {
             send_summaries(&node, &socket).await;
@@ -72,7 +94,11 @@
     }
 }
 
-async fn send(socket: &Async<UdpSocket>, addr: SocketAddr, bytes: &[u8]) {
+async fn send(socket: &Async<UdpSocket>, addr: SocketAddr, bytes: &[u8], kind: DatagramKind) {
+    let kind = kind.as_str();
+    metrics::counter!("celerystage_gossip_datagrams_total", "kind" => kind).increment(1);
+    metrics::counter!("celerystage_gossip_bytes_total", "kind" => kind)
+        .increment(bytes.len() as u64);
     if let Err(e) = socket.send_to(bytes, addr).await {
         log::debug!(peer:% = addr, error:% = e; "cannot send a datagram");
     }
@@ -93,7 +119,7 @@
         };
         for addr in addrs {
             for part in &parts {
-                send(socket, addr, part).await;
+                send(socket, addr, part, DatagramKind::Summary).await;
             }
         }
     }
@@ -211,7 +237,7 @@
         match socket.recv_from(&mut buf).await {
             Ok((size, from)) => {
                 if let Some(reply) = apply_datagram(&node, from, &buf[..size]) {
-                    send(&socket, from, &reply).await;
+                    send(&socket, from, &reply, DatagramKind::Reply).await;
                 }
             }
             Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
