Add a failing test: hubs reply to each other's replies without end

A hub always asks for the addresses of other hubs. The reply was built like any message and asked as well, so that two hubs exchanged datagrams without a pause. The simulated fleet in the tests had its own copy of the reply, which did not ask (`reply.seeks = false`), and so could not show it. Now `PeerTable` says what a message and a reply tell and whether one is answered, and the simulation uses that code; messages take a tick to arrive.

No change of behaviour.

--- a/crates/relay/src/peers/hubs.rs
+++ b/crates/relay/src/peers/hubs.rs
@@ -30,7 +30,32 @@
     pub(crate) with_loads: bool,
 }
 
+/// What a VM tells the others of the fleet's size and of its own part in the exchange of loads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct HubStatus {
+    /// Number of live VMs that it knows of, itself included.
+    pub(crate) vms: u32,
+    /// Whether it is a hub.
+    pub(crate) hub: bool,
+    /// Whether it asks for the addresses of hubs.
+    pub(crate) seeks: bool,
+}
+
 impl PeerTable {
+    /// What a message of a regular round tells.
+    pub(crate) fn hub_status(&self, now: Instant) -> HubStatus {
+        HubStatus {
+            vms: self.known_vms(now),
+            hub: self.is_hub(now),
+            seeks: self.seeks_hubs(now),
+        }
+    }
+
+    /// What the reply to a VM that asks for addresses tells.
+    pub(crate) fn reply_status(&self, now: Instant) -> HubStatus {
+        self.hub_status(now)
+    }
+
     /// Whether the fleet is too large for each VM to send to all others.
     pub(crate) fn uses_hubs(&self, now: Instant) -> bool {
         let heard = (1 + self.live_peers(now).count() + self.unconfirmed.len()) as u32;
@@ -57,7 +82,7 @@
     }
 
     /// Whether this VM needs addresses of hubs.
-    pub(crate) fn seeks_hubs(&self, now: Instant) -> bool {
+    fn seeks_hubs(&self, now: Instant) -> bool {
         if !self.uses_hubs(now) {
             return self.live_peers(now).next().is_none();
         }
@@ -70,7 +95,7 @@
     }
 
     /// Addresses for a VM of `zone` that seeks hubs: those of its zone, or of all zones for a hub.
-    pub(crate) fn hub_addresses(
+    pub(super) fn hub_addresses(
         &self,
         now: Instant,
         zone: &ZoneId,
--- a/crates/relay/src/peers/peer_table.rs
+++ b/crates/relay/src/peers/peer_table.rs
@@ -56,6 +56,8 @@
     pub(crate) is_new: bool,
     /// Endpoints at which the sender no longer has any load.
     pub(crate) cleared: Vec<EndpointId>,
+    /// Addresses to reply with, if the sender asks for those of hubs.
+    pub(crate) reply: Option<Vec<SocketAddr>>,
 }
 
 /// Time that a VM must have been known before the others rely on it as reader: it has to read the
@@ -184,7 +186,14 @@
                 self.unconfirmed.entry(*addr).or_insert(now);
             }
         }
-        Some(Received { is_new, cleared })
+        let reply = message
+            .seeks
+            .then(|| self.hub_addresses(now, &message.zone, message.hub));
+        Some(Received {
+            is_new,
+            cleared,
+            reply,
+        })
     }
 
     /// A random sample of the addresses of live VMs.
--- a/crates/relay/src/peers/tests.rs
+++ b/crates/relay/src/peers/tests.rs
@@ -1,12 +1,12 @@
 //! Fleets of peer tables that exchange gossip messages over a lossy network in simulated time.
 
 use {
-    super::{GossipMessage, LoadSummary, PeerTable, Scope},
+    super::{GossipMessage, HubStatus, LoadSummary, PeerTable, Scope},
     clock::Instant,
     fastrand::Rng,
     route::Load,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, VecDeque},
         net::{IpAddr, Ipv4Addr, SocketAddr},
         time::Duration,
     },
@@ -31,8 +31,17 @@
     received_bytes: usize,
 }
 
+/// A message on its way.
+struct Datagram {
+    from: usize,
+    to: SocketAddr,
+    message: GossipMessage,
+}
+
 struct Fleet {
     vms: Vec<Vm>,
+    /// Messages that arrive with the next tick.
+    sent: VecDeque<Datagram>,
     now: Instant,
     rng: Rng,
 }
@@ -70,13 +79,13 @@
         });
         Self {
             vms: vms.collect(),
+            sent: VecDeque::new(),
             now,
             rng,
         }
     }
 
-    fn message(&mut self, at: usize, addrs: Vec<SocketAddr>) -> GossipMessage {
-        let now = self.now;
+    fn message(&mut self, at: usize, status: HubStatus, addrs: Vec<SocketAddr>) -> GossipMessage {
         let vm = &mut self.vms[at];
         vm.seq += 1;
         GossipMessage {
@@ -92,30 +101,33 @@
             unix_ms: 0,
             addrs,
             reads: None,
-            vms: vm.table.known_vms(now),
-            hub: vm.table.is_hub(now),
-            seeks: vm.table.seeks_hubs(now),
+            vms: status.vms,
+            hub: status.hub,
+            seeks: status.seeks,
         }
     }
 
-    fn deliver(&mut self, from: usize, to: SocketAddr, message: &GossipMessage) {
+    fn deliver(&mut self, datagram: Datagram) {
+        let Datagram { from, to, message } = datagram;
         let Some(to) = (0..self.vms.len()).find(|at| addr_of(*at) == to) else {
             return;
         };
         if !self.vms[to].alive || self.rng.f64() < LOSS {
             return;
         }
-        let size = rmp_serde::to_vec(message).unwrap().len();
+        let size = rmp_serde::to_vec(&message).unwrap().len();
         let (now, own, sender) = (self.now, addr_of(to), addr_of(from));
         let vm = &mut self.vms[to];
         vm.received_bytes += size;
-        vm.table.receive(now, sender, message, own, 0);
-        if message.seeks {
-            let addrs = vm.table.hub_addresses(now, &message.zone, message.hub);
-            let mut reply = self.message(to, addrs);
-            // A reply is not answered in turn.
-            reply.seeks = false;
-            self.deliver(to, sender, &reply);
+        let received = vm.table.receive(now, sender, &message, own, 0);
+        if let Some(addrs) = received.and_then(|r| r.reply) {
+            let status = vm.table.reply_status(now);
+            let message = self.message(to, status, addrs);
+            self.sent.push_back(Datagram {
+                from: to,
+                to: sender,
+                message,
+            });
         }
     }
 
@@ -125,9 +137,14 @@
         let seeds: Vec<_> = (0..SEEDS).map(addr_of).filter(|a| *a != own).collect();
         let targets = self.vms[at].table.targets(now, &seeds);
         let addrs = self.vms[at].table.sample_addresses(now);
-        let message = self.message(at, addrs);
+        let status = self.vms[at].table.hub_status(now);
+        let message = self.message(at, status, addrs);
         for target in targets {
-            self.deliver(at, target.addr, &message);
+            self.sent.push_back(Datagram {
+                from: at,
+                to: target.addr,
+                message: message.clone(),
+            });
         }
         if self.vms[at].table.is_first_hub(now) {
             self.send_counts(at);
@@ -156,6 +173,9 @@
     fn run(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
+            for datagram in std::mem::take(&mut self.sent) {
+                self.deliver(datagram);
+            }
             for at in 0..self.vms.len() {
                 if self.vms[at].alive && self.vms[at].next_send <= self.now {
                     self.send(at);
@@ -207,6 +227,21 @@
     }
 }
 
+/// Hubs replied to each other's replies without end. The target for control traffic is 4 KB a second
+/// for each VM.
+#[test]
+fn hubs_do_not_reply_to_replies() {
+    for size in [45, 60, 85, 300] {
+        let mut fleet = Fleet::new(size);
+        fleet.run(Duration::from_secs(4));
+        fleet.vms.iter_mut().for_each(|vm| vm.received_bytes = 0);
+        fleet.run(Duration::from_secs(5));
+        let received: usize = fleet.vms.iter().map(|vm| vm.received_bytes / 5).sum();
+        let mean = received / size;
+        assert!(mean <= 4_096, "{mean} bytes a second a VM at {size} VMs");
+    }
+}
+
 #[test]
 fn second_hub_takes_over_when_the_first_one_dies() {
     let mut fleet = Fleet::new(300);
--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -4,7 +4,7 @@
     super::Node,
     crate::{
         endpoints::ReadAges,
-        peers::{GossipMessage, LoadSummary, PEER_TIMEOUT, Scope, Target},
+        peers::{GossipMessage, HubStatus, LoadSummary, PEER_TIMEOUT, Scope, Target},
     },
     async_io::Async,
     clock::Instant,
@@ -64,21 +64,22 @@
         .collect();
     loop {
         let now = node.clock.now();
-        let (targets, interval, offsets, is_first_hub, addrs) = {
+        let (targets, interval, offsets, is_first_hub, status, addrs) = {
             let mut peers = node.peers.lock();
             (
                 peers.targets(now, &seeds),
                 peers.send_interval(now),
                 peers.clock_offsets(now),
                 peers.is_first_hub(now),
+                peers.hub_status(now),
                 peers.sample_addresses(now),
             )
         };
         if let Some(offset) = node.wall_clock.update_offset(offsets) {
             log::warn!(offset_ms = offset; "wall clock corrected from the clocks of the other VMs");
         }
-        let with_loads = encode(&node, Contents::loads(&node, now), addrs.clone());
-        let without = encode(&node, Contents::default(), addrs);
+        let with_loads = encode(&node, Contents::loads(&node, now), status, addrs.clone());
+        let without = encode(&node, Contents::default(), status, addrs);
         for target in targets {
             let Target {
                 addr,
@@ -178,20 +179,12 @@
 
 /// Encodes the state of this VM; the smallest loads are left out if the datagram would be too
 /// large.
-fn encode(node: &Node, contents: Contents, addrs: Vec<SocketAddr>) -> Vec<u8> {
+fn encode(node: &Node, contents: Contents, status: HubStatus, addrs: Vec<SocketAddr>) -> Vec<u8> {
     let now = node.clock.now();
     let seq = node.gossip_seq.fetch_add(1, SeqCst);
     let version = node.config().map_or(Version::default(), |c| c.doc.version);
     let reads = node.freshness.lock().endpoints_span();
     let Contents { mut loads, rates } = contents;
-    let (vms, hub, seeks) = {
-        let peers = node.peers.lock();
-        (
-            peers.known_vms(now),
-            peers.is_hub(now),
-            peers.seeks_hubs(now),
-        )
-    };
     loop {
         let message = GossipMessage {
             vm: node.settings.vm.clone(),
@@ -207,9 +200,9 @@
                 .unwrap_or(u64::MAX),
             addrs: addrs.clone(),
             reads: reads.map(|span| ReadAges::of(span, now)),
-            vms,
-            hub,
-            seeks,
+            vms: status.vms,
+            hub: status.hub,
+            seeks: status.seeks,
         };
         let Ok(bytes) = rmp_serde::to_vec(&message) else {
             log::error!("cannot encode a gossip datagram");
@@ -275,14 +268,12 @@
     }
     let now = node.clock.now();
     let own_ms = i64::try_from(node.wall_clock.uncorrected(now).as_millis()).unwrap_or(i64::MAX);
-    let (received, count, uses_loads, hubs) = {
+    let (received, count, uses_loads, status) = {
         let mut peers = node.peers.lock();
         let received = peers.receive(now, from, &message, node.settings.peers, own_ms)?;
         let uses_loads = !peers.uses_hubs(now) || peers.is_first_hub(now);
-        let hubs = message
-            .seeks
-            .then(|| peers.hub_addresses(now, &message.zone, message.hub));
-        (received, peers.vm_count(now), uses_loads, hubs)
+        let status = peers.reply_status(now);
+        (received, peers.vm_count(now), uses_loads, status)
     };
     if received.is_new {
         log::info!(peer:% = message.vm, addr:% = from, vms = count; "peer VM discovered");
@@ -291,7 +282,8 @@
     if uses_loads {
         apply_loads(node, now, &message, &received.cleared);
     }
-    hubs.map(|addrs| encode(node, Contents::loads(node, now), addrs))
+    let addrs = received.reply?;
+    Some(encode(node, Contents::loads(node, now), status, addrs))
 }
 
 fn apply_loads(node: &Node, now: Instant, message: &GossipMessage, cleared: &[EndpointId]) {
