Stop hubs from replying to each other's replies; name hubs instead of asking for them

Change: what is in a message follows from its target (`MessageParts`), and a reply never asks. Hubs ask the seeds only. Instead they name the hubs of all zones to each other and those of the zone to its VMs, so that members find their hubs without asking. A VM that is not sent to, as it was no hub when it was last heard, has its address learnt again. A hub counts as known only if it was heard within the reader timeout, so that a VM which took itself for a hub at the start does not keep others from seeking. A fleet that shrinks keeps its hubs for ten seconds and leaves them together with a hub of the zone.

--- a/crates/relay/src/peers/hubs.rs
+++ b/crates/relay/src/peers/hubs.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        gossip_message::MAX_ADDRS,
-        peer_table::{FORGET_AFTER, PEER_TIMEOUT, Peer, PeerTable, ranked},
+        gossip_message::{GossipMessage, MAX_ADDRS},
+        peer_table::{FORGET_AFTER, PEER_TIMEOUT, Peer, PeerTable, READER_TIMEOUT, ranked},
     },
     clock::Instant,
     std::{
@@ -18,16 +18,54 @@
 /// datagrams a second.
 const MAX_MESH_VMS: u32 = 40;
 /// Number of hubs in each zone of a larger fleet. The second one takes over if the first one fails.
-const HUBS_PER_ZONE: usize = 2;
+pub(super) const HUBS_PER_ZONE: usize = 2;
 /// Time from the first datagram received until a VM may be a hub: it hears of the stronger ones.
 const HUB_DELAY: Duration = Duration::from_millis(600);
 
+/// Time for which a fleet that shrinks keeps its hubs. Without it a VM that misses a few datagrams
+/// in a fleet of about `MAX_MESH_VMS` would change between the two ways.
+const HUB_HOLD_TIME: Duration = Duration::from_secs(10);
+
+/// The addresses of other VMs in a gossip message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum AddressPart {
+    None,
+    /// Some live VMs.
+    Sample,
+    /// The other hubs of the sender's zone.
+    ZoneHubs,
+    /// The hubs of all zones.
+    AllHubs,
+    /// What the receiver has asked for.
+    Reply,
+}
+
+/// The optional parts of a gossip message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct MessageParts {
+    /// Whether it has the loads and rates of the sender.
+    pub(crate) loads: bool,
+    pub(crate) addresses: AddressPart,
+    /// Whether it asks for the addresses of hubs.
+    pub(crate) seeks: bool,
+}
+
+impl MessageParts {
+    /// The reply to a VM that asks for addresses. A reply asks for none itself: otherwise two VMs
+    /// that need addresses would reply to each other without end.
+    pub(crate) const REPLY: Self = Self {
+        loads: true,
+        addresses: AddressPart::Reply,
+        seeks: false,
+    };
+}
+
 /// An address to send gossip to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Target {
     pub(crate) addr: SocketAddr,
-    /// Whether the loads of this VM are sent there.
-    pub(crate) with_loads: bool,
+    /// What is sent there.
+    pub(crate) parts: MessageParts,
 }
 
 /// What a VM tells the others of the fleet's size and of its own part in the exchange of loads.
@@ -37,30 +75,48 @@
     pub(crate) vms: u32,
     /// Whether it is a hub.
     pub(crate) hub: bool,
-    /// Whether it asks for the addresses of hubs.
-    pub(crate) seeks: bool,
 }
 
 impl PeerTable {
-    /// What a message of a regular round tells.
+    /// What this VM tells the others of the fleet and of its part.
     pub(crate) fn hub_status(&self, now: Instant) -> HubStatus {
         HubStatus {
             vms: self.known_vms(now),
             hub: self.is_hub(now),
-            seeks: self.seeks_hubs(now),
         }
     }
 
-    /// What the reply to a VM that asks for addresses tells.
-    pub(crate) fn reply_status(&self, now: Instant) -> HubStatus {
-        self.hub_status(now)
+    /// Whether the fleet is, or was recently, too large for each VM to send to all others.
+    pub(crate) fn uses_hubs(&self, now: Instant) -> bool {
+        let recently = self
+            .last_large
+            .is_some_and(|at| now.since(at) < HUB_HOLD_TIME);
+        recently || self.is_large(now)
     }
 
-    /// Whether the fleet is too large for each VM to send to all others.
-    pub(crate) fn uses_hubs(&self, now: Instant) -> bool {
-        let heard = (1 + self.live_peers(now).count() + self.unconfirmed.len()) as u32;
+    fn is_large(&self, now: Instant) -> bool {
+        let heard: BTreeSet<_> = self.live_peers(now).map(|p| p.addr).collect();
+        let recent = self
+            .unconfirmed
+            .iter()
+            .filter(|(addr, at)| now.since(**at) < PEER_TIMEOUT && !heard.contains(addr));
+        let known = 1 + (heard.len() + recent.count()) as u32;
         let told = self.live_peers(now).map(|p| p.vms).max();
-        heard.max(told.unwrap_or_default()).max(self.fleet_vms(now)) > MAX_MESH_VMS
+        known.max(told.unwrap_or_default()).max(self.fleet_vms(now)) > MAX_MESH_VMS
+    }
+
+    /// Gives up hubs together with a hub of this zone that has done so because the fleet shrank.
+    pub(super) fn follow_shrinking(&mut self, message: &GossipMessage) {
+        if !message.leaving && message.vms <= MAX_MESH_VMS {
+            self.last_large = None;
+        }
+    }
+
+    /// Notes whether the fleet is large now.
+    pub(super) fn update_size(&mut self, now: Instant) {
+        if self.is_large(now) {
+            self.last_large = Some(now);
+        }
     }
 
     /// Whether this VM is a hub of its zone.
@@ -81,17 +137,30 @@
         self.uses_hubs(now) && self.readers(now).is_empty()
     }
 
-    /// Whether this VM needs addresses of hubs.
-    fn seeks_hubs(&self, now: Instant) -> bool {
-        if !self.uses_hubs(now) {
-            return self.live_peers(now).next().is_none();
-        }
-        self.is_hub(now) || self.hubs_of(now, &self.zone).count() < HUBS_PER_ZONE
+    fn hubs_of(&self, now: Instant, zone: &ZoneId) -> impl Iterator<Item = (&VmId, &Peer)> {
+        self.live(now).filter(move |(_, p)| {
+            let heard = now.since(p.last_heard) < READER_TIMEOUT;
+            heard && p.hub && !p.leaving && p.zone == *zone
+        })
     }
 
-    fn hubs_of(&self, now: Instant, zone: &ZoneId) -> impl Iterator<Item = (&VmId, &Peer)> {
-        let live = self.live(now);
-        live.filter(move |(_, p)| p.hub && !p.leaving && p.zone == *zone)
+    /// The addresses of a message; `reply` are those to reply with.
+    pub(crate) fn addresses(
+        &self,
+        now: Instant,
+        part: AddressPart,
+        reply: &[SocketAddr],
+    ) -> Vec<SocketAddr> {
+        match part {
+            AddressPart::None => Vec::new(),
+            AddressPart::Sample => self.sample_addresses(now),
+            AddressPart::ZoneHubs => {
+                let hubs = ranked(self.hubs_of(now, &self.zone)).take(HUBS_PER_ZONE);
+                hubs.map(|(_, p)| p.addr).collect()
+            }
+            AddressPart::AllHubs => self.hub_addresses(now, &self.zone, true),
+            AddressPart::Reply => reply.to_vec(),
+        }
     }
 
     /// Addresses for a VM of `zone` that seeks hubs: those of its zone, or of all zones for a hub.
@@ -147,50 +216,96 @@
         self.own_zone_vms(now) + others
     }
 
-    /// The addresses to send to now. `seeds` are sent to while no hub is known, and by hubs, so that
-    /// they can tell new VMs of them.
+    /// The addresses to send to now, and what is sent there.
     pub(crate) fn targets(&mut self, now: Instant, seeds: &[SocketAddr]) -> Vec<Target> {
         self.unconfirmed
             .retain(|_, at| now.since(*at) < FORGET_AFTER);
         self.peers
             .retain(|_, p| now.since(p.last_heard) < FORGET_AFTER);
-        let addrs: BTreeSet<SocketAddr> = if !self.uses_hubs(now) {
-            let peers = self.peers.values().map(|p| p.addr);
-            let unconfirmed = self.unconfirmed.keys().copied();
-            peers
-                .chain(unconfirmed)
-                .chain(seeds.iter().copied())
-                .collect()
-        } else if self.is_hub(now) {
-            let known = self.peers.values().filter(|p| p.zone == self.zone || p.hub);
-            let unconfirmed = self.unconfirmed.keys().copied();
-            let known = known.map(|p| p.addr);
-            known
-                .chain(unconfirmed)
-                .chain(seeds.iter().copied())
-                .collect()
+        self.update_size(now);
+        if !self.uses_hubs(now) {
+            return self.mesh_targets(now, seeds);
+        }
+        let targets = if self.is_hub(now) {
+            self.targets_of_hub(seeds)
         } else {
-            let hubs = ranked(self.hubs_of(now, &self.zone)).take(HUBS_PER_ZONE);
-            let hubs: BTreeSet<_> = hubs.map(|(_, p)| p.addr).collect();
-            if hubs.len() == HUBS_PER_ZONE {
-                hubs
-            } else {
-                let unconfirmed = self.unconfirmed.keys().copied();
-                hubs.into_iter()
-                    .chain(unconfirmed)
-                    .chain(seeds.iter().copied())
-                    .collect()
-            }
+            self.targets_of_member(now, seeds)
         };
-        let uses_hubs = self.uses_hubs(now);
         let upstream: BTreeSet<_> = self.stronger_addresses(now).into_iter().collect();
-        let target = |addr| Target {
+        let target = |(addr, parts)| Target {
             addr,
-            with_loads: !uses_hubs || upstream.contains(&addr),
+            parts: MessageParts {
+                loads: upstream.contains(&addr),
+                ..parts
+            },
+        };
+        targets.into_iter().map(target).collect()
+    }
+
+    /// All VMs.
+    fn mesh_targets(&self, now: Instant, seeds: &[SocketAddr]) -> Vec<Target> {
+        let peers = self.peers.values().map(|p| p.addr);
+        let unconfirmed = self.unconfirmed.keys().copied();
+        let seeds = seeds.iter().copied();
+        let addrs: BTreeSet<_> = peers.chain(unconfirmed).chain(seeds).collect();
+        let parts = MessageParts {
+            loads: true,
+            addresses: AddressPart::Sample,
+            seeks: self.live_peers(now).next().is_none(),
         };
+        let target = |addr| Target { addr, parts };
         addrs.into_iter().map(target).collect()
     }
 
+    /// The VMs of its zone, and the hubs of the others. A hub asks the seeds, so that hubs that do
+    /// not know each other meet there.
+    fn targets_of_hub(&self, seeds: &[SocketAddr]) -> BTreeMap<SocketAddr, MessageParts> {
+        let parts = |addresses, seeks| MessageParts {
+            loads: false,
+            addresses,
+            seeks,
+        };
+        let known = self.peers.values().filter(|p| p.zone == self.zone || p.hub);
+        let known = known.map(|p| {
+            if p.zone == self.zone {
+                (p.addr, parts(AddressPart::ZoneHubs, false))
+            } else {
+                (p.addr, parts(AddressPart::AllHubs, false))
+            }
+        });
+        let unconfirmed = self.unconfirmed.keys();
+        let unconfirmed = unconfirmed.map(|a| (*a, parts(AddressPart::AllHubs, false)));
+        let seeds = seeds.iter();
+        let seeds = seeds.map(|a| (*a, parts(AddressPart::None, true)));
+        known.chain(unconfirmed).chain(seeds).collect()
+    }
+
+    /// The hubs of its zone, also those that another one told of; while it knows too few, it asks
+    /// them and all that may know others.
+    fn targets_of_member(
+        &self,
+        now: Instant,
+        seeds: &[SocketAddr],
+    ) -> BTreeMap<SocketAddr, MessageParts> {
+        let hubs = ranked(self.hubs_of(now, &self.zone)).take(HUBS_PER_ZONE);
+        let hubs: BTreeSet<_> = hubs.map(|(_, p)| p.addr).collect();
+        let seeks = hubs.len() < HUBS_PER_ZONE;
+        let unconfirmed = self.unconfirmed.keys().copied();
+        let others = unconfirmed.chain(seeds.iter().copied()).filter(|_| seeks);
+        let parts = MessageParts {
+            loads: false,
+            addresses: if seeks {
+                AddressPart::Sample
+            } else {
+                AddressPart::None
+            },
+            seeks,
+        };
+        let told = self.told_hubs.iter().copied();
+        let all = hubs.iter().copied().chain(told).chain(others);
+        all.map(|addr| (addr, parts)).collect()
+    }
+
     /// Addresses of the hubs of other zones.
     pub(crate) fn other_hubs(&self, now: Instant) -> Vec<SocketAddr> {
         let hubs = self
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -14,7 +14,7 @@
 
 pub(crate) use {
     gossip_message::GossipMessage,
-    hubs::{HubStatus, Target},
+    hubs::MessageParts,
     load_summary::{LoadSummary, Scope},
     peer_table::{MIN_SEND_INTERVAL, PEER_TIMEOUT, PeerTable},
 };
--- a/crates/relay/src/peers/peer_table.rs
+++ b/crates/relay/src/peers/peer_table.rs
@@ -1,7 +1,7 @@
 //! The VMs that gossip is received from, and the interval at which this one sends its own.
 
 use {
-    super::{GossipMessage, gossip_message::MAX_ADDRS},
+    super::{GossipMessage, gossip_message::MAX_ADDRS, hubs::HUBS_PER_ZONE},
     crate::endpoints::ReadSpan,
     clock::Instant,
     std::{
@@ -64,7 +64,7 @@
 /// platform's state itself first.
 const MIN_READER_AGE: Duration = Duration::from_secs(1);
 /// Time without a datagram after which a VM is no longer relied on as reader.
-const READER_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(super) const READER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The other VMs, as known from their datagrams.
 #[derive(Debug)]
@@ -79,6 +79,10 @@
     pub(super) first_contact: Option<Instant>,
     /// Number of live VMs of the fleet as told by the first hub, and when.
     pub(super) fleet: Option<(u32, Instant)>,
+    /// Addresses of hubs of this zone, as told by one of them.
+    pub(super) told_hubs: Vec<SocketAddr>,
+    /// When the fleet was last too large for each VM to send to all others.
+    pub(super) last_large: Option<Instant>,
     /// Number of live VMs of other zones as told by their first hubs, and when.
     pub(super) zone_vms: BTreeMap<ZoneId, (u32, Instant)>,
 }
@@ -94,6 +98,8 @@
             unconfirmed: BTreeMap::new(),
             first_contact: None,
             fleet: None,
+            told_hubs: Vec::new(),
+            last_large: None,
             zone_vms: BTreeMap::new(),
         }
     }
@@ -154,6 +160,7 @@
         let is_new = previous.is_none_or(|p| now.since(p.last_heard) >= PEER_TIMEOUT);
         let loaded_endpoints: BTreeSet<_> =
             message.loads.iter().map(|(id, _)| id.clone()).collect();
+        let was_hub = previous.is_some_and(|p| p.hub);
         let previously_loaded = previous
             .map(|p| p.loaded_endpoints.clone())
             .unwrap_or_default();
@@ -180,12 +187,25 @@
             .collect();
         self.peers.insert(message.vm.clone(), peer);
         self.unconfirmed.remove(&from);
-        let known: BTreeSet<_> = self.peers.values().map(|p| p.addr).collect();
+        // A VM of another zone that was last heard of before it became a hub isn't sent to; its
+        // address has to be learnt again.
+        let uses_hubs = self.uses_hubs(now);
+        let sent_to = |p: &&Peer| !uses_hubs || p.hub || p.zone == self.zone;
+        let known = self.live_peers(now).filter(sent_to);
+        let known: BTreeSet<_> = known.map(|p| p.addr).collect();
         for addr in message.addrs.iter().take(MAX_ADDRS) {
             if *addr != own_addr && !known.contains(addr) {
                 self.unconfirmed.entry(*addr).or_insert(now);
             }
         }
+        if message.hub && message.zone == self.zone && !message.addrs.is_empty() {
+            let others = message.addrs.iter().filter(|a| **a != own_addr);
+            self.told_hubs = others.take(HUBS_PER_ZONE).copied().collect();
+        }
+        if was_hub && !message.hub && message.zone == self.zone {
+            self.follow_shrinking(message);
+        }
+        self.update_size(now);
         let reply = message
             .seeks
             .then(|| self.hub_addresses(now, &message.zone, message.hub));
--- a/crates/relay/src/peers/tests.rs
+++ b/crates/relay/src/peers/tests.rs
@@ -1,7 +1,7 @@
 //! Fleets of peer tables that exchange gossip messages over a lossy network in simulated time.
 
 use {
-    super::{GossipMessage, HubStatus, LoadSummary, PeerTable, Scope},
+    super::{GossipMessage, LoadSummary, MessageParts, PeerTable, Scope},
     clock::Instant,
     fastrand::Rng,
     route::Load,
@@ -57,10 +57,14 @@
 
 impl Fleet {
     fn new(size: usize) -> Self {
+        Self::with_seed(size, 7)
+    }
+
+    fn with_seed(size: usize, seed: u64) -> Self {
         let now = Instant::from_nanos(1 << 40);
-        let mut rng = Rng::with_seed(7);
+        let mut rng = Rng::with_seed(seed);
         let vms = (0..size).map(|at| {
-            let millicores = if at >= size - STRONG * ZONES {
+            let millicores = if at >= size.saturating_sub(STRONG * ZONES) {
                 500
             } else {
                 120
@@ -85,9 +89,11 @@
         }
     }
 
-    fn message(&mut self, at: usize, status: HubStatus, addrs: Vec<SocketAddr>) -> GossipMessage {
+    fn message(&mut self, at: usize, parts: MessageParts, reply: &[SocketAddr]) -> GossipMessage {
+        let now = self.now;
         let vm = &mut self.vms[at];
         vm.seq += 1;
+        let status = vm.table.hub_status(now);
         GossipMessage {
             vm: format!("vm-{at:04}").parse().unwrap(),
             inc: Incarnation(1),
@@ -99,11 +105,11 @@
             rates: Vec::new(),
             leaving: false,
             unix_ms: 0,
-            addrs,
+            addrs: vm.table.addresses(now, parts.addresses, reply),
             reads: None,
             vms: status.vms,
             hub: status.hub,
-            seeks: status.seeks,
+            seeks: parts.seeks,
         }
     }
 
@@ -121,8 +127,7 @@
         vm.received_bytes += size;
         let received = vm.table.receive(now, sender, &message, own, 0);
         if let Some(addrs) = received.and_then(|r| r.reply) {
-            let status = vm.table.reply_status(now);
-            let message = self.message(to, status, addrs);
+            let message = self.message(to, MessageParts::REPLY, &addrs);
             self.sent.push_back(Datagram {
                 from: to,
                 to: sender,
@@ -136,14 +141,12 @@
         let own = addr_of(at);
         let seeds: Vec<_> = (0..SEEDS).map(addr_of).filter(|a| *a != own).collect();
         let targets = self.vms[at].table.targets(now, &seeds);
-        let addrs = self.vms[at].table.sample_addresses(now);
-        let status = self.vms[at].table.hub_status(now);
-        let message = self.message(at, status, addrs);
         for target in targets {
+            let message = self.message(at, target.parts, &[]);
             self.sent.push_back(Datagram {
                 from: at,
                 to: target.addr,
-                message: message.clone(),
+                message,
             });
         }
         if self.vms[at].table.is_first_hub(now) {
@@ -205,10 +208,12 @@
 
 #[test]
 fn all_vms_find_the_first_hub_of_their_zone_after_a_common_start() {
-    for size in [20, 80, 300] {
-        let mut fleet = Fleet::new(size);
-        fleet.run(Duration::from_secs(4));
-        assert_eq!(fleet.misled(), 0, "{size} VMs");
+    for size in [8, 20, 39, 41, 60, 85, 300] {
+        for seed in 1..=8 {
+            let mut fleet = Fleet::with_seed(size, seed);
+            fleet.run(Duration::from_secs(4));
+            assert_eq!(fleet.misled(), 0, "{size} VMs, seed {seed}");
+        }
     }
 }
 
@@ -274,6 +279,35 @@
     }
 }
 
+/// Number of live VMs that use hubs.
+fn using_hubs(fleet: &Fleet) -> usize {
+    let live = fleet.vms.iter().filter(|vm| vm.alive);
+    live.filter(|vm| vm.table.uses_hubs(fleet.now)).count()
+}
+
+/// A VM that knew too few others for a moment left the scheme of its hubs and lost its reader.
+#[test]
+fn fleet_that_shrinks_and_grows_across_the_threshold_keeps_its_readers() {
+    for seed in 1..=8 {
+        let mut fleet = Fleet::with_seed(45, seed);
+        fleet.run(Duration::from_secs(4));
+        assert_eq!(using_hubs(&fleet), 45);
+        fleet.vms.iter_mut().take(8).for_each(|vm| vm.alive = false);
+        let (mut schemes, mut misled) = (Vec::new(), Vec::new());
+        for _ in 0..20 {
+            fleet.run(Duration::from_secs(1));
+            schemes.push(using_hubs(&fleet));
+            misled.push(fleet.misled());
+        }
+        assert_eq!(misled, [0; 20], "seed {seed}: {schemes:?}");
+        assert_eq!(schemes.last(), Some(&0), "seed {seed}: {schemes:?}");
+        assert!(schemes.is_sorted_by(|a, b| a >= b), "{schemes:?}");
+        fleet.vms.iter_mut().for_each(|vm| vm.alive = true);
+        fleet.run(Duration::from_secs(4));
+        assert_eq!((using_hubs(&fleet), fleet.misled()), (45, 0));
+    }
+}
+
 #[test]
 fn summary_survives_encoding_in_parts() {
     let load = Load {
--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -4,7 +4,7 @@
     super::Node,
     crate::{
         endpoints::ReadAges,
-        peers::{GossipMessage, HubStatus, LoadSummary, PEER_TIMEOUT, Scope, Target},
+        peers::{GossipMessage, LoadSummary, MessageParts, PEER_TIMEOUT, Scope},
     },
     async_io::Async,
     clock::Instant,
@@ -64,29 +64,29 @@
         .collect();
     loop {
         let now = node.clock.now();
-        let (targets, interval, offsets, is_first_hub, status, addrs) = {
+        let (targets, interval, offsets, is_first_hub) = {
             let mut peers = node.peers.lock();
             (
                 peers.targets(now, &seeds),
                 peers.send_interval(now),
                 peers.clock_offsets(now),
                 peers.is_first_hub(now),
-                peers.hub_status(now),
-                peers.sample_addresses(now),
             )
         };
         if let Some(offset) = node.wall_clock.update_offset(offsets) {
             log::warn!(offset_ms = offset; "wall clock corrected from the clocks of the other VMs");
         }
-        let with_loads = encode(&node, Contents::loads(&node, now), status, addrs.clone());
-        let without = encode(&node, Contents::default(), status, addrs);
+        let mut encoded: BTreeMap<MessageParts, Vec<u8>> = BTreeMap::new();
         for target in targets {
-            let Target {
-                addr,
-                with_loads: full,
-            } = target;
-            let bytes = if full { &with_loads } else { &without };
-            send(&socket, addr, bytes, DatagramKind::Round).await;
+            let parts = target.parts;
+            let bytes = encoded.entry(parts).or_insert_with(|| {
+                let (bytes, sent) = encode(&node, parts, &[]);
+                if parts.loads {
+                    *node.sent_loads.lock() = sent;
+                }
+                bytes
+            });
+            send(&socket, target.addr, bytes, DatagramKind::Round).await;
         }
         if is_first_hub {
             send_summaries(&node, &socket).await;
@@ -156,35 +156,27 @@
     }
 }
 
-/// The loads and rates of a gossip message.
-#[derive(Debug, Clone, Default)]
-struct Contents {
-    loads: Vec<(EndpointId, Load)>,
-    rates: Vec<(ServiceId, u64)>,
-}
-
-impl Contents {
-    /// The loads and rates of this VM.
-    fn loads(node: &Node, now: Instant) -> Self {
-        let mut placers = node.placers.lock();
-        let rates = placers.iter_mut();
-        let rates = rates
-            .map(|(id, p)| (id.clone(), p.prompt_rate(now)))
-            .collect();
-        let loads = placers.values().flat_map(|p| p.own_loads());
-        let loads = loads.map(|(id, load)| (id.clone(), load)).collect();
-        Self { loads, rates }
-    }
-}
-
-/// Encodes the state of this VM; the smallest loads are left out if the datagram would be too
-/// large.
-fn encode(node: &Node, contents: Contents, status: HubStatus, addrs: Vec<SocketAddr>) -> Vec<u8> {
+/// Encodes the state of this VM with the given parts, and tells the loads and rates in it. `reply`
+/// are the addresses for a VM that asked for them. The smallest loads are left out if the datagram would be too large.
+fn encode(node: &Node, parts: MessageParts, reply: &[SocketAddr]) -> (Vec<u8>, SentLoads) {
     let now = node.clock.now();
     let seq = node.gossip_seq.fetch_add(1, SeqCst);
     let version = node.config().map_or(Version::default(), |c| c.doc.version);
     let reads = node.freshness.lock().endpoints_span();
-    let Contents { mut loads, rates } = contents;
+    let SentLoads { loads, rates } = if parts.loads {
+        own_loads(node, now)
+    } else {
+        SentLoads::default()
+    };
+    let mut loads: Vec<_> = loads.into_iter().collect();
+    let rates: Vec<_> = rates.into_iter().collect();
+    let (status, addrs) = {
+        let peers = node.peers.lock();
+        (
+            peers.hub_status(now),
+            peers.addresses(now, parts.addresses, reply),
+        )
+    };
     loop {
         let message = GossipMessage {
             vm: node.settings.vm.clone(),
@@ -202,20 +194,18 @@
             reads: reads.map(|span| ReadAges::of(span, now)),
             vms: status.vms,
             hub: status.hub,
-            seeks: status.seeks,
+            seeks: parts.seeks,
         };
         let Ok(bytes) = rmp_serde::to_vec(&message) else {
             log::error!("cannot encode a gossip datagram");
-            return Vec::new();
+            return (Vec::new(), SentLoads::default());
         };
         if bytes.len() <= MAX_DATAGRAM_BYTES || loads.is_empty() {
-            if !rates.is_empty() {
-                *node.sent_loads.lock() = SentLoads {
-                    loads: loads.into_iter().collect(),
-                    rates: rates.into_iter().collect(),
-                };
-            }
-            return bytes;
+            let sent = SentLoads {
+                loads: loads.into_iter().collect(),
+                rates: rates.into_iter().collect(),
+            };
+            return (bytes, sent);
         }
         // Drops the smallest loads, which matter least.
         loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.pending_prefill));
@@ -223,6 +213,18 @@
     }
 }
 
+/// The loads and rates of this VM.
+fn own_loads(node: &Node, now: Instant) -> SentLoads {
+    let mut placers = node.placers.lock();
+    let rates = placers.iter_mut();
+    let rates = rates
+        .map(|(id, p)| (id.clone(), p.prompt_rate(now)))
+        .collect();
+    let loads = placers.values().flat_map(|p| p.own_loads());
+    let loads = loads.map(|(id, load)| (id.clone(), load)).collect();
+    SentLoads { loads, rates }
+}
+
 /// Receives gossip from the other VMs until it is dropped.
 pub(super) async fn receive_gossip(node: Arc<Node>, socket: Arc<Async<UdpSocket>>) {
     let mut buf = [0u8; 2048];
@@ -268,12 +270,11 @@
     }
     let now = node.clock.now();
     let own_ms = i64::try_from(node.wall_clock.uncorrected(now).as_millis()).unwrap_or(i64::MAX);
-    let (received, count, uses_loads, status) = {
+    let (received, count, uses_loads) = {
         let mut peers = node.peers.lock();
         let received = peers.receive(now, from, &message, node.settings.peers, own_ms)?;
         let uses_loads = !peers.uses_hubs(now) || peers.is_first_hub(now);
-        let status = peers.reply_status(now);
-        (received, peers.vm_count(now), uses_loads, status)
+        (received, peers.vm_count(now), uses_loads)
     };
     if received.is_new {
         log::info!(peer:% = message.vm, addr:% = from, vms = count; "peer VM discovered");
@@ -283,7 +284,8 @@
         apply_loads(node, now, &message, &received.cleared);
     }
     let addrs = received.reply?;
-    Some(encode(node, Contents::loads(node, now), status, addrs))
+    let (bytes, _) = encode(node, MessageParts::REPLY, &addrs);
+    Some(bytes)
 }
 
 fn apply_loads(node: &Node, now: Instant, message: &GossipMessage, cleared: &[EndpointId]) {
