Forecast queues and admit by the urgency that engines are sent

The forecast of the queue, the loads that VMs exchange and the admission still knew the organisation's tier only: prompts that the engine reads after an urgent one counted as ahead of it. Besides, a route with a short target was refused at a queue at which a less urgent one with a long target was still admitted.

Change: pending prompt tokens are kept by urgency (`PendingPrefill`; levels beyond the last one in use do not travel), and a request is refused while the queue of a more urgent class of its service is full at the same engine.

Evidence: urgent_request_is_not_refused_for_prompts_that_are_read_after_it timed out on the code before (the memo was refused). The admission test urgent_requests_are_not_refused_where_less_urgent_ones_are_admitted has no counterpart before, as admission did not know other classes.

--- a/crates/admit/src/forecast.rs
+++ b/crates/admit/src/forecast.rs
@@ -18,31 +18,57 @@
 /// Range of the random factor on retry times, so that refused callers do not all return at once.
 const RETRY_JITTER: f64 = 0.6;
 
+/// Predicted wait of the requests of one urgency at an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QueueForecast {
+    /// Time spent waiting for other requests.
+    pub delay: Duration,
+    /// Target for the time to the first token.
+    pub target: Duration,
+    /// Service tier.
+    pub tier: Tier,
+}
+
+impl QueueForecast {
+    /// Whether a further request would be refused.
+    fn is_full(&self) -> bool {
+        let rank = usize::from(self.tier.0).min(MAX_DELAY_FACTORS.len() - 1);
+        self.delay > self.target.mul_f64(MAX_DELAY_FACTORS[rank])
+    }
+
+    /// Time until the queue is half as long as the target.
+    fn excess(&self) -> Duration {
+        self.delay.saturating_sub(self.target / 2)
+    }
+}
+
 /// Predicted latency of a request at its best endpoint.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Forecast {
-    /// Part of the predicted time that is spent waiting for other requests.
-    pub queue_delay: Duration,
+    /// The requests that are served before it, or with it.
+    pub queue: QueueForecast,
     /// Predicted time to the first token.
     pub predicted: Duration,
-    /// Target for the time to the first token.
-    pub target: Duration,
     /// Time until the caller gives up.
     pub remaining: Duration,
-    /// Service tier.
-    pub tier: Tier,
     /// Random number, uniform from 0 to 1, that spreads the retry times.
     pub jitter: f64,
 }
 
-/// Admits a request, or returns the time after which the caller may retry.
-pub fn admit(forecast: &Forecast) -> Result<(), Duration> {
-    let rank = usize::from(forecast.tier.0).min(MAX_DELAY_FACTORS.len() - 1);
-    let limit = forecast.target.mul_f64(MAX_DELAY_FACTORS[rank]);
-    if forecast.queue_delay <= limit && forecast.predicted < forecast.remaining {
+/// Admits a request, or returns the time after which the caller may retry. `more_urgent` are the
+/// queues of more urgent requests at the same endpoint: while one of them is full, this request is
+/// refused as well, so that urgent requests are never refused where less urgent ones are admitted.
+pub fn admit(
+    forecast: &Forecast,
+    more_urgent: impl Iterator<Item = QueueForecast>,
+) -> Result<(), Duration> {
+    let own = [forecast.queue].into_iter();
+    let full = own.chain(more_urgent).filter(QueueForecast::is_full);
+    let excess = full.map(|queue| queue.excess()).max();
+    if excess.is_none() && forecast.predicted < forecast.remaining {
         return Ok(());
     }
-    let excess = forecast.queue_delay.saturating_sub(forecast.target / 2);
+    let excess = excess.unwrap_or_default().max(forecast.queue.excess());
     let scale = 1.0 + RETRY_JITTER * (forecast.jitter - 0.5);
     let wait = excess.mul_f64(scale).max(MIN_RETRY_AFTER);
     Err(wait
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use {
     fifo::FifoQueue,
-    forecast::{Forecast, admit},
+    forecast::{Forecast, QueueForecast, admit},
     limiter::{LimitExceeded, LimitKey, LimitKind, LimitShare, Limiter},
     queue::{ClassRule, Completion, Queue, ShedRequest},
     queued_request::{QueuedRequest, QueuedRequestId},
--- a/crates/admit/tests/forecast.rs
+++ b/crates/admit/tests/forecast.rs
@@ -2,7 +2,7 @@
 //! late.
 
 use {
-    admit::{Forecast, admit},
+    admit::{Forecast, QueueForecast},
     std::time::Duration,
     types::Tier,
 };
@@ -12,17 +12,23 @@
 const PREFILL_MS: f64 = 100.0;
 
 fn forecast(queue_delay_ms: f64, tier: u8) -> Forecast {
-    let queue_delay = Duration::from_secs_f64(queue_delay_ms / 1e3);
+    let delay = Duration::from_secs_f64(queue_delay_ms / 1e3);
     Forecast {
-        queue_delay,
-        predicted: queue_delay + Duration::from_secs_f64(PREFILL_MS / 1e3),
-        target: TARGET,
+        queue: QueueForecast {
+            delay,
+            target: TARGET,
+            tier: Tier(tier),
+        },
+        predicted: delay + Duration::from_secs_f64(PREFILL_MS / 1e3),
         remaining: CALLER_TIMEOUT,
-        tier: Tier(tier),
         jitter: 0.5,
     }
 }
 
+fn admit(forecast: &Forecast) -> Result<(), Duration> {
+    admit::admit(forecast, [].into_iter())
+}
+
 /// Requests served on time when prompts of 100 ms arrive for 20 s at `load` times the prefill
 /// capacity of one engine.
 fn on_time(load: f64, sheds: bool) -> u32 {
@@ -97,3 +103,26 @@
         "retries are not spread: {early:?} {late:?}"
     );
 }
+
+/// While short urgent requests filled an engine's queue beyond their short target, requests with a
+/// longer target were admitted there and the urgent ones refused.
+#[test]
+fn urgent_requests_are_not_refused_where_less_urgent_ones_are_admitted() {
+    for delay_ms in (0..2_000).step_by(20) {
+        let urgent = QueueForecast {
+            delay: Duration::from_millis(delay_ms),
+            target: Duration::from_millis(400),
+            tier: Tier(1),
+        };
+        let urgent_request = Forecast {
+            queue: urgent,
+            ..forecast(delay_ms as f64, 1)
+        };
+        // Nothing waits at the engine but urgent requests.
+        let less_urgent = admit::admit(&forecast(delay_ms as f64, 1), [urgent].into_iter());
+        assert!(
+            admit(&urgent_request).is_ok() || less_urgent.is_err(),
+            "{delay_ms} ms"
+        );
+    }
+}
--- a/crates/relay/src/adapter/header_codec.rs
+++ b/crates/relay/src/adapter/header_codec.rs
@@ -1,12 +1,11 @@
 //! Header fields of callers and endpoints.
 
 use {
-    crate::configuration::Urgency,
     compact_str::CompactString,
     h1::{Headers, ResponseHead},
     route::Prompt,
     std::{error::Error, fmt, net::SocketAddr, time::Duration},
-    types::{AttemptId, EndpointId, OrgId},
+    types::{AttemptId, EndpointId, OrgId, Urgency},
 };
 
 /// A required header field of a caller that is missing, or one that cannot be parsed.
--- a/crates/relay/src/configuration/config.rs
+++ b/crates/relay/src/configuration/config.rs
@@ -5,11 +5,11 @@
     compact_str::CompactString,
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
         time::Duration,
     },
-    types::{Bytes, OrgId, ServiceId, Tier, Version},
+    types::{Bytes, OrgId, ServiceId, Tier, Urgency, Version},
 };
 
 /// Limits on what callers may send.
@@ -50,12 +50,15 @@
 
 /// Number of route tiers that are told apart within one tier of organisations.
 const ROUTE_LEVELS: u8 = 3;
-/// Number of urgency levels that an engine distinguishes.
-const URGENCY_LEVELS: u8 = 10;
 
-/// Urgency of a request at an engine; 0 is served first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Urgency(pub u8);
+/// Requests of one service that engines treat alike.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct EngineClass {
+    pub(crate) urgency: Urgency,
+    pub(crate) tier: Tier,
+    /// Target for the time to the first token.
+    pub(crate) target: Duration,
+}
 
 /// A configuration as published by the platform and exchanged between VMs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -83,6 +86,8 @@
     keys: HashMap<CompactString, Arc<Org>>,
     /// Largest number of a tier, of routes and organisations.
     last_tier: Tier,
+    /// Classes of requests by service.
+    classes: BTreeMap<ServiceId, Vec<EngineClass>>,
 }
 
 impl Config {
@@ -109,20 +114,56 @@
         let route_tiers = doc.routes.iter().map(|r| r.tier);
         let org_tiers = doc.orgs.iter().flatten().filter_map(|o| o.tier);
         let last_tier = route_tiers.chain(org_tiers).max().unwrap_or(Tier(0));
-        Self {
+        let mut config = Self {
             doc,
             hosts,
             keys,
             last_tier,
+            classes: BTreeMap::new(),
+        };
+        config.classes = config.engine_classes();
+        config
+    }
+
+    fn engine_classes(&self) -> BTreeMap<ServiceId, Vec<EngineClass>> {
+        let orgs = self.doc.orgs.iter().flatten();
+        let org_tiers: BTreeSet<Tier> = orgs.filter_map(|o| o.tier).collect();
+        let mut classes: BTreeMap<ServiceId, Vec<EngineClass>> = BTreeMap::new();
+        for route in &self.doc.routes {
+            let tiers: BTreeSet<Tier> = org_tiers.iter().copied().chain([route.tier]).collect();
+            for (service, _) in &route.split {
+                let known = classes.entry(service.clone()).or_default();
+                for tier in &tiers {
+                    let class = EngineClass {
+                        urgency: self.urgency(*tier, route),
+                        tier: *tier,
+                        target: route.target,
+                    };
+                    if !known.contains(&class) {
+                        known.push(class);
+                    }
+                }
+            }
         }
+        classes
+    }
+
+    /// The classes of requests of a service that its engines serve before those of `urgency`.
+    pub(crate) fn more_urgent(
+        &self,
+        service: &ServiceId,
+        urgency: Urgency,
+    ) -> impl Iterator<Item = &EngineClass> {
+        let classes = self.classes.get(service).into_iter().flatten();
+        classes.filter(move |c| c.urgency < urgency)
     }
 
     /// Urgency at an engine of a request of `tier` on a route. Most organisations often share one
     /// tier, which takes precedence over that of the route; among their requests, the route's tier
     /// decides as far as the engine's levels allow.
     pub fn urgency(&self, tier: Tier, route: &Route) -> Urgency {
-        if self.last_tier.0 >= URGENCY_LEVELS / ROUTE_LEVELS {
-            return Urgency(tier.0.min(URGENCY_LEVELS - 1));
+        if self.last_tier.0 >= Urgency::LEVELS / ROUTE_LEVELS {
+            return Urgency(tier.0).min(Urgency::LAST);
         }
         Urgency(tier.0 * ROUTE_LEVELS + route.tier.0.min(ROUTE_LEVELS - 1))
     }
--- a/crates/relay/src/configuration/mod.rs
+++ b/crates/relay/src/configuration/mod.rs
@@ -5,7 +5,7 @@
 mod service;
 
 pub use {
-    config::{CallerLimits, Config, ConfigDoc, Org, Urgency},
+    config::{CallerLimits, Config, ConfigDoc, Org},
     route::{Route, RouteKind},
     service::{EngineSpec, Scaling, Service},
 };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,7 +23,6 @@
     },
     configuration::{
         CallerLimits, Config, ConfigDoc, EngineSpec, Org, Route, RouteKind, Scaling, Service,
-        Urgency,
     },
     endpoints::{Endpoint, Registry, RegistryChange},
     process::{Adapter, NodeProcess, run_node},
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -7,7 +7,7 @@
         endpoints::{Endpoint, EndpointChange, RegistryChange},
         request::{RoutedRequest, SlotLease},
     },
-    admit::Forecast,
+    admit::{Forecast, QueueForecast},
     clock::Instant,
     route::{
         EndpointSpec, EngineProfile, Placement, PlacementOutcome, PlacementRequest, Placer,
@@ -150,7 +150,7 @@
         let now = self.clock.now();
         let placement_request = PlacementRequest {
             zone: &self.settings.zone,
-            tier: request.tier,
+            urgency: request.urgency,
             target: request.route.target,
             max_pause: request.route.pause,
             prompt: request.caller.prompt.as_ref(),
@@ -166,11 +166,10 @@
                 .retry_if_not_run());
         };
         request.record_forecast(&placement);
-        if let Err(wait) = self.admit(request, &placement, now) {
-            let cancelled = placement;
-            if let Some(placer) = placers.get_mut(&request.service) {
-                placer.finish(now, &cancelled, PlacementOutcome::Cancelled);
-            }
+        if let Some(placer) = placers.get_mut(&request.service)
+            && let Err(wait) = self.admit(request, placer, &placement, now)
+        {
+            placer.finish(now, &placement, PlacementOutcome::Cancelled);
             return Err(request.overloaded(wait));
         }
         let addr = registry.accepting(&placement.id).map(|e| e.addr);
@@ -199,20 +198,33 @@
     fn admit(
         &self,
         request: &RoutedRequest,
+        placer: &Placer,
         placement: &Placement,
         now: Instant,
     ) -> Result<(), Duration> {
         if request.sends() > 0 || request.caller.prompt.is_none() {
             return Ok(());
         }
-        admit::admit(&Forecast {
-            queue_delay: placement.queue_delay,
+        let config = self.config();
+        let classes = config
+            .iter()
+            .flat_map(|c| c.more_urgent(&request.service, request.urgency));
+        let more_urgent = classes.map(|class| QueueForecast {
+            delay: placer.queue_delay(now, placement, class.urgency),
+            target: class.target,
+            tier: class.tier,
+        });
+        let forecast = Forecast {
+            queue: QueueForecast {
+                delay: placement.queue_delay,
+                target: request.route.target,
+                tier: request.tier,
+            },
             predicted: placement.predicted,
-            target: request.route.target,
             remaining: request.deadline.since(now),
-            tier: request.tier,
             jitter: fastrand::f64(),
-        })
+        };
+        admit::admit(&forecast, more_urgent)
     }
 
     /// Whether an endpoint has been silent for long towards all requests of this VM.
--- a/crates/relay/src/request/routed_request.rs
+++ b/crates/relay/src/request/routed_request.rs
@@ -3,14 +3,14 @@
 use {
     crate::{
         adapter::CallerHeaders,
-        configuration::{Org, Route, Urgency},
+        configuration::{Org, Route},
     },
     clock::Instant,
     h1::RequestHead,
     parking_lot::Mutex,
     route::Placement,
     std::{sync::Arc, time::Duration},
-    types::{Attempts, EndpointId, Reason, Refusal, ServiceId, Tier, Verdict, Version},
+    types::{Attempts, EndpointId, Reason, Refusal, ServiceId, Tier, Urgency, Verdict, Version},
 };
 
 /// State of a request's attempts.
--- a/crates/relay/tests/common/fakes.rs
+++ b/crates/relay/tests/common/fakes.rs
@@ -27,14 +27,14 @@
     fn parse_request(&self, headers: &Headers) -> Result<CallerHeaders, InvalidHeader> {
         let id = headers.get("id").and_then(|v| v.parse().ok());
         let number = |name| headers.get(name).and_then(|v| v.parse::<u64>().ok());
+        // Prompts of different sessions share no parts.
+        let session = number("session").unwrap_or_default();
+        let part = |at| PromptPartId(2 * session + at);
         let prompt = number("prompt").map(|input| Prompt {
             model: "m".parse().unwrap(),
             input: Tokens(input),
             output: Tokens(50),
-            parts: vec![
-                (PromptPartId(1), Tokens(input / 2)),
-                (PromptPartId(2), Tokens(input / 2)),
-            ],
+            parts: vec![(part(1), Tokens(input / 2)), (part(2), Tokens(input / 2))],
         });
         Ok(CallerHeaders {
             id: id.ok_or(InvalidHeader("id"))?,
--- a/crates/relay/tests/urgency.rs
+++ b/crates/relay/tests/urgency.rs
@@ -1,9 +1,14 @@
 //! Urgency at the engines, where requests of one tier compete for slots and memory.
 
+mod common;
+
 use {
-    relay::{CallerLimits, Config, ConfigDoc, Org, Route, RouteKind, Urgency},
-    std::{collections::BTreeMap, time::Duration},
-    types::{Tier, Version},
+    common::{FakeEndpoint, Router, RouterSpec, Script, endpoint},
+    relay::{
+        CallerLimits, Config, ConfigDoc, EngineSpec, FeedChange, Org, Route, RouteKind, Service,
+    },
+    std::{collections::BTreeMap, io::Write, net::TcpStream, sync::Arc, time::Duration},
+    types::{Tier, Tokens, Urgency, Version},
 };
 
 fn route(id: &str, tier: u8) -> Route {
@@ -13,7 +18,7 @@
         prefix: format!("/{id}/").into(),
         kind: RouteKind::Once,
         timeout: Duration::from_secs(8),
-        target: Duration::from_millis(400),
+        target: Duration::from_millis(if tier == 0 { 400 } else { 600 }),
         pause: None,
         tier: Tier(tier),
         split: Vec::new(),
@@ -65,3 +70,54 @@
         .collect();
     assert_eq!(urgencies, (0..7).map(Urgency).collect::<Vec<_>>());
 }
+
+/// A router before one engine that answers nothing, with the routes of `config`.
+fn router_of(routes: Vec<Route>, server: &FakeEndpoint) -> Router {
+    let in_service = |r: Route| Route {
+        split: vec![("s".parse().unwrap(), 1.0)],
+        ..r
+    };
+    let mut doc = config(&[], Some(1)).doc;
+    doc.routes = routes.into_iter().map(in_service).collect();
+    let engine = EngineSpec {
+        slots: 32,
+        memory: Tokens(1_000_000),
+        stride: 3,
+    };
+    let service = Service {
+        engine: Some(engine),
+        ..Service::default()
+    };
+    doc.services = [("s".parse().unwrap(), service)].into();
+    let mut spec = RouterSpec::new(RouteKind::Once, vec![endpoint("e1", server.addr)]);
+    spec.config = Some(FeedChange::Config(Arc::new(Config::new(doc))));
+    let router = Router::start(spec);
+    router.wait_ready();
+    router
+}
+
+fn send(router: &Router, route: &str, session: u64, prompt: u64) -> TcpStream {
+    let mut socket = router.connect();
+    let text = format!(
+        "POST /{route}/ HTTP/1.1\r\nHost: h\r\nid: {route}{session}\r\nkey: secret\r\ntimeout-ms: 9000\r\n\
+         session: {session}\r\nprompt: {prompt}\r\nContent-Length: 0\r\n\r\n"
+    );
+    socket.write_all(text.as_bytes()).unwrap();
+    socket
+}
+
+/// In a burst of digests, memos were refused for prompts that the engine would have read after
+/// theirs.
+#[test]
+fn urgent_request_is_not_refused_for_prompts_that_are_read_after_it() {
+    let server = FakeEndpoint::start(|_, _| Script::Hang);
+    let router = router_of(vec![route("memo", 0), route("digest", 1)], &server);
+    let digests = [1, 2, 3].map(|session| {
+        let socket = send(&router, "digest", session, 14_000);
+        router.wait_for(|| server.count() == session as usize);
+        socket
+    });
+    let memo = send(&router, "memo", 9, 500);
+    router.wait_for(|| server.count() == 4);
+    drop((digests, memo));
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -19,8 +19,8 @@
     least_outstanding::LeastOutstanding,
     picker::{Candidate, LoadReport, Picker, RequestOutcome, Requirements},
     placement::{
-        EndpointSpec, EngineProfile, Load, PeerLoad, Placement, PlacementOutcome, PlacementRequest,
-        Placer, Reporter,
+        EndpointSpec, EngineProfile, Load, PeerLoad, PendingPrefill, Placement, PlacementOutcome,
+        PlacementRequest, Placer, Reporter,
     },
     prompt::Prompt,
     round_robin::RoundRobin,
--- a/crates/route/src/placement/cost.rs
+++ b/crates/route/src/placement/cost.rs
@@ -4,14 +4,15 @@
 use {
     super::{
         cached_parts,
-        load::{Load, tier_rank},
+        load::Load,
+        pending_prefill::PendingPrefill,
         placer::{Placement, PlacementRequest, Placer, TrackedEndpoint},
         profile::EngineProfile,
         reserved::reserved_engines,
     },
     clock::Instant,
     std::{collections::BTreeSet, time::Duration},
-    types::EndpointId,
+    types::{EndpointId, Urgency},
 };
 
 /// Cost of a late response.
@@ -173,7 +174,7 @@
     values.get(middle).copied()
 }
 
-fn total_load(entry: &TrackedEndpoint, now: Instant) -> Load {
+pub(super) fn total_load(entry: &TrackedEndpoint, now: Instant) -> Load {
     let mut total = entry.peer_loads.sum(now);
     total.add(entry.own_load);
     total
@@ -242,6 +243,29 @@
     (cost, placement)
 }
 
+/// Requests in excess of an engine's slots with one more.
+fn overflow(total: &Load, entry: &TrackedEndpoint) -> u32 {
+    (total.in_flight + 1).saturating_sub(entry.spec.slots)
+}
+
+/// Time in milliseconds that a new request of `urgency` waits at an engine with load `total`.
+pub(super) fn queue_delay_ms(
+    profile: &EngineProfile,
+    total: &Load,
+    entry: &TrackedEndpoint,
+    urgency: Urgency,
+    prefill_correction: f64,
+) -> f64 {
+    let pending = &total.pending_prefill;
+    // A request in excess of the slots waits for another to end, which takes about 100 steps; while
+    // prompts are pending, each step also prefills a chunk.
+    let chunk_ms = profile.prefill_ms(pending.total().min(u64::from(profile.chunk)));
+    let slot_turn_ms = (profile.step_ms(total.in_flight) + chunk_ms) * 100.0;
+    let slots = f64::from(entry.spec.slots.max(1));
+    let slot_ms = f64::from(overflow(total, entry)) * slot_turn_ms / slots;
+    prefill_correction * profile.prefill_ms(pending.ahead_of(urgency)) + slot_ms
+}
+
 fn engine_cost(
     profile: &EngineProfile,
     now: Instant,
@@ -255,20 +279,15 @@
     let preference = context.preferred.iter().position(|id| *id == entry.spec.id);
     let cached = CacheEstimate::at(now, prompt, entry, preference, &context.kv_sources);
     let prefill_tokens = cached.prefill_tokens(prompt);
-    let overflow = (total.in_flight + 1).saturating_sub(entry.spec.slots);
-    // A request in excess of the slots waits for another to end, which takes about 100 steps; while
-    // prompts are pending, each step also prefills a chunk.
-    let chunk_ms = profile.prefill_ms(total.total_prefill().min(u64::from(profile.chunk)));
-    let slot_turn_ms = (profile.step_ms(total.in_flight) + chunk_ms) * 100.0;
-    let queue_ms = f64::from(overflow) * slot_turn_ms / f64::from(entry.spec.slots.max(1));
+    let overflow = overflow(&total, entry);
     let prefill_correction = context.prefill_correction;
     let queue_delay_ms =
-        prefill_correction * profile.prefill_ms(total.prefill_ahead(request.tier)) + queue_ms;
+        queue_delay_ms(profile, &total, entry, request.urgency, prefill_correction);
     let first_ms = profile.idle_ttft.as_secs_f64() * 1e3 + profile.step_ms(total.in_flight);
     let predicted_ms =
         first_ms + queue_delay_ms + prefill_correction * profile.prefill_ms(prefill_tokens);
     let mut cost = LATE_COST * lateness_risk(predicted_ms, request.target);
-    cost += WORK_COST * (predicted_ms + profile.prefill_ms(total.total_prefill())) / 100.0;
+    cost += WORK_COST * (predicted_ms + profile.prefill_ms(total.pending_prefill.total())) / 100.0;
     cost += (RECOMPUTE_COST * cached.recomputed + FETCH_COST * cached.fetched) / 1e3;
     let occupancy = f64::from(total.in_flight) / f64::from(entry.spec.slots.max(1));
     cost += OVERFLOW_COST * f64::from(overflow) + OCCUPANCY_COST * occupancy * occupancy;
@@ -300,7 +319,7 @@
         memory,
         ..Load::default()
     };
-    load.pending_prefill[tier_rank(request.tier)] = prefill_tokens;
+    load.pending_prefill = PendingPrefill::new(request.urgency, prefill_tokens);
     let placement = Placement {
         id: entry.spec.id.clone(),
         predicted: duration_ms(predicted_ms),
--- a/crates/route/src/placement/load.rs
+++ b/crates/route/src/placement/load.rs
@@ -1,10 +1,11 @@
 //! Load of an endpoint: this VM's own requests, and those reported by other VMs.
 
 use {
+    super::PendingPrefill,
     clock::Instant,
     serde::{Deserialize, Serialize},
     std::collections::HashMap,
-    types::{Tier, VmId, ZoneId},
+    types::{VmId, ZoneId},
 };
 
 /// Whose load a report contains.
@@ -18,10 +19,6 @@
     Fleet,
 }
 
-/// Number of tier ranks by which pending prefill is broken down; all lower tiers share the last
-/// rank.
-const TIER_RANKS: usize = 3;
-
 /// Load that one VM puts on an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -32,26 +29,19 @@
     /// prompts.
     #[serde(rename = "delicate")]
     pub pause_sensitive: u32,
-    /// Prompt tokens not yet prefilled, by tier rank.
+    /// Prompt tokens not yet prefilled.
     #[serde(rename = "unread")]
-    pub pending_prefill: [u64; TIER_RANKS],
+    pub pending_prefill: PendingPrefill,
     /// KV cache memory of the requests, in tokens.
     pub memory: u64,
 }
 
-/// Maps a tier to its rank.
-pub(super) fn tier_rank(tier: Tier) -> usize {
-    usize::from(tier.0).min(TIER_RANKS - 1)
-}
-
 impl Load {
     /// Adds a load.
     pub fn add(&mut self, other: Self) {
         self.in_flight += other.in_flight;
         self.pause_sensitive += other.pause_sensitive;
-        for (own, more) in self.pending_prefill.iter_mut().zip(other.pending_prefill) {
-            *own += more;
-        }
+        self.pending_prefill.add(other.pending_prefill);
         self.memory += other.memory;
     }
 
@@ -59,21 +49,9 @@
     pub fn sub(&mut self, other: Self) {
         self.in_flight = self.in_flight.saturating_sub(other.in_flight);
         self.pause_sensitive = self.pause_sensitive.saturating_sub(other.pause_sensitive);
-        for (own, less) in self.pending_prefill.iter_mut().zip(other.pending_prefill) {
-            *own = own.saturating_sub(less);
-        }
+        self.pending_prefill.sub(other.pending_prefill);
         self.memory = self.memory.saturating_sub(other.memory);
     }
-
-    /// Pending prompt tokens that are prefilled before those of a new request of `tier`.
-    pub(super) fn prefill_ahead(&self, tier: Tier) -> u64 {
-        self.pending_prefill[..=tier_rank(tier)].iter().sum()
-    }
-
-    /// Pending prompt tokens of all tiers.
-    pub fn total_prefill(&self) -> u64 {
-        self.pending_prefill.iter().sum()
-    }
 }
 
 /// A reported load.
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -9,6 +9,7 @@
 mod cost;
 mod health;
 mod load;
+mod pending_prefill;
 mod placer;
 mod profile;
 mod rate_meter;
@@ -16,6 +17,7 @@
 
 pub use {
     load::{Load, PeerLoad, Reporter},
+    pending_prefill::PendingPrefill,
     placer::{EndpointSpec, Placement, PlacementOutcome, PlacementRequest, Placer},
     profile::EngineProfile,
 };
--- a/crates/route/src/placement/placer.rs
+++ b/crates/route/src/placement/placer.rs
@@ -13,7 +13,7 @@
     crate::Prompt,
     clock::Instant,
     std::{collections::BTreeMap, time::Duration},
-    types::{EndpointId, PromptPartId, Tier, ZoneId},
+    types::{EndpointId, PromptPartId, Urgency, ZoneId},
 };
 
 /// Factor by which failure shares decay in each interval.
@@ -41,8 +41,8 @@
 pub struct PlacementRequest<'a> {
     /// Availability zone of this VM.
     pub zone: &'a ZoneId,
-    /// Service tier.
-    pub tier: Tier,
+    /// Urgency at the engines.
+    pub urgency: Urgency,
     /// Target for the time to the first token, or to the response of a plain service.
     pub target: Duration,
     /// Target for the longest pause between two stream events.
@@ -171,7 +171,8 @@
         let placement = cost::cheapest(self, now, request)?;
         let entry = self.endpoints.get_mut(&placement.id)?;
         entry.own_load.add(placement.load);
-        self.prompt_meter.add(now, placement.load.total_prefill());
+        self.prompt_meter
+            .add(now, placement.load.pending_prefill.total());
         entry.health.record_request(now);
         if let Some(prompt) = request.prompt {
             entry.cached_parts.insert(now, &prompt.parts);
@@ -179,6 +180,20 @@
         Some(placement)
     }
 
+    /// Time that a new request of `urgency` would wait at the engine of a placement if that one had
+    /// not been made.
+    pub fn queue_delay(&self, now: Instant, placement: &Placement, urgency: Urgency) -> Duration {
+        let (Some(profile), Some(entry)) = (&self.profile, self.endpoints.get(&placement.id))
+        else {
+            return Duration::ZERO;
+        };
+        let mut total = cost::total_load(entry, now);
+        total.sub(placement.load);
+        let correction = self.correction.factor();
+        let ms = cost::queue_delay_ms(profile, &total, entry, urgency, correction);
+        Duration::from_secs_f64(ms / 1e3)
+    }
+
     /// Records that the first token, or the response of a plain service, arrived after `took`.
     pub fn record_first_response(
         &mut self,
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -8,7 +8,7 @@
         EndpointSpec, EngineProfile, Placement, PlacementOutcome, PlacementRequest, Placer, Prompt,
     },
     std::time::Duration,
-    types::{EndpointId, PromptPartId, Tier, Tokens, ZoneId},
+    types::{EndpointId, PromptPartId, Tokens, Urgency, ZoneId},
 };
 
 pub(crate) fn start() -> Instant {
@@ -66,7 +66,7 @@
 ) -> PlacementRequest<'a> {
     PlacementRequest {
         zone,
-        tier: Tier(1),
+        urgency: Urgency(1),
         target: Duration::from_millis(600),
         max_pause: Some(Duration::from_millis(pause_ms)),
         prompt,
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -4,9 +4,9 @@
 
 use {
     common::{complete, id, placer_with_engines, prompt, request, spec, start, zone},
-    route::{Load, PeerLoad, PlacementOutcome, Placer, Reporter},
+    route::{Load, PeerLoad, PendingPrefill, PlacementOutcome, Placer, Reporter},
     std::{collections::BTreeMap, time::Duration},
-    types::EndpointId,
+    types::{EndpointId, Urgency},
 };
 
 #[test]
@@ -113,7 +113,7 @@
         in_flight: 10,
         ..Load::default()
     };
-    load.pending_prefill[0] = 60_000;
+    load.pending_prefill = PendingPrefill::new(Urgency(0), 60_000);
     let until = now + Duration::from_secs(1);
     placer.set_peer_load(
         &Reporter::Vm("vm-2".parse().unwrap()),
--- a/crates/route/tests/placement_fleet.rs
+++ b/crates/route/tests/placement_fleet.rs
@@ -5,9 +5,9 @@
 use {
     clock::Instant,
     common::{complete, id, placer_with_engines, prompt, request, spec, start, zone},
-    route::{Load, PeerLoad, Placer, Reporter},
+    route::{Load, PeerLoad, PendingPrefill, Placer, Reporter},
     std::{collections::BTreeMap, time::Duration},
-    types::EndpointId,
+    types::{EndpointId, Urgency},
 };
 
 #[test]
@@ -63,7 +63,7 @@
             let load = Load {
                 in_flight: 6,
                 pause_sensitive: 6,
-                pending_prefill: [0; 3],
+                pending_prefill: PendingPrefill::default(),
                 memory: 6_000,
             };
             let until = start() + Duration::from_secs(3);
@@ -125,7 +125,7 @@
         for at in 2..40 {
             let load = Load {
                 in_flight: 8,
-                pending_prefill: [0, 24_000, 0],
+                pending_prefill: PendingPrefill::new(Urgency(1), 24_000),
                 memory: 80_000,
                 ..Load::default()
             };
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -10,5 +10,5 @@
         ParseIdError, PromptPartId, RequestId, RouteId, ServiceId, Version, VmId, ZoneId,
     },
     outcome::{Attempts, Reason, Refusal, Verdict},
-    quantity::{Bytes, ParseQuantityError, PerSecond, Tier, Tokens},
+    quantity::{Bytes, ParseQuantityError, PerSecond, Tier, Tokens, Urgency},
 };
--- a/crates/types/src/quantity/mod.rs
+++ b/crates/types/src/quantity/mod.rs
@@ -2,8 +2,10 @@
 
 mod amount;
 mod tier;
+mod urgency;
 
 pub use {
     amount::{Bytes, ParseQuantityError, PerSecond, Tokens},
     tier::Tier,
+    urgency::Urgency,
 };
