Close endpoints that say in a response that they leave, or name a time

Neither header was read: a VM that could not read the platform went on sending to an endpoint that had told it in each response that it leaves, and asked one that had named a time again 150 ms later.

The registry keeps departures: whatever said first that an endpoint leaves, the platform, a response or another VM, it stays closed until it is listed with a later start time, so that an older list doesn't reopen it. Responses of any status count, also late ones to other requests. A named time closes the endpoint to new placements of this VM only; other VMs do not take it over. A lease whose endpoint closed while the connection was opened is placed again. When all endpoints have named a time, callers get `not run` with the time at which the first one is back, spread by half of it; the demand counts for the sizer.

Tests give their routers ports below the range that the system hands out: once today a router could not listen because a fake endpoint had its port (idempotent_request_is_retried_elsewhere_after_a_truncated_response).

--- a/crates/relay/src/adapter/header_codec.rs
+++ b/crates/relay/src/adapter/header_codec.rs
@@ -64,6 +64,10 @@
     pub not_run: bool,
     /// The endpoint is a different instance than the one the request was meant for.
     pub misdirected: bool,
+    /// The endpoint accepts no new requests and shuts down soon.
+    pub leaving: bool,
+    /// Time for which the endpoint refuses all requests.
+    pub busy_for: Option<Duration>,
 }
 
 /// Parses and writes the platform's header fields.
--- a/crates/relay/src/endpoints/registry.rs
+++ b/crates/relay/src/endpoints/registry.rs
@@ -8,6 +8,9 @@
 //! after the platform's return. The grace period therefore begins with the last failed read, before
 //! which the platform cannot have acknowledged that an endpoint leaves. An entry cannot have lapsed
 //! while another VM was able to read the list.
+//!
+//! An endpoint that leaves never returns under the same start time. Whatever said so first, the
+//! platform, the endpoint's own responses or another VM, an older list doesn't reopen it.
 
 use {
     super::Endpoint,
@@ -22,6 +25,14 @@
 /// again within two seconds of the platform's return.
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
+/// Time for which a departure is remembered after the endpoint was removed: longer than any list in
+/// use is old.
+const DEPARTURE_MEMORY: Duration = Duration::from_secs(60);
+/// Time for which other VMs are told that an endpoint said that it leaves.
+const TELL_TIME: Duration = Duration::from_secs(3);
+/// Largest number of endpoints that other VMs are told of at a time.
+const MAX_TOLD: usize = 16;
+
 /// Effect of a change on the list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RegistryChange {
@@ -46,10 +57,23 @@
     expires: Option<Instant>,
 }
 
+/// The departure of an endpoint.
+#[derive(Debug, Clone, Copy)]
+struct Departure {
+    /// Start time of the endpoint.
+    born: u64,
+    /// When it became known.
+    since: Instant,
+    /// Whether an endpoint's response said so, rather than the platform.
+    from_response: bool,
+}
+
 /// The endpoints that the platform lists, and lapsed ones.
 #[derive(Debug, Default)]
 pub struct Registry {
     rows: BTreeMap<EndpointId, Row>,
+    /// Endpoints that leave or have left, by id.
+    departures: BTreeMap<EndpointId, Departure>,
     /// First and last failed read since the last successful one.
     failed_reads: Option<(Instant, Instant)>,
     /// When entries that expired during the last outage are dropped, while a removal may be such an
@@ -83,8 +107,14 @@
         self.lapse_end = None;
     }
 
-    /// Adds or updates an endpoint.
-    pub fn upsert(&mut self, endpoint: Endpoint) -> RegistryChange {
+    /// Adds or updates an endpoint. One that leaves stays closed until it is listed with a later
+    /// start time.
+    pub fn upsert(&mut self, now: Instant, mut endpoint: Endpoint) -> RegistryChange {
+        let departure = self.departures.get(&endpoint.id);
+        endpoint.leaving |= departure.is_some_and(|d| endpoint.born <= d.born);
+        if endpoint.leaving {
+            self.add_departure(now, &endpoint.id, endpoint.born, false);
+        }
         let row = Row {
             endpoint,
             expires: None,
@@ -99,6 +129,43 @@
         }
     }
 
+    /// Records that a response of the endpoint with this start time, or another VM that got one,
+    /// said that it leaves.
+    pub fn mark_leaving(&mut self, now: Instant, id: &EndpointId, born: u64) -> RegistryChange {
+        self.add_departure(now, id, born, true);
+        match self.rows.get_mut(id) {
+            Some(row) if row.endpoint.born <= born && !row.endpoint.leaving => {
+                row.endpoint.leaving = true;
+                RegistryChange::Leaving
+            }
+            _ => RegistryChange::None,
+        }
+    }
+
+    fn add_departure(&mut self, now: Instant, id: &EndpointId, born: u64, from_response: bool) {
+        let known = self.departures.get(id);
+        if known.is_some_and(|d| d.born >= born) {
+            return;
+        }
+        let departure = Departure {
+            born,
+            since: now,
+            from_response,
+        };
+        self.departures.insert(id.clone(), departure);
+    }
+
+    /// Endpoints whose responses said lately that they leave, with their start times, for other
+    /// VMs.
+    pub fn recent_departures(&self, now: Instant) -> Vec<(EndpointId, u64)> {
+        let recent = self
+            .departures
+            .iter()
+            .filter(|(_, d)| d.from_response && now.since(d.since) < TELL_TIME);
+        let recent = recent.map(|(id, d)| (id.clone(), d.born));
+        recent.take(MAX_TOLD).collect()
+    }
+
     /// Removes an entry, or marks it as lapsed if it may have expired in an outage.
     pub fn remove(&mut self, now: Instant, id: &EndpointId) -> RegistryChange {
         let lapse_end = self.lapse_end.filter(|end| now < *end);
@@ -136,6 +203,9 @@
         for id in &due {
             self.rows.remove(id);
         }
+        let rows = &self.rows;
+        self.departures
+            .retain(|id, d| rows.contains_key(id) || now.since(d.since) < DEPARTURE_MEMORY);
         due
     }
 
@@ -150,6 +220,11 @@
         self.rows.values().map(|r| &r.endpoint)
     }
 
+    /// A listed endpoint.
+    pub fn get(&self, id: &EndpointId) -> Option<&Endpoint> {
+        self.rows.get(id).map(|row| &row.endpoint)
+    }
+
     /// An endpoint that accepts new requests.
     pub fn accepting(&self, id: &EndpointId) -> Option<&Endpoint> {
         let row = self.rows.get(id)?;
--- a/crates/relay/src/peers/gossip_message.rs
+++ b/crates/relay/src/peers/gossip_message.rs
@@ -49,4 +49,7 @@
     /// Whether it asks for the addresses of hubs.
     #[serde(default)]
     pub(crate) seeks: bool,
+    /// Endpoints that said lately that they leave, with their start times.
+    #[serde(default)]
+    pub(crate) departures: Vec<(EndpointId, u64)>,
 }
--- a/crates/relay/src/peers/tests.rs
+++ b/crates/relay/src/peers/tests.rs
@@ -110,6 +110,7 @@
             vms: status.vms,
             hub: status.hub,
             seeks: parts.seeks,
+            departures: Vec::new(),
         }
     }
 
--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -170,6 +170,7 @@
     };
     let mut loads: Vec<_> = loads.into_iter().collect();
     let rates: Vec<_> = rates.into_iter().collect();
+    let departures = node.registry.lock().recent_departures(now);
     let (status, addrs) = {
         let peers = node.peers.lock();
         (
@@ -195,6 +196,7 @@
             vms: status.vms,
             hub: status.hub,
             seeks: parts.seeks,
+            departures: departures.clone(),
         };
         let Ok(bytes) = rmp_serde::to_vec(&message) else {
             log::error!("cannot encode a gossip datagram");
@@ -280,6 +282,11 @@
         log::info!(peer:% = message.vm, addr:% = from, vms = count; "peer VM discovered");
         node.set_budget_reserves(count);
     }
+    for (id, born) in &message.departures {
+        if node.mark_leaving(id, *born) {
+            log::info!(endpoint:% = id, peer:% = message.vm; "endpoint leaves, as another VM was told");
+        }
+    }
     if uses_loads {
         apply_loads(node, now, &message, &received.cleared);
     }
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -3,6 +3,7 @@
 use {
     super::Node,
     crate::{
+        adapter::ResponseHeaders,
         configuration::Config,
         endpoints::{Endpoint, EndpointChange, RegistryChange},
         request::{RoutedRequest, SlotLease},
@@ -22,6 +23,9 @@
 const ASSUMED_VMS: u32 = 8;
 /// `Retry-After` for a request that no endpoint could take: about the time of one request.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Range of the random share by which callers come back later than the first endpoint does, so that
+/// they don't all return at once.
+const BUSY_JITTER: f64 = 0.5;
 
 impl Node {
     /// Puts a configuration in force, unless its version is not newer than the current one: a stale
@@ -63,10 +67,12 @@
     /// Adds or updates an endpoint.
     pub(crate) fn upsert_endpoint(&self, endpoint: Endpoint) {
         let mut registry = self.registry.lock();
-        let change = registry.upsert(endpoint.clone());
+        let change = registry.upsert(self.clock.now(), endpoint.clone());
         if change == RegistryChange::None {
             return;
         }
+        // A departure that is known from elsewhere overrides an older list.
+        let endpoint = registry.get(&endpoint.id).cloned().unwrap_or(endpoint);
         log::info!(
             endpoint:% = endpoint.id, service:% = endpoint.service, zone:% = endpoint.zone,
             addr:% = endpoint.addr, leaving = endpoint.leaving, cheap = endpoint.cheap, change:? = change;
@@ -83,6 +89,64 @@
         }
     }
 
+    /// Closes an endpoint whose response, to this VM or to another, said that it leaves. Returns
+    /// whether it was open.
+    pub(crate) fn mark_leaving(&self, id: &EndpointId, born: u64) -> bool {
+        let mut registry = self.registry.lock();
+        let change = registry.mark_leaving(self.clock.now(), id, born);
+        if change != RegistryChange::Leaving {
+            return false;
+        }
+        if let Some(endpoint) = registry.get(id).cloned() {
+            let mut placers = self.placers.lock();
+            if let Some(placer) = placers.get_mut(&endpoint.service) {
+                placer.remove_endpoint(id);
+            }
+            drop(placers);
+            self.record_change(EndpointChange::Listed(endpoint));
+        }
+        true
+    }
+
+    /// Applies what a response of an endpoint says of the endpoint itself.
+    pub(crate) fn note_response(
+        &self,
+        slot: &SlotLease,
+        request: &RoutedRequest,
+        (status, said): (u16, &ResponseHeaders),
+    ) {
+        // The response of another instance at the same address says nothing of this one.
+        if said.misdirected {
+            return;
+        }
+        let id = slot.endpoint();
+        if said.leaving && self.mark_leaving(id, slot.born) {
+            log::info!(endpoint:% = id, request:% = request.caller.id, status = status; "endpoint says that it leaves");
+        }
+        if let Some(time) = said.busy_for {
+            let until = self.clock.now() + time;
+            let mut placers = self.placers.lock();
+            if let Some(placer) = placers.get_mut(slot.service()) {
+                placer.close_endpoint(id, until);
+            }
+            log::info!(
+                endpoint:% = id, request:% = request.caller.id, status = status,
+                busy_ms = time.as_millis() as u64;
+                "endpoint refuses requests for a time"
+            );
+        }
+    }
+
+    /// Whether the endpoint of a lease still takes requests: it may have closed while a connection
+    /// was opened.
+    pub(crate) fn still_accepts(&self, slot: &SlotLease) -> bool {
+        let id = slot.endpoint();
+        let registry = self.registry.lock();
+        let placers = self.placers.lock();
+        let placer = placers.get(slot.service());
+        registry.accepting(id).is_some() && placer.is_some_and(|p| p.accepts(self.clock.now(), id))
+    }
+
     /// Removes an endpoint that the platform no longer lists, unless it may have lapsed in an
     /// outage.
     pub(crate) fn remove_endpoint(&self, id: &EndpointId) {
@@ -161,9 +225,15 @@
         let placer = placers.get_mut(&request.service);
         let placement = placer.and_then(|p| p.place(now, &placement_request));
         let Some(placement) = placement else {
-            return Err(request
-                .unavailable("no endpoint is listed")
-                .retry_if_not_run());
+            let reopens = placers
+                .get(&request.service)
+                .and_then(|p| p.reopens_in(now));
+            return Err(match reopens {
+                Some(wait) => request.all_busy(wait.mul_f64(1.0 + fastrand::f64() * BUSY_JITTER)),
+                None => request
+                    .unavailable("no endpoint is listed")
+                    .retry_if_not_run(),
+            });
         };
         request.record_forecast(&placement);
         if let Some(placer) = placers.get_mut(&request.service)
@@ -172,7 +242,7 @@
             placer.finish(now, &placement, PlacementOutcome::Cancelled);
             return Err(request.overloaded(wait));
         }
-        let addr = registry.accepting(&placement.id).map(|e| e.addr);
+        let target = registry.accepting(&placement.id).cloned();
         let source = placement
             .kv_source
             .as_ref()
@@ -180,7 +250,7 @@
         let kv_source = source.map(|e| e.addr);
         drop(placers);
         drop(registry);
-        let Some(addr) = addr else {
+        let Some(target) = target else {
             log::error!(endpoint:% = placement.id; "placer chose an endpoint that is not listed");
             return Err(request.unavailable("endpoint is not listed"));
         };
@@ -188,7 +258,7 @@
             self.clone(),
             request.service.clone(),
             placement,
-            addr,
+            &target,
             kv_source,
         ))
     }
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -69,6 +69,16 @@
     last_event: Option<u64>,
 ) -> Result<PendingResponse, FailedAttempt> {
     let conn = connect(node, request, slot).await?;
+    if !node.still_accepts(slot) {
+        let cause = "endpoint closed to new requests";
+        request.connect_failed(slot.endpoint(), cause);
+        return Err(FailedAttempt {
+            verdict: Verdict::NotRun,
+            cause,
+            outcome: route::PlacementOutcome::Cancelled,
+            sent: false,
+        });
+    }
     request.start_send(slot.endpoint());
     let result = exchange(node, request, slot, conn, last_event).await;
     match result {
@@ -125,6 +135,7 @@
         let framing =
             response_framing(&head, &request.head.method).map_err(|_| "malformed answer")?;
         let parsed = node.codec.parse_response(&head);
+        node.note_response(slot, request, (head.status, &parsed));
         let matches_request = parsed.id.as_ref() == Some(&request.caller.id);
         if matches_request || (parsed.id.is_none() && head.status >= 300) {
             return Ok(PendingResponse {
--- a/crates/relay/src/request/routed_request.rs
+++ b/crates/relay/src/request/routed_request.rs
@@ -101,6 +101,15 @@
         progress.kv_source = placement.kv_source.clone();
     }
 
+    /// The refusal of a request while all endpoints refuse requests for a time.
+    pub(crate) fn all_busy(&self, wait: Duration) -> Refusal {
+        let refusal = self.unavailable("all endpoints refuse requests");
+        if refusal.verdict == Verdict::NotRun {
+            return refusal.with_retry_after(wait);
+        }
+        refusal
+    }
+
     /// The refusal of a request that would miss its latency target.
     pub(crate) fn overloaded(&self, wait: Duration) -> Refusal {
         Refusal::not_run(Reason::Overloaded, "engines are overloaded").with_retry_after(wait)
--- a/crates/relay/src/request/slot_lease.rs
+++ b/crates/relay/src/request/slot_lease.rs
@@ -1,7 +1,7 @@
 //! The lease of an endpoint slot for one request.
 
 use {
-    crate::process::Node,
+    crate::{endpoints::Endpoint, process::Node},
     clock::Instant,
     route::{Placement, PlacementOutcome},
     std::{net::SocketAddr, sync::Arc},
@@ -17,6 +17,8 @@
     began: Instant,
     /// Address of the endpoint.
     pub(crate) addr: SocketAddr,
+    /// Start time of the endpoint.
+    pub(crate) born: u64,
     /// Address of an engine that probably has prompt parts cached that this endpoint lacks.
     pub(crate) kv_source: Option<SocketAddr>,
 }
@@ -26,7 +28,7 @@
         node: Arc<Node>,
         service: ServiceId,
         placement: Placement,
-        addr: SocketAddr,
+        target: &Endpoint,
         kv_source: Option<SocketAddr>,
     ) -> Self {
         let began = node.clock.now();
@@ -36,11 +38,16 @@
             placement,
             outcome: PlacementOutcome::Cancelled,
             began,
-            addr,
+            addr: target.addr,
+            born: target.born,
             kv_source,
         }
     }
 
+    pub(crate) fn service(&self) -> &ServiceId {
+        &self.service
+    }
+
     pub(crate) fn endpoint(&self) -> &types::EndpointId {
         &self.placement.id
     }
--- a/crates/relay/tests/common/fakes.rs
+++ b/crates/relay/tests/common/fakes.rs
@@ -65,6 +65,12 @@
             id: head.headers.get("id").and_then(|v| v.parse().ok()),
             not_run: head.headers.get("not-run").is_some(),
             misdirected: head.status == 421,
+            leaving: head.headers.get("leaving").is_some(),
+            busy_for: head
+                .headers
+                .get("busy-ms")
+                .and_then(|v| v.parse().ok())
+                .map(Duration::from_millis),
         }
     }
 }
--- a/crates/relay/tests/common/router.rs
+++ b/crates/relay/tests/common/router.rs
@@ -11,7 +11,10 @@
     std::{
         io::{Read, Write},
         net::{IpAddr, SocketAddr, TcpListener, TcpStream},
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicU16, Ordering::SeqCst},
+        },
         thread::{self, JoinHandle},
         time::{Duration, Instant},
     },
@@ -22,10 +25,20 @@
 /// Timeout of all waits in the tests.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The port after the last one that was given out. Ports are below the range of which the system
+/// gives ports to sockets that ask for any, so that none is taken before the router listens.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+const FIRST_PORT: u16 = 12_000;
+
 /// An address that nothing listens on.
 pub(crate) fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    loop {
+        let port = NEXT_PORT.fetch_add(1, SeqCst);
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 /// A route for all paths of host `h`.
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -28,8 +28,8 @@
 fn removed_endpoint_is_dropped_at_once() {
     let mut registry = Registry::default();
     let one = endpoint("e1");
-    assert_eq!(registry.upsert(one.clone()), RegistryChange::Added);
-    assert_eq!(registry.upsert(one.clone()), RegistryChange::None);
+    assert_eq!(registry.upsert(at(0), one.clone()), RegistryChange::Added);
+    assert_eq!(registry.upsert(at(0), one.clone()), RegistryChange::None);
     assert_eq!(registry.remove(at(0), &one.id), RegistryChange::Removed);
     assert!(registry.accepting(&one.id).is_none());
 }
@@ -38,9 +38,9 @@
 fn leaving_endpoint_accepts_no_requests() {
     let mut registry = Registry::default();
     let mut one = endpoint("e1");
-    registry.upsert(one.clone());
+    registry.upsert(at(0), one.clone());
     one.leaving = true;
-    assert_eq!(registry.upsert(one.clone()), RegistryChange::Leaving);
+    assert_eq!(registry.upsert(at(0), one.clone()), RegistryChange::Leaving);
     assert!(registry.accepting(&one.id).is_none());
     assert_eq!(registry.remove(at(0), &one.id), RegistryChange::Removed);
 }
@@ -49,8 +49,8 @@
 fn after_outage(outage_ms: u64) -> (Registry, Endpoint, Endpoint) {
     let mut registry = Registry::default();
     let (one, two) = (endpoint("e1"), endpoint("e2"));
-    registry.upsert(one.clone());
-    registry.upsert(two.clone());
+    registry.upsert(at(0), one.clone());
+    registry.upsert(at(0), two.clone());
     registry.read_failed(at(10_000 - outage_ms));
     registry.read_failed(at(9_900));
     registry.read_succeeded(at(10_000), false);
@@ -64,7 +64,7 @@
     assert_eq!(registry.remove(at(10_000), &two.id), RegistryChange::Lapsed);
     registry.read_applied();
     assert!(registry.accepting(&one.id).is_some() && !registry.is_settled());
-    registry.upsert(two.clone());
+    registry.upsert(at(0), two.clone());
     // Two seconds after the last failed read, which was sent at 9.9 s.
     assert!(registry.expire(at(11_899)).is_empty());
     let expired = registry.expire(at(11_900));
@@ -96,7 +96,7 @@
 #[test]
 fn entry_cannot_lapse_while_other_vms_read_the_list() {
     let mut registry = Registry::default();
-    registry.upsert(endpoint("e1"));
+    registry.upsert(at(0), endpoint("e1"));
     for ms in [0, 2_000, 4_000] {
         registry.read_failed(at(ms));
     }
@@ -109,7 +109,7 @@
 #[test]
 fn removal_found_after_the_drain_bound_is_no_lapse() {
     let mut registry = Registry::default();
-    registry.upsert(endpoint("e1"));
+    registry.upsert(at(0), endpoint("e1"));
     for ms in [0, 4_000] {
         registry.read_failed(at(ms));
     }
@@ -128,7 +128,7 @@
 fn running_endpoint_is_listed_again_before_its_lapsed_entry_is_dropped() {
     for returned in (4_000..4_750).step_by(10) {
         let mut registry = Registry::default();
-        registry.upsert(endpoint("e1"));
+        registry.upsert(at(0), endpoint("e1"));
         registry.read_failed(at(0));
         registry.read_failed(at(4_000));
         let id = "e1".parse().unwrap();
@@ -147,8 +147,8 @@
 fn endpoint_absent_from_a_complete_list_is_found() {
     let mut registry = Registry::default();
     let (one, two) = (endpoint("e1"), endpoint("e2"));
-    registry.upsert(one.clone());
-    registry.upsert(two.clone());
+    registry.upsert(at(0), one.clone());
+    registry.upsert(at(0), two.clone());
     let absent = registry.absent_from(std::slice::from_ref(&two.id));
     assert_eq!(absent, [one.id]);
 }
@@ -157,7 +157,7 @@
 fn endpoint_removed_by_the_reader_gets_no_second_grace_period() {
     let mut registry = Registry::default();
     let one = endpoint("e1");
-    registry.upsert(one.clone());
+    registry.upsert(at(0), one.clone());
     registry.read_failed(at(0));
     registry.read_succeeded(at(5_000), false);
     assert_eq!(registry.remove_now(&one.id), RegistryChange::Removed);
@@ -168,7 +168,7 @@
 #[test]
 fn entry_removed_soon_after_an_outage_is_not_kept_past_the_drain_bound() {
     let mut registry = Registry::default();
-    registry.upsert(endpoint("e1"));
+    registry.upsert(at(0), endpoint("e1"));
     for ms in [0, 2_000, 4_000] {
         registry.read_failed(at(ms));
     }
@@ -179,3 +179,45 @@
     registry.expire(at(6_000));
     assert!(registry.accepting(&"e1".parse().unwrap()).is_none());
 }
+
+/// A list that had been read before the endpoint's response reopened it.
+#[test]
+fn older_list_does_not_reopen_an_endpoint_that_said_it_leaves() {
+    let mut registry = Registry::default();
+    let one = endpoint("e1");
+    registry.upsert(at(0), one.clone());
+    assert_eq!(
+        registry.mark_leaving(at(100), &one.id, one.born),
+        RegistryChange::Leaving
+    );
+    assert!(registry.accepting(&one.id).is_none());
+    registry.upsert(at(200), one.clone());
+    assert!(registry.accepting(&one.id).is_none());
+    registry.remove(at(300), &one.id);
+    registry.upsert(at(400), one.clone());
+    assert!(registry.accepting(&one.id).is_none());
+    let told = registry.recent_departures(at(500));
+    assert_eq!(told, [(one.id.clone(), one.born)]);
+    assert!(registry.recent_departures(at(3_200)).is_empty());
+    let restarted = Endpoint {
+        born: one.born + 1,
+        ..one.clone()
+    };
+    registry.upsert(at(600), restarted);
+    assert!(registry.accepting(&one.id).is_some());
+}
+
+#[test]
+fn late_word_of_an_earlier_incarnation_does_not_close_an_endpoint() {
+    let mut registry = Registry::default();
+    let restarted = Endpoint {
+        born: 2,
+        ..endpoint("e1")
+    };
+    registry.upsert(at(0), restarted.clone());
+    assert_eq!(
+        registry.mark_leaving(at(100), &restarted.id, 1),
+        RegistryChange::None
+    );
+    assert!(registry.accepting(&restarted.id).is_some());
+}
--- a/crates/route/src/placement/cost.rs
+++ b/crates/route/src/placement/cost.rs
@@ -99,7 +99,7 @@
     now: Instant,
     request: &PlacementRequest<'_>,
 ) -> Option<Placement> {
-    let open = || placer.endpoints.values().filter(|e| e.open);
+    let open = || placer.endpoints.values().filter(|e| e.accepts(now));
     let usual_failures = median(open().map(|e| e.health.failure_share())).unwrap_or_default();
     let latencies = open().map(|e| e.latency_ms).filter(|ms| *ms > 0.0);
     let healthy = || open().filter(|e| e.health.is_healthy(now, usual_failures));
--- a/crates/route/src/placement/placer.rs
+++ b/crates/route/src/placement/placer.rs
@@ -99,6 +99,14 @@
     pub(super) latency_ms: f64,
     /// Until when it is assumed to be full after a refusal.
     pub(super) full_until: Instant,
+    /// Until when it has refused all requests.
+    pub(super) closed_until: Instant,
+}
+
+impl TrackedEndpoint {
+    pub(super) fn accepts(&self, now: Instant) -> bool {
+        self.open && self.closed_until <= now
+    }
 }
 
 /// Time for which an endpoint is assumed to be full after it refused a request.
@@ -144,11 +152,13 @@
                 cached_parts: CachedParts::default(),
                 latency_ms: 0.0,
                 full_until: Instant::default(),
+                closed_until: Instant::default(),
             });
         if entry.spec.started != spec.started {
             entry.cached_parts.clear();
             entry.cold_since = now;
             entry.health = Health::default();
+            entry.closed_until = Instant::default();
         }
         entry.spec = spec;
         entry.open = true;
@@ -165,10 +175,37 @@
         }
     }
 
+    /// Stops placing requests at an endpoint until `until`, because it has refused all requests
+    /// until then. A restart ends the time.
+    pub fn close_endpoint(&mut self, id: &EndpointId, until: Instant) {
+        if let Some(entry) = self.endpoints.get_mut(id) {
+            entry.closed_until = entry.closed_until.max(until);
+        }
+    }
+
+    /// Whether an endpoint takes requests.
+    pub fn accepts(&self, now: Instant, id: &EndpointId) -> bool {
+        self.endpoints.get(id).is_some_and(|e| e.accepts(now))
+    }
+
+    /// Time until the first endpoint takes requests again, if all refuse them for a time.
+    pub fn reopens_in(&self, now: Instant) -> Option<Duration> {
+        let open = self.endpoints.values().filter(|e| e.open);
+        let first = open.map(|e| e.closed_until).min()?;
+        (first > now).then(|| first.since(now))
+    }
+
     /// Chooses an endpoint and adds the request to its load.
     pub fn place(&mut self, now: Instant, request: &PlacementRequest<'_>) -> Option<Placement> {
         self.decay_failures(now);
-        let placement = cost::cheapest(self, now, request)?;
+        let Some(placement) = cost::cheapest(self, now, request) else {
+            // Demand that no endpoint takes counts for the sizer as well.
+            if let Some(prompt) = request.prompt.filter(|_| self.reopens_in(now).is_some()) {
+                let own = prompt.input.0.saturating_sub(prompt.shared_tokens());
+                self.prompt_meter.add(now, own);
+            }
+            return None;
+        };
         let entry = self.endpoints.get_mut(&placement.id)?;
         entry.own_load.add(placement.load);
         self.prompt_meter
