Keep the reserve of engines until the load is known; notice reclaimed engines at once

And after 35 cheap engines of a zone were reclaimed at 3.95 s, nothing was ordered until 8.2 s: within 6.5 s of an order the missing engines were taken for ordered ones that were still starting.

Change: steady engines are released only after a load has been known for 3 s, and in steps of a fifth of the zone's planned engines; a drop below the number that was present since the last order counts as a loss.

--- a/crates/fleet/src/service/sizer.rs
+++ b/crates/fleet/src/service/sizer.rs
@@ -35,10 +35,37 @@
 /// Time within which ordered engines are expected to be in service.
 const START_TIME: Duration = Duration::from_millis(6_500);
 
+/// Longest time after taking over in which steady engines are kept because no load is known.
+const MAX_LOAD_WAIT: Duration = Duration::from_secs(30);
+/// Time for which a load must have been known before steady engines are released: the caches of the
+/// engines are empty at its start.
+const LOAD_SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Share of a zone's planned engines by which it may fall short while steady engines make room for
+/// cheap ones.
+const EXCHANGE_SHARE: u32 = 5;
+
 #[derive(Debug, Clone, Copy)]
 struct LastOrder {
     count: u32,
     at: Instant,
+    /// Most engines that were present since then.
+    peak: u32,
+}
+
+impl LastOrder {
+    fn new(count: u32, at: Instant, present: u32) -> Self {
+        Self {
+            count,
+            at,
+            peak: present,
+        }
+    }
+
+    /// Whether engines that were present since the order are gone, with `present` left.
+    fn has_lost(&mut self, present: u32) -> bool {
+        self.peak = self.peak.max(present);
+        present < self.peak
+    }
 }
 
 #[derive(Debug, Clone, Default)]
@@ -73,6 +100,8 @@
     /// Smoothed load as measured.
     measured_load: f64,
     taken_over: Instant,
+    /// When a load was first measured.
+    load_since: Option<Instant>,
     /// Number of engines that were present after taking over.
     initial_engines: u32,
     zones: BTreeMap<ZoneId, ZoneState>,
@@ -85,6 +114,7 @@
             smoothed_load: 0.0,
             measured_load: 0.0,
             taken_over: now,
+            load_since: None,
             initial_engines: 0,
             zones: BTreeMap::new(),
         }
@@ -124,6 +154,7 @@
             return Vec::new();
         }
         if view.offered_load > 0.0 {
+            self.load_since.get_or_insert(now);
             for smoothed in [&mut self.smoothed_load, &mut self.measured_load] {
                 let weight = if view.offered_load > *smoothed {
                     RISE_WEIGHT
@@ -146,12 +177,22 @@
         }
         let zones = view.zones.len().max(1) as u32;
         let steady = shortfall.div_ceil(zones).max(self.min_steady(view));
+        let min_steady = self.min_steady(view);
         for counts in &view.zones {
-            self.order_steady(now, view, counts, steady, &mut orders);
+            let cheap = targets.get(&counts.zone).copied().unwrap_or_default();
+            let planned = cheap + min_steady;
+            self.order_steady(now, view, counts, (steady, planned), &mut orders);
         }
         orders
     }
 
+    /// Whether steady engines may be released: not while the load is still to come that the present
+    /// ones were kept for.
+    fn may_release(&self, now: Instant) -> bool {
+        let known = self.load_since.map_or(Duration::ZERO, |at| now.since(at));
+        known >= LOAD_SETTLE_TIME || now.since(self.taken_over) >= MAX_LOAD_WAIT
+    }
+
     /// Number of engines in all zones that must be present, as steady ones if cheap ones cannot be
     /// had: those for the measured load, or as many as there were before until it is known.
     fn required_total(&self, view: &ServiceView) -> u32 {
@@ -235,8 +276,12 @@
         // Both kinds together must stay within the bounds, even before surplus steady ones are
         // released.
         let desired = desired.min(view.bounds.max.saturating_sub(counts.steady));
-        let lost = counts.cheap < desired
-            && expected_engines(now, counts.cheap, zone.cheap_order) <= counts.cheap;
+        let reclaimed = zone
+            .cheap_order
+            .as_mut()
+            .is_some_and(|o| o.has_lost(counts.cheap));
+        let overdue = expected_engines(now, counts.cheap, zone.cheap_order) <= counts.cheap;
+        let lost = counts.cheap < desired && (reclaimed || overdue);
         if zone.cheap_order.is_none_or(|o| o.count != desired) || lost {
             if desired != counts.cheap || zone.cheap_order.is_some() {
                 orders.push(ScaleOrder {
@@ -245,25 +290,24 @@
                     count: desired,
                 });
             }
-            zone.cheap_order = Some(LastOrder {
-                count: desired,
-                at: now,
-            });
+            zone.cheap_order = Some(LastOrder::new(desired, now, counts.cheap));
         }
         expected_engines(now, counts.cheap, zone.cheap_order).min(desired.max(counts.cheap))
     }
 
     /// Orders steady engines for the load that cheap ones do not cover. The number shrinks only
-    /// after enough engines have been present for a while.
+    /// after enough engines have been present for a while, and in steps, so that the zone keeps most
+    /// of its `planned` engines of both kinds while they are exchanged.
     fn order_steady(
         &mut self,
         now: Instant,
         view: &ServiceView,
         counts: &EngineCounts,
-        desired: u32,
+        (desired, planned): (u32, u32),
         orders: &mut Vec<ScaleOrder>,
     ) {
         let taken_over = self.taken_over;
+        let may_release = self.may_release(now);
         let Some(zone) = self.zones.get_mut(&counts.zone) else {
             return;
         };
@@ -280,18 +324,23 @@
         let settled = zone
             .satisfied_since
             .is_some_and(|at| now.since(at) >= SETTLE_TIME);
-        let may_shrink = settled && now.since(taken_over) >= SETTLE_TIME;
+        let may_shrink = settled && may_release && now.since(taken_over) >= SETTLE_TIME;
+        let kept = planned.saturating_sub(counts.cheap + planned.div_ceil(EXCHANGE_SHARE));
         let count = if desired < expected && !may_shrink {
             expected
         } else {
-            desired
+            desired.max(kept.min(counts.steady))
         };
-        let lost = counts.steady < count && expected <= counts.steady;
+        let reclaimed = zone
+            .steady_order
+            .as_mut()
+            .is_some_and(|o| o.has_lost(counts.steady));
+        let lost = counts.steady < count && (reclaimed || expected <= counts.steady);
         let ordered = zone.steady_order.map_or(counts.steady, |o| o.count);
         if ordered == count && !lost {
             return;
         }
-        zone.steady_order = Some(LastOrder { count, at: now });
+        zone.steady_order = Some(LastOrder::new(count, now, counts.steady));
         orders.push(ScaleOrder {
             zone: counts.zone.clone(),
             cheap: false,
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -232,3 +232,51 @@
     // Twelve for 12 s, in which cheap ones start, and three after that.
     assert!(steady_seconds <= 12 * 12 + 3 * 18, "{steady_seconds}");
 }
+
+/// Engines that were reclaimed within seconds of an order were taken for ordered ones that had not
+/// started yet, and were missed for up to 6.5 s.
+#[test]
+fn engines_reclaimed_soon_after_an_order_are_replaced_at_once() {
+    let mut sim = PlatformSim::new();
+    sim.run(20);
+    sim.offered_load = 3.6;
+    sim.run(1);
+    sim.run(BOOT_S);
+    let before = sim.total();
+    sim.cheap[0] = 0;
+    sim.run(2 + BOOT_S);
+    assert!(sim.total() >= before, "{} of {before}", sim.total());
+}
+
+/// Before any load was known, most steady engines were released to make room for cheap ones, which
+/// started only seconds after the traffic.
+#[test]
+fn engines_are_not_exchanged_before_the_load_is_known() {
+    let mut sim = PlatformSim::new();
+    sim.steady = vec![4; 3];
+    sim.offered_load = 0.0;
+    sim.run(8);
+    let before = sim.total();
+    sim.min_total = u32::MAX;
+    sim.run(8);
+    sim.offered_load = 3.0;
+    sim.run(3);
+    assert!(sim.min_total >= before, "{} of {before}", sim.min_total);
+}
+
+/// All surplus steady engines of a zone were released at once where the bound left no room for the
+/// planned cheap ones.
+#[test]
+fn engines_are_exchanged_a_few_at_a_time() {
+    let mut sim = PlatformSim::new();
+    sim.steady = vec![4; 3];
+    sim.offered_load = 1.8;
+    sim.run(8);
+    let planned = sim.total();
+    assert_eq!(planned, 18);
+    for _ in 0..40 {
+        sim.step();
+        assert!(sim.total() >= planned - 2 * 3, "{}", sim.total());
+    }
+    assert_eq!(sim.steady, [1, 1, 1]);
+}
