--- a/crates/relay/src/peers/tests.rs
+++ b/crates/relay/src/peers/tests.rs
@@ -311,11 +311,14 @@
 
 #[test]
 fn summary_survives_encoding_in_parts() {
+    // Six levels of urgency: two tiers of organisations, three of routes.
     let load = Load {
-        in_flight: 3,
-        ..Load::default()
+        in_flight: 300,
+        pause_sensitive: 200,
+        pending_prefill: vec![100_000; 6].into(),
+        memory: 5_000_000,
     };
-    let loads = (0..240).map(|at| (format!("e{at}").parse().unwrap(), load));
+    let loads = (0..240).map(|at| (format!("i-4f5d7901{at:02x}").parse().unwrap(), load));
     let summary = LoadSummary {
         vm: "vm-1".parse().unwrap(),
         zone: zone_of(0),
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -212,6 +212,7 @@
         avoid: &[EndpointId],
     ) -> Result<SlotLease, Refusal> {
         let now = self.clock.now();
+        let config = self.config();
         let placement_request = PlacementRequest {
             zone: &self.settings.zone,
             urgency: request.urgency,
@@ -237,7 +238,7 @@
         };
         request.record_forecast(&placement);
         if let Some(placer) = placers.get_mut(&request.service)
-            && let Err(wait) = self.admit(request, placer, &placement, now)
+            && let Err(wait) = admit_at(now, config.as_deref(), request, placer, &placement)
         {
             placer.finish(now, &placement, PlacementOutcome::Cancelled);
             return Err(request.overloaded(wait));
@@ -263,40 +264,6 @@
         ))
     }
 
-    /// Admission control at the chosen endpoint; the error is the time after which the caller may
-    /// retry.
-    fn admit(
-        &self,
-        request: &RoutedRequest,
-        placer: &Placer,
-        placement: &Placement,
-        now: Instant,
-    ) -> Result<(), Duration> {
-        if request.sends() > 0 || request.caller.prompt.is_none() {
-            return Ok(());
-        }
-        let config = self.config();
-        let classes = config
-            .iter()
-            .flat_map(|c| c.more_urgent(&request.service, request.urgency));
-        let more_urgent = classes.map(|class| QueueForecast {
-            delay: placer.queue_delay(now, placement, class.urgency),
-            target: class.target,
-            tier: class.tier,
-        });
-        let forecast = Forecast {
-            queue: QueueForecast {
-                delay: placement.queue_delay,
-                target: request.route.target,
-                tier: request.tier,
-            },
-            predicted: placement.predicted,
-            remaining: request.deadline.since(now),
-            jitter: fastrand::f64(),
-        };
-        admit::admit(&forecast, more_urgent)
-    }
-
     /// Whether an endpoint has been silent for long towards all requests of this VM.
     pub(crate) fn is_silent(&self, service: &ServiceId, id: &EndpointId) -> bool {
         let placers = self.placers.lock();
@@ -346,6 +313,38 @@
     }
 }
 
+/// Admission control at the chosen endpoint; the error is the time after which the caller may retry.
+fn admit_at(
+    now: Instant,
+    config: Option<&Config>,
+    request: &RoutedRequest,
+    placer: &Placer,
+    placement: &Placement,
+) -> Result<(), Duration> {
+    if request.sends() > 0 || request.caller.prompt.is_none() {
+        return Ok(());
+    }
+    let classes = config
+        .into_iter()
+        .flat_map(|c| c.more_urgent(&request.service, request.urgency));
+    let more_urgent = classes.map(|class| QueueForecast {
+        delay: placer.queue_delay(now, placement, class.urgency),
+        target: class.target,
+        tier: class.tier,
+    });
+    let forecast = Forecast {
+        queue: QueueForecast {
+            delay: placement.queue_delay,
+            target: request.route.target,
+            tier: request.tier,
+        },
+        predicted: placement.predicted,
+        remaining: request.deadline.since(now),
+        jitter: fastrand::f64(),
+    };
+    admit::admit(&forecast, more_urgent)
+}
+
 trait RetryIfNotRun {
     fn retry_if_not_run(self) -> Self;
 }
