--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -157,7 +157,8 @@
 }
 
 /// Encodes the state of this VM with the given parts, and tells the loads and rates in it. `reply`
-/// are the addresses for a VM that asked for them. The smallest loads are left out if the datagram would be too large.
+/// are the addresses for a VM that asked for them. The smallest loads are left out if the datagram
+/// would be too large.
 fn encode(node: &Node, parts: MessageParts, reply: &[SocketAddr]) -> (Vec<u8>, SentLoads) {
     let now = node.clock.now();
     let seq = node.gossip_seq.fetch_add(1, SeqCst);
