--- a/crates/fleet/src/service/sizer.rs
+++ b/crates/fleet/src/service/sizer.rs
@@ -142,6 +142,9 @@
 
     /// Decides what to order. Must be called about twice a second.
     pub fn decide(&mut self, now: Instant, view: &ServiceView) -> Vec<ScaleOrder> {
+        if view.offered_load > 0.0 {
+            self.load_since.get_or_insert(now);
+        }
         if now.since(self.taken_over) < OBSERVATION_TIME {
             // The present engines are kept until the measured load shows what is needed. Their list
             // grows while engines write their registry entries.
@@ -154,7 +157,6 @@
             return Vec::new();
         }
         if view.offered_load > 0.0 {
-            self.load_since.get_or_insert(now);
             for smoothed in [&mut self.smoothed_load, &mut self.measured_load] {
                 let weight = if view.offered_load > *smoothed {
                     RISE_WEIGHT
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -280,3 +280,14 @@
     }
     assert_eq!(sim.steady, [1, 1, 1]);
 }
+
+/// A holder that took over under load kept the surplus steady engines for three seconds more than it
+/// took to learn the present engines.
+#[test]
+fn new_holder_releases_steady_engines_once_it_knows_the_engines() {
+    let mut sim = PlatformSim::new();
+    sim.cheap = vec![3; 3];
+    sim.offered_load = 1.8;
+    sim.run(6);
+    assert_eq!(sim.steady, [1, 1, 1]);
+}
