Add a failing test: a rest that an endpoint asked for is forgotten when it is listed again

The same fault is left in one place: the time belongs to the placer's entry of a listed endpoint, and goes with it when the list drops the endpoint and lists it again under the same start, as lists do after an outage.

--- a/crates/relay/tests/closed_endpoints.rs
+++ b/crates/relay/tests/closed_endpoints.rs
@@ -153,6 +153,27 @@
     });
 }
 
+/// The time that an endpoint had named was forgotten when the list dropped the endpoint and listed
+/// it again.
+#[test]
+fn endpoint_that_is_listed_again_gets_no_requests_before_its_time() {
+    let busy = busy_once(6_000);
+    let other = serving(&flag(false));
+    let listed = [endpoint("e1", busy.addr), endpoint("e2", other.addr)];
+    let router = Router::with(RouteKind::Idempotent, listed.to_vec());
+    router.wait_for(|| {
+        serve_many(&router, 1);
+        busy.count() == 1
+    });
+    let push = |change| router.feed.push(FeedKind::Endpoints, change);
+    push(FeedChange::Unlisted(listed[0].id.clone()));
+    thread::sleep(Duration::from_millis(900));
+    push(FeedChange::Listed(listed[0].clone()));
+    thread::sleep(Duration::from_millis(900));
+    serve_many(&router, 20);
+    assert_eq!(busy.count(), 1);
+}
+
 /// When all endpoints have named a time, callers are told when the first one is back.
 #[test]
 fn callers_are_told_when_the_first_endpoint_takes_requests_again() {
