Remember the rest that an endpoint asked for while it is not listed

Cause of what is left of it on: the time was a part of the placer's entry of a listed endpoint, dropped and created again with the entry. Lists drop and add endpoints that run on whenever the platform returns from an outage.

The time is kept in the notice table now, by id and start time, beside departures and limits; the placer gets the restriction whenever it learns of the endpoint. A restart still ends it, and an absence doesn't, however long.

--- a/crates/relay/src/endpoints/registry.rs
+++ b/crates/relay/src/endpoints/registry.rs
@@ -15,7 +15,7 @@
 use {
     super::Endpoint,
     clock::Instant,
-    route::{LimitNotice, NoticeTable},
+    route::{LimitNotice, NoticeTable, Restriction},
     std::{collections::BTreeMap, time::Duration},
     types::{EndpointId, PerSecond},
 };
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Records that the endpoint with this start time refuses all requests of this VM until `until`.
+    pub fn close(&mut self, now: Instant, id: &EndpointId, born: u64, until: Instant) {
+        self.notices.close(now, id, born, until);
+    }
+
     /// Records the limit that the endpoint with this start time named in a response to this VM.
     /// Returns whether the known limit changed.
     pub fn set_limit(
@@ -140,10 +145,11 @@
         self.notices.learn_limit(now, notice)
     }
 
-    /// Limit that a listed endpoint names.
-    pub fn limit(&self, id: &EndpointId) -> Option<PerSecond> {
-        let row = self.rows.get(id)?;
-        self.notices.limit(id, row.endpoint.born)
+    /// How an endpoint has restricted the requests of this VM.
+    pub fn restriction(&self, id: &EndpointId) -> Restriction {
+        let row = self.rows.get(id);
+        row.map(|r| self.notices.restriction(id, r.endpoint.born))
+            .unwrap_or_default()
     }
 
     /// Whether any endpoint names a limit.
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -50,7 +50,7 @@
                     .filter(|e| e.service == *id && !e.leaving);
                 for endpoint in accepting {
                     placer.upsert_endpoint(now, endpoint_spec(endpoint));
-                    placer.set_limit(now, &endpoint.id, registry.limit(&endpoint.id));
+                    placer.restrict(now, &endpoint.id, registry.restriction(&endpoint.id));
                 }
                 placers.insert(id.clone(), placer);
             }
@@ -89,7 +89,7 @@
                 placer.remove_endpoint(&endpoint.id);
             } else {
                 placer.upsert_endpoint(now, endpoint_spec(&endpoint));
-                placer.set_limit(now, &endpoint.id, registry.limit(&endpoint.id));
+                placer.restrict(now, &endpoint.id, registry.restriction(&endpoint.id));
             }
         }
     }
@@ -131,10 +131,9 @@
             log::info!(endpoint:% = id, request:% = request.caller.id, status = status; "endpoint says that it leaves");
         }
         if let Some(time) = notice.busy_for {
-            let mut placers = self.placers.lock();
-            if let Some(placer) = placers.get_mut(slot.service()) {
-                placer.close_endpoint(id, now + time);
-            }
+            let mut registry = self.registry.lock();
+            registry.close(now, id, slot.born, now + time);
+            self.restrict(&registry, id);
             log::info!(
                 endpoint:% = id, request:% = request.caller.id, status = status,
                 busy_ms = time.as_millis() as u64;
@@ -143,7 +142,7 @@
         }
         let mut registry = self.registry.lock();
         if registry.set_limit(now, (id, slot.born), notice.limit) {
-            self.apply_limit(&registry, id);
+            self.restrict(&registry, id);
             log::info!(
                 endpoint:% = id, request:% = request.caller.id, status = status,
                 limit = notice.limit.map_or(-1.0, PerSecond::get);
@@ -158,19 +157,19 @@
         let mut registry = self.registry.lock();
         let changed = registry.learn_limit(self.clock.now(), notice);
         if changed {
-            self.apply_limit(&registry, &notice.id);
+            self.restrict(&registry, &notice.id);
         }
         changed
     }
 
-    /// Applies the limit that an endpoint names to its placer.
-    fn apply_limit(&self, registry: &Registry, id: &EndpointId) {
+    /// Applies what an endpoint has said of itself to its placer.
+    fn restrict(&self, registry: &Registry, id: &EndpointId) {
         let Some(endpoint) = registry.get(id) else {
             return;
         };
         let mut placers = self.placers.lock();
         if let Some(placer) = placers.get_mut(&endpoint.service) {
-            placer.set_limit(self.clock.now(), id, registry.limit(id));
+            placer.restrict(self.clock.now(), id, registry.restriction(id));
         }
     }
 
@@ -229,7 +228,7 @@
         self.remove_from_placers(&expired);
         for id in registry.expire_notices(now) {
             log::info!(endpoint:% = id; "limit of an endpoint expired");
-            self.apply_limit(&registry, &id);
+            self.restrict(&registry, &id);
         }
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -18,7 +18,7 @@
     attempt_budget::{AttemptBudget, RETRY_BURST, RETRY_RATIO},
     hedge::{HEDGE_BURST, HEDGE_RATIO, Hedger},
     least_outstanding::LeastOutstanding,
-    notice::{FleetRank, LimitNotice, Notice, NoticeTable},
+    notice::{FleetRank, LimitNotice, Notice, NoticeTable, Restriction},
     picker::{Candidate, LoadReport, Picker, RequestOutcome, Requirements},
     placement::{
         EndpointSpec, EngineProfile, Load, PeerLoad, PendingPrefill, Placement, PlacementOutcome,
--- a/crates/route/src/notice/mod.rs
+++ b/crates/route/src/notice/mod.rs
@@ -1,5 +1,5 @@
-//! What endpoints say of themselves in their responses: that they leave, or how many requests they
-//! take from the whole fleet.
+//! What endpoints say of themselves in their responses: that they leave, that they refuse requests
+//! for a time, or how many requests they take from the whole fleet.
 //!
 //! Designed for these conditions: the platform cannot be read, so that an endpoint's own response is
 //! the only word; the list drops an endpoint and lists it again; hundreds of VMs share a limit of
@@ -12,5 +12,5 @@
 pub(crate) use share_limiter::ShareLimiter;
 pub use {
     fleet_rank::FleetRank,
-    notice_table::{LimitNotice, Notice, NoticeTable},
+    notice_table::{LimitNotice, Notice, NoticeTable, Restriction},
 };
--- a/crates/route/src/notice/notice_table.rs
+++ b/crates/route/src/notice/notice_table.rs
@@ -1,7 +1,8 @@
 //! What endpoints have said of themselves, as known to one VM.
 //!
 //! Notices belong to one start of an endpoint and don't depend on whether it is listed. A departure
-//! is final. A limit concerns the whole fleet, and the newest word of any VM counts.
+//! is final. A time for which an endpoint refuses requests concerns the VM that was told. A limit
+//! concerns the whole fleet, and the newest word of any VM counts.
 
 use {
     clock::Instant,
@@ -34,6 +35,15 @@
     pub limit: Option<PerSecond>,
 }
 
+/// How an endpoint restricts the requests of this VM.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Restriction {
+    /// Until when it refuses all of them.
+    pub closed_until: Instant,
+    /// Requests that it takes from all VMs together.
+    pub limit: Option<PerSecond>,
+}
+
 /// The word of an endpoint on its limit, for other VMs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LimitNotice {
@@ -75,6 +85,7 @@
     born: u64,
     updated: Instant,
     departure: Option<Departure>,
+    closed_until: Instant,
     limit: Option<Limit>,
 }
 
@@ -119,6 +130,13 @@
         entry.is_some_and(|e| e.departure.is_some())
     }
 
+    /// Records that an endpoint refuses all requests of this VM until `until`.
+    pub fn close(&mut self, now: Instant, id: &EndpointId, born: u64, until: Instant) {
+        if let Some(entry) = self.entry(now, id, born) {
+            entry.closed_until = entry.closed_until.max(until);
+        }
+    }
+
     /// Records the limit in a response to this VM; `None` if it named none. Returns whether the
     /// known limit changed.
     pub fn set_limit(
@@ -174,9 +192,15 @@
         changed
     }
 
-    /// Limit that the endpoint with this start time names.
-    pub fn limit(&self, id: &EndpointId, born: u64) -> Option<PerSecond> {
-        self.known(id, born)?.limit?.value
+    /// How the endpoint with this start time restricts the requests of this VM.
+    pub fn restriction(&self, id: &EndpointId, born: u64) -> Restriction {
+        let Some(entry) = self.known(id, born) else {
+            return Restriction::default();
+        };
+        Restriction {
+            closed_until: entry.closed_until,
+            limit: entry.limit.and_then(|l| l.value),
+        }
     }
 
     /// Whether any endpoint names a limit.
@@ -238,7 +262,7 @@
         is_listed: impl Fn(&EndpointId) -> bool,
     ) -> Vec<EndpointId> {
         self.0
-            .retain(|id, e| is_listed(id) || now.since(e.updated) < MEMORY);
+            .retain(|id, e| is_listed(id) || now.since(e.updated) < MEMORY || now < e.closed_until);
         let mut ended = Vec::new();
         for (id, entry) in &mut self.0 {
             let expired = entry.limit.filter(|l| now.since(l.heard) >= LIMIT_MEMORY);
--- a/crates/route/src/placement/placer.rs
+++ b/crates/route/src/placement/placer.rs
@@ -10,7 +10,7 @@
         profile::EngineProfile,
         rate_meter::RateMeter,
     },
-    crate::{FleetRank, Prompt, notice::ShareLimiter},
+    crate::{FleetRank, Prompt, Restriction, notice::ShareLimiter},
     clock::Instant,
     std::{collections::BTreeMap, time::Duration},
     types::{EndpointId, PerSecond, PromptPartId, Urgency, ZoneId},
@@ -227,18 +227,11 @@
         }
     }
 
-    /// Stops placing requests at an endpoint until `until`, because it has refused all requests
-    /// until then. A restart ends the time.
-    pub fn close_endpoint(&mut self, id: &EndpointId, until: Instant) {
+    /// Restricts the requests to an endpoint as it has said itself. A restart ends the restriction.
+    pub fn restrict(&mut self, now: Instant, id: &EndpointId, restriction: Restriction) {
         if let Some(entry) = self.endpoints.get_mut(id) {
-            entry.closed_until = entry.closed_until.max(until);
-        }
-    }
-
-    /// Sets the limit that an endpoint names for the whole fleet. A restart ends it.
-    pub fn set_limit(&mut self, now: Instant, id: &EndpointId, limit: Option<PerSecond>) {
-        if let Some(entry) = self.endpoints.get_mut(id) {
-            entry.set_limit(now, limit, self.rank);
+            entry.closed_until = restriction.closed_until;
+            entry.set_limit(now, restriction.limit, self.rank);
         }
     }
 
--- a/crates/route/tests/endpoint_limits.rs
+++ b/crates/route/tests/endpoint_limits.rs
@@ -172,13 +172,13 @@
             vm.placer
                 .finish(now, &placement, PlacementOutcome::Completed);
             vm.notices.set_limit(now, (&placement.id, 1), limit);
-            vm.apply_limit(now, &placement.id);
+            vm.restrict(now, &placement.id);
         }
         let notices: Vec<_> = self.gossip.extract_if(.., |(at, _)| due(at)).collect();
         for (_, notice) in notices {
             for vm in &mut self.vms {
                 if vm.notices.learn_limit(now, &notice) {
-                    vm.apply_limit(now, &notice.id);
+                    vm.restrict(now, &notice.id);
                 }
             }
         }
@@ -215,8 +215,9 @@
 }
 
 impl Vm {
-    fn apply_limit(&mut self, now: Instant, id: &EndpointId) {
-        self.placer.set_limit(now, id, self.notices.limit(id, 1));
+    fn restrict(&mut self, now: Instant, id: &EndpointId) {
+        let restriction = self.notices.restriction(id, 1);
+        self.placer.restrict(now, id, restriction);
     }
 }
 
