Give up responses without end, and let other tasks run meanwhile

What callers could see: with an endpoint in trouble that sends bytes until its connection is closed, their requests got no answer, not even at their timeout, and neither did other requests at that VM.

Causes: interim responses, trailer fields and events that the caller already has were skipped without a bound; a head was not bounded while its request was still being written; a peer that sends faster than its bytes are read never let the task wait, so that no timeout fired; and the event splitter searched and copied what it had buffered again with each piece, 256 KB for each byte at worst.

Now 16 interim responses, 64 trailer fields and 1 MB of repeated events are skipped, a head is bounded at all times, a connection gives way after 32 reads in a row, and the splitter searches each byte once. Slow endless responses end with the request's timeout, as before.

--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -8,6 +8,8 @@
 
 /// Longest accepted line of a chunk size or trailer field.
 const MAX_LINE_BYTES: usize = 4096;
+/// Most trailer fields that are skipped after a chunked body.
+const MAX_TRAILER_FIELDS: u32 = 64;
 
 /// Why a body could not be read.
 #[derive(Debug)]
@@ -48,8 +50,8 @@
     Chunk(u64),
     /// The line end after a chunk.
     ChunkEnd,
-    /// A trailer field or the empty line after the last one.
-    Trailer,
+    /// A trailer field or the empty line after the last one; so many fields were skipped.
+    Trailer(u32),
     /// Bytes until the connection closes.
     Close,
     Done,
@@ -109,10 +111,16 @@
                     }
                     self.0 = State::ChunkSize;
                 }
-                State::Trailer => {
-                    if read_line(conn).await?.is_empty() {
-                        self.0 = State::Done;
-                    }
+                State::Trailer(skipped) if skipped >= MAX_TRAILER_FIELDS => {
+                    return Err(BodyError::TooLarge);
+                }
+                State::Trailer(skipped) => {
+                    let is_end = read_line(conn).await?.is_empty();
+                    self.0 = if is_end {
+                        State::Done
+                    } else {
+                        State::Trailer(skipped + 1)
+                    };
                 }
             }
         }
@@ -142,7 +150,7 @@
                 httparse::Status::Complete((used, size)) => {
                     conn.consume(used);
                     self.0 = match size {
-                        0 => State::Trailer,
+                        0 => State::Trailer(0),
                         size => State::Chunk(size),
                     };
                     return Ok(());
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -20,6 +20,11 @@
 const READ_SIZE: usize = 16 * 1024;
 /// Most bytes that are buffered while watching for a disconnect: enough for a few pipelined heads.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+/// Reads without waiting after which other tasks get their turn. A peer that sends faster than its
+/// bytes are read would keep the executor, and timeouts would never fire.
+const MAX_READS_IN_A_ROW: u32 = 32;
+/// Most interim responses that are skipped before a final one.
+const MAX_INTERIM_RESPONSES: usize = 16;
 /// Idle time before the first keep-alive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keep-alive probes after which the connection is considered lost.
@@ -35,6 +40,8 @@
     pos: usize,
     /// Whether a request was sent, at least partly, that has no response yet.
     unanswered: bool,
+    /// Reads since the last one that had to wait.
+    reads_in_a_row: u32,
 }
 
 /// Discards undelivered bytes of a request that was given up. Otherwise the system would go on
@@ -63,6 +70,7 @@
             buf: Vec::new(),
             pos: 0,
             unanswered: false,
+            reads_in_a_row: 0,
         })
     }
 
@@ -86,6 +94,11 @@
     }
 
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        if self.reads_in_a_row >= MAX_READS_IN_A_ROW {
+            self.reads_in_a_row = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         if self.pos > 0 {
             self.buf.drain(..self.pos);
             self.pos = 0;
@@ -98,6 +111,10 @@
             _ => 0,
         };
         self.buf.truncate(old + size);
+        self.reads_in_a_row = match &polled {
+            Poll::Ready(_) => self.reads_in_a_row + 1,
+            Poll::Pending => 0,
+        };
         polled
     }
 
@@ -163,8 +180,9 @@
         }
     }
 
-    /// Reads a response head, skipping interim responses.
+    /// Reads a response head, skipping a few interim responses.
     pub async fn response_head(&mut self, limit: Bytes) -> io::Result<ResponseHead> {
+        let mut interim = 0;
         loop {
             match ResponseHead::parse(self.buffered()) {
                 Ok(Some((head, size))) => {
@@ -172,16 +190,14 @@
                     if head.status >= 200 {
                         return Ok(head);
                     }
+                    interim += 1;
+                    if interim > MAX_INTERIM_RESPONSES {
+                        return Err(invalid(HeadError::TooLarge));
+                    }
                     continue;
                 }
-                Ok(None) if self.buffered().len() as u64 > limit.0 => {
-                    return Err(io::Error::new(
-                        io::ErrorKind::InvalidData,
-                        HeadError::TooLarge,
-                    ));
-                }
-                Ok(None) => {}
-                Err(e) => return Err(io::Error::new(io::ErrorKind::InvalidData, e)),
+                Ok(None) => self.check_head_size(limit)?,
+                Err(e) => return Err(invalid(e)),
             }
             if self.fill().await? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
@@ -189,6 +205,14 @@
         }
     }
 
+    /// Checks the size of a head that is not complete.
+    fn check_head_size(&self, limit: Bytes) -> io::Result<()> {
+        if self.buffered().len() as u64 > limit.0 {
+            return Err(invalid(HeadError::TooLarge));
+        }
+        Ok(())
+    }
+
     /// Writes a request and reads the head of its response, which may arrive before the request is
     /// fully written. The flag tells whether it was; only then can the connection carry another
     /// request.
@@ -218,6 +242,7 @@
                 self.consume(size);
                 return Ok((head, fully_sent && !write_failed));
             }
+            self.check_head_size(limit)?;
             if fully_sent || write_failed {
                 let head = self.response_head(limit).await?;
                 return Ok((head, fully_sent && !write_failed));
@@ -240,3 +265,7 @@
         }
     }
 }
+
+fn invalid(error: HeadError) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, error)
+}
--- a/crates/h1/src/sse.rs
+++ b/crates/h1/src/sse.rs
@@ -5,6 +5,9 @@
 /// Longest accepted event, in bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Length of the longest sequence that ends an event.
+const MAX_EVENT_END_BYTES: usize = 4;
+
 /// One event as received, including the blank line that ends it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
@@ -55,6 +58,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buf: Vec<u8>,
+    /// Bytes of the incomplete event that were searched for its end.
+    searched: usize,
 }
 
 impl EventSplitter {
@@ -62,11 +67,16 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<Event>, SseError> {
         self.buf.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(end) = find_event_end(&self.buf) {
-            let rest = self.buf.split_off(end);
-            let raw = std::mem::replace(&mut self.buf, rest);
+        let mut start = 0;
+        let mut from = self.searched.saturating_sub(MAX_EVENT_END_BYTES - 1);
+        while let Some(size) = find_event_end(&self.buf[from..]) {
+            let end = from + size;
+            let raw = self.buf[start..end].to_vec();
             events.push(Event { raw });
+            (start, from) = (end, end);
         }
+        self.buf.drain(..start);
+        self.searched = self.buf.len();
         if self.buf.len() > MAX_EVENT_BYTES {
             return Err(SseError::TooLong);
         }
@@ -81,13 +91,11 @@
 
 /// Position after the first blank line.
 fn find_event_end(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes.windows(2).position(|w| w == b"\n\n").map(|at| at + 2);
-    let crlf = bytes
-        .windows(4)
-        .position(|w| w == b"\r\n\r\n")
-        .map(|at| at + 4);
-    match (lf, crlf) {
-        (Some(a), Some(b)) => Some(a.min(b)),
-        (a, b) => a.or(b),
-    }
+    let line_ends = bytes.iter().enumerate().filter(|(_, b)| **b == b'\n');
+    let mut ends = line_ends.filter_map(|(at, _)| match &bytes[at + 1..] {
+        [b'\n', ..] => Some(at + 2),
+        [b'\r', b'\n', ..] if bytes[..at].ends_with(b"\r") => Some(at + 3),
+        _ => None,
+    });
+    ends.next()
 }
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -25,6 +25,8 @@
 /// Shortest gap after which a stream moves to another endpoint: a burst of long prompts causes gaps
 /// of about this length.
 const MIN_GAP_LIMIT: Duration = Duration::from_millis(1_200);
+/// Most bytes of events that the caller already has: more than a resumed stream repeats.
+const MAX_REPEATED_BYTES: usize = 1024 * 1024;
 /// Interval between two checks of whether an endpoint that has not responded yet is silent.
 const SILENCE_POLL: Duration = Duration::from_millis(400);
 
@@ -51,6 +53,8 @@
     started: bool,
     /// Id of the last event that the caller has.
     last_event: Option<u64>,
+    /// Bytes of events that were skipped because the caller has them.
+    repeated_bytes: usize,
 }
 
 /// Result of work that ends early if the caller leaves or the request times out.
@@ -83,6 +87,7 @@
         closes,
         started: false,
         last_event: request.caller.last_event,
+        repeated_bytes: 0,
     };
     let mut avoid: Vec<EndpointId> = Vec::new();
     loop {
@@ -323,6 +328,7 @@
             let id = event.id();
             let already_sent = id.zip(self.last_event).is_some_and(|(id, last)| id <= last);
             if already_sent {
+                self.repeated_bytes += event.raw.len();
                 continue;
             }
             let gap = id
@@ -338,6 +344,12 @@
             body.extend_from_slice(&event.raw);
             count += 1;
         }
+        if self.repeated_bytes > MAX_REPEATED_BYTES {
+            return Err(SegmentOutcome::Broken(
+                "too many repeated events",
+                PlacementOutcome::Failed,
+            ));
+        }
         if body.is_empty() {
             return Ok(());
         }
