Give up connections before the system does, so that requests can be called back

Cause: keep-alive probes ended the connection four seconds after the cut, before the request was given up. Closing a connection that the system has given up discards nothing.

Connections that the product opens, to endpoints, the platform and other VMs, now outlive their requests (120 s), and the product ends them itself: at the timeout, when the caller leaves, or after three seconds in which the endpoint has been silent towards all requests of the VM, also on the last attempt. Accepted connections are as before.

connection_that_stalls_lives_until_its_request_is_given_up fails before (the exchange ends by itself after 3.4 s of 6) and passes.

--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -27,11 +27,12 @@
 const MAX_INTERIM_RESPONSES: usize = 16;
 /// Idle time before the first keep-alive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unanswered keep-alive probes after which the connection is considered lost.
-const KEEPALIVE_PROBES: u32 = 3;
-/// Time that sent bytes may stay unacknowledged, in milliseconds: the time of three keep-alive
-/// probes.
-const USER_TIMEOUT_MS: u32 = 3_000;
+/// Time after which the system gives up an accepted connection whose peer doesn't respond.
+const ACCEPTED_TIMEOUT: Duration = Duration::from_secs(3);
+/// The same for a connection that was opened for requests: longer than any of them waits. Once the
+/// system has given up a connection, closing it no longer discards the request, and a peer behind a
+/// partition may receive it later.
+const OPENED_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// A connection and its read buffer.
 pub struct Conn {
@@ -56,15 +57,22 @@
 }
 
 impl Conn {
-    /// Wraps an accepted or connected socket.
+    /// Wraps an accepted socket.
     pub fn new(io: Async<TcpStream>) -> io::Result<Self> {
+        Self::with_timeout(io, ACCEPTED_TIMEOUT)
+    }
+
+    /// Wraps a socket which the system gives up if its peer doesn't respond for `timeout`.
+    fn with_timeout(io: Async<TcpStream>, timeout: Duration) -> io::Result<Self> {
         let socket = io.get_ref();
+        let probes = timeout.as_secs() / KEEPALIVE_INTERVAL.as_secs();
+        let timeout_ms = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
         socket.set_nodelay(true)?;
         sockopt::set_socket_keepalive(socket, true)?;
         sockopt::set_tcp_keepidle(socket, KEEPALIVE_INTERVAL)?;
         sockopt::set_tcp_keepintvl(socket, KEEPALIVE_INTERVAL)?;
-        sockopt::set_tcp_keepcnt(socket, KEEPALIVE_PROBES)?;
-        sockopt::set_tcp_user_timeout(socket, USER_TIMEOUT_MS)?;
+        sockopt::set_tcp_keepcnt(socket, u32::try_from(probes).unwrap_or(u32::MAX))?;
+        sockopt::set_tcp_user_timeout(socket, timeout_ms)?;
         Ok(Self {
             io,
             buf: Vec::new(),
@@ -76,7 +84,8 @@
 
     /// Connects to `addr`.
     pub async fn connect(addr: SocketAddr) -> io::Result<Self> {
-        Self::new(Async::<TcpStream>::connect(addr).await?)
+        let io = Async::<TcpStream>::connect(addr).await?;
+        Self::with_timeout(io, OPENED_TIMEOUT)
     }
 
     /// Bytes that were read and not yet consumed.
--- a/crates/h1/tests/framing.rs
+++ b/crates/h1/tests/framing.rs
@@ -1,14 +1,16 @@
 //! Framing of requests and responses, and decoding of bodies.
 
 use {
-    async_io::{Async, block_on},
+    async_io::{Async, Timer, block_on},
+    clock::Instant,
+    futures_lite::FutureExt,
     h1::{
-        BodyError, BodyReader, Conn, Framing, HeadError, MAX_HEADERS, RequestHead, ResponseHead,
-        request_framing, response_framing,
+        BodyError, BodyReader, Conn, Framing, HeadError, MAX_HEADERS, Pool, RequestHead,
+        ResponseHead, request_framing, response_framing,
     },
     quickcheck::{Gen, QuickCheck},
     std::{
-        io::{Read, Write},
+        io::{ErrorKind, Read, Write},
         net::{TcpListener, TcpStream},
         thread,
         time::Duration,
@@ -17,6 +19,8 @@
 };
 
 const SEED: u64 = 31;
+/// Time after which a request on a stalled connection is given up.
+const STALL: Duration = Duration::from_secs(6);
 const SIZE_LIMIT: Bytes = Bytes(1 << 20);
 
 fn request(fields: &str) -> RequestHead {
@@ -224,3 +228,28 @@
     drop(near);
     assert_eq!(read_to_end(peer), None);
 }
+
+/// The system gave up a connection whose peer had stalled before its request was given up. Closing it
+/// then discarded nothing, and a peer behind a partition got the request after it.
+#[test]
+fn connection_that_stalls_lives_until_its_request_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let pool = Pool::default();
+    let pooled = block_on(pool.take_or_connect(Instant::default(), addr)).unwrap();
+    let (peer, _) = listener.accept().unwrap();
+    let mut conn = pooled.conn;
+    // More than the buffers of both sides hold.
+    let request = vec![b'x'; 32 << 20];
+    let ended = block_on(async {
+        let exchange = async { Some(conn.exchange(&request, SIZE_LIMIT).await.err()) };
+        let given_up = async {
+            Timer::after(STALL).await;
+            None
+        };
+        exchange.or(given_up).await
+    });
+    assert!(ended.is_none(), "{ended:?}");
+    drop(conn);
+    assert_eq!(read_to_end(peer), Some(ErrorKind::ConnectionReset));
+}
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -4,6 +4,7 @@
     super::{routed_request::RoutedRequest, slot_lease::SlotLease},
     crate::{adapter::ForwardHeaders, process::Node},
     clock::timeout,
+    futures_lite::FutureExt,
     h1::{BodyError, BodyReader, Conn, Framing, ResponseHead, response_framing},
     std::{sync::Arc, time::Duration},
     types::{Bytes, Verdict},
@@ -11,6 +12,10 @@
 
 /// Timeout of connecting: enough for two round trips between zones and one lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time after which an endpoint that has been silent towards all requests of this VM is given up.
+pub(super) const DEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Interval between two checks of whether an endpoint that has not responded yet is silent.
+const SILENCE_POLL: Duration = Duration::from_millis(400);
 /// Largest head of a response.
 const MAX_HEAD: Bytes = Bytes(32 * 1024);
 /// Largest body of a buffered response.
@@ -80,8 +85,14 @@
         });
     }
     request.start_send(slot.endpoint());
-    let result = exchange(node, request, slot, conn, last_event).await;
-    match result {
+    let dead = async {
+        node.clock.sleep(DEAD_TIMEOUT).await;
+        until_silent(node, request, slot).await;
+        node.pool.remove_addr(slot.addr);
+        Err("no answer from the endpoint")
+    };
+    let answer = exchange(node, request, slot, conn, last_event);
+    match answer.or(dead).await {
         Ok(pending) => check_not_run(node, request, slot, pending).await,
         Err(cause) => {
             request.end_send(Verdict::MayHaveRun, Some(cause));
@@ -95,6 +106,13 @@
     }
 }
 
+/// Resolves when the endpoint has been silent for long towards all requests of this VM.
+pub(super) async fn until_silent(node: &Node, request: &RoutedRequest, slot: &SlotLease) {
+    while !node.is_silent(&request.service, slot.endpoint()) {
+        node.clock.sleep(SILENCE_POLL).await;
+    }
+}
+
 async fn connect(
     node: &Node,
     request: &RoutedRequest,
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        attempt::{PendingResponse, attempt},
+        attempt::{DEAD_TIMEOUT, PendingResponse, attempt, until_silent},
         buffered::{may_retry, may_retry_failure},
         response::{Response, add_connection_header},
         routed_request::RoutedRequest,
@@ -25,10 +25,10 @@
 /// Shortest gap after which a stream moves to another endpoint: a burst of long prompts causes gaps
 /// of about this length.
 const MIN_GAP_LIMIT: Duration = Duration::from_millis(1_200);
+/// Time after which it is checked whether an endpoint is silent to a stream that may move.
+const FIRST_SILENCE_CHECK: Duration = Duration::from_millis(400);
 /// Most bytes of events that the caller already has: more than a resumed stream repeats.
 const MAX_REPEATED_BYTES: usize = 1024 * 1024;
-/// Interval between two checks of whether an endpoint that has not responded yet is silent.
-const SILENCE_POLL: Duration = Duration::from_millis(400);
 
 /// How a streaming request ended.
 pub(crate) enum StreamOutcome {
@@ -107,7 +107,14 @@
             if !may_resume {
                 return work.await;
             }
-            work.or(until_silent(node, request, &slot)).await
+            // A long wait of one request is no reason to move: it would have to queue again
+            // elsewhere.
+            let silent = async {
+                node.clock.sleep(FIRST_SILENCE_CHECK).await;
+                until_silent(node, request, &slot).await;
+                None
+            };
+            work.or(silent).await
         };
         match stream.watch(sending).await {
             WatchOutcome::CallerLeft => return StreamOutcome::CallerLeft,
@@ -145,17 +152,6 @@
     }
 }
 
-/// Resolves when the endpoint has been silent for long towards all requests of this VM. A long wait
-/// of one request is no reason to move: it would have to queue again elsewhere.
-async fn until_silent<T>(node: &Node, request: &RoutedRequest, slot: &SlotLease) -> Option<T> {
-    loop {
-        node.clock.sleep(SILENCE_POLL).await;
-        if node.is_silent(&request.service, slot.endpoint()) {
-            return None;
-        }
-    }
-}
-
 /// Whether the route allows another attempt after the one in progress.
 fn may_retry_after_send(request: &RoutedRequest) -> bool {
     request.sends() + 1 < request.route.attempts
@@ -238,14 +234,21 @@
             let reading = async {
                 let next = pending.reader.next(&mut pending.conn, &mut bytes);
                 let next = async { Some(next.await) };
-                match (may_resume, has_events) {
-                    (false, _) => next.await,
-                    (true, false) => next.or(until_silent(&node, request, &slot)).await,
-                    (true, true) => {
-                        let timed = timeout(&*node.clock, gap_limit(request), next).await;
-                        timed.ok().flatten()
-                    }
+                let silent = async {
+                    let first_check = if may_resume {
+                        FIRST_SILENCE_CHECK
+                    } else {
+                        DEAD_TIMEOUT
+                    };
+                    node.clock.sleep(first_check).await;
+                    until_silent(&node, request, &slot).await;
+                    None
+                };
+                if !may_resume || !has_events {
+                    return next.or(silent).await;
                 }
+                let timed = timeout(&*node.clock, gap_limit(request), next).await;
+                timed.ok().flatten()
             };
             match self.watch(reading).await {
                 WatchOutcome::CallerLeft => break SegmentOutcome::CallerLeft,
