Seal a usage window when its counts are complete, not after a fixed time

Cause: the holder sealed five seconds after the end of a window on the premise that all VMs had stored their counts by then.

VMs now publish each window once more when it has ended, marked complete, also without counts. The holder looks from three seconds after the end, once a second, and seals when every VM that counted in this window or the one before is complete.

The usage part of duty_worker.rs is usage_reporter.rs and count_store.rs now; the decision is usage::SealTiming.

--- a/crates/relay/src/process/duty_worker.rs
+++ b/crates/relay/src/process/duty_worker.rs
@@ -1,13 +1,11 @@
 //! Contends for the duty lease in the shared log, and performs the duties while this VM holds it.
 
 use {
-    super::{Node, capacity_planner::CapacityPlanner},
+    super::{Node, capacity_planner::CapacityPlanner, usage_reporter::UsageReporter},
     crate::adapter::{AppendOutcome, DutyApi, FenceToken, SharedLog, Topic},
     clock::Instant,
     coord::{DutyLease, DutyRecord, DutyStep, DutyTiming, SealedWindow},
-    std::{collections::BTreeMap, sync::Arc, time::Duration},
-    types::OrgId,
-    usage::{WindowCountRecord, WindowTotals, window_at},
+    std::{sync::Arc, time::Duration},
 };
 
 /// Polling interval while this VM holds the lease.
@@ -21,11 +19,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Interval between renewals of the lease.
 const RENEW_INTERVAL: Duration = Duration::from_millis(600);
-/// Time after the end of a usage window at which it is sealed. All VMs have stored their counts by
-/// then.
-const SEAL_DELAY: Duration = Duration::from_millis(5_000);
-/// Number of ended windows, counted from the newest, that are still reported.
-const MAX_OPEN_WINDOWS: u64 = 4;
 /// Upper bound of the random delay before a VM claims an expired lease.
 const CLAIM_JITTER_MS: u64 = 600;
 
@@ -33,13 +26,8 @@
 pub(super) struct DutyWorker {
     node: Arc<Node>,
     log: Arc<dyn SharedLog>,
-    duty_api: Arc<dyn DutyApi>,
     lease: DutyLease,
-    window_totals: WindowTotals,
-    /// Offset of the next record to read from the usage topic.
-    next_offset: u64,
-    /// The latest windows that this VM has reported.
-    reported: BTreeMap<u64, bool>,
+    usage: UsageReporter,
     planner: CapacityPlanner,
     /// Whether this VM held the lease at the last poll.
     holding: bool,
@@ -69,13 +57,10 @@
     );
     let mut worker = DutyWorker {
         planner: CapacityPlanner::new(node.clone(), duty_api.clone()),
+        usage: UsageReporter::new(node.clone(), log.clone(), duty_api),
         node,
         log,
-        duty_api,
         lease,
-        window_totals: WindowTotals::default(),
-        next_offset: 0,
-        reported: BTreeMap::new(),
         holding: false,
     };
     loop {
@@ -147,7 +132,9 @@
                 log::info!(holder = holder; "duties lost");
             }
         }
-        self.planner.reset(self.node.clock.now());
+        let now = self.node.clock.now();
+        self.planner.reset(now);
+        self.usage.reset(now);
     }
 
     /// Reads the lease's topic to its end; false if the read fails.
@@ -203,128 +190,34 @@
         }
     }
 
-    /// Reads the usage counts, seals ended windows and reports sealed ones.
+    /// Seals ended usage windows and reports sealed ones.
     async fn process_usage(&mut self) {
         if !self.node.settings.reports_usage {
             return;
         }
-        let now = self.node.clock.now();
-        let length = self.node.settings.bounds.usage_window;
-        let unix = self.node.wall_clock.unix(now);
-        let ended = window_at(unix.saturating_sub(SEAL_DELAY), length).saturating_sub(1);
-        let open: Vec<u64> = (ended.saturating_sub(MAX_OPEN_WINDOWS - 1)..=ended)
-            .filter(|w| !self.reported.contains_key(w))
-            .collect();
-        if open.is_empty() || !self.read_counts().await {
-            return;
-        }
-        for window in open {
+        for window in self.usage.open_windows() {
             if self.lease.sealed(window).is_none() && !self.seal_window(window).await {
                 return;
             }
             let counts = self.lease.sealed(window).map(|s| s.counts.clone());
-            let Some(counts) = counts else {
+            let (Some(counts), Some(fence)) = (counts, self.fence()) else {
                 return;
             };
-            if !self.report_window(window, &counts).await {
+            if !self.usage.report(fence, window, &counts).await {
                 return;
             }
         }
     }
 
-    /// Fixes the counts of a window; false on failure.
+    /// Fixes the counts of a window; false if it isn't time yet, or on failure.
     async fn seal_window(&mut self, window: u64) -> bool {
-        let counts = self.window_totals.total(window);
+        let Some(counts) = self.usage.final_counts(window).await else {
+            return false;
+        };
         let now = self.node.clock.now();
         match self.lease.seal(now, SealedWindow { window, counts }) {
             Some((record, at)) => self.append_record(&record, at).await,
             None => false,
         }
     }
-
-    /// Reports a sealed window; false on failure.
-    async fn report_window(&mut self, window: u64, counts: &BTreeMap<OrgId, u64>) -> bool {
-        let Some(fence) = self.fence() else {
-            return false;
-        };
-        let sent = self.duty_api.report_usage(fence, window, counts).await;
-        let total: u64 = counts.values().sum();
-        match sent {
-            Ok(()) => {
-                log::info!(window = window, epoch = fence.epoch.0, requests = total; "usage reported");
-                self.reported.insert(window, true);
-                while self.reported.len() > 2 * MAX_OPEN_WINDOWS as usize {
-                    self.reported.pop_first();
-                }
-                true
-            }
-            Err(e) => {
-                log::warn!(window = window, epoch = fence.epoch.0, error:% = e; "usage report failed");
-                false
-            }
-        }
-    }
-
-    /// Reads the usage topic to its end; false on failure.
-    async fn read_counts(&mut self) -> bool {
-        loop {
-            let read = self
-                .log
-                .read(Topic::Usage, self.next_offset, Duration::ZERO)
-                .await;
-            let batch = match read {
-                Ok(batch) => batch,
-                Err(e) => {
-                    log::warn!(error:% = e; "cannot read usage counts");
-                    return false;
-                }
-            };
-            self.next_offset = self.next_offset.max(batch.first);
-            for (offset, bytes) in batch.records {
-                self.next_offset = offset + 1;
-                match rmp_serde::from_slice::<Vec<WindowCountRecord>>(&bytes) {
-                    Ok(records) => records.into_iter().for_each(|r| self.window_totals.fold(r)),
-                    Err(e) => {
-                        log::error!(offset = offset, error:% = e; "cannot decode usage counts");
-                    }
-                }
-            }
-            if self.next_offset >= batch.end {
-                return true;
-            }
-        }
-    }
-}
-
-/// Interval at which this VM stores its usage counts. Even with one call that times out, they are
-/// stored before the window is sealed (`SEAL_DELAY`).
-const STORE_INTERVAL: Duration = Duration::from_millis(2_000);
-
-/// Stores the usage counts of this VM and of the VMs that read through it, until it is dropped.
-pub(super) async fn store_counts(node: Arc<Node>, log: Arc<dyn SharedLog>) {
-    loop {
-        node.clock.sleep(STORE_INTERVAL).await;
-        if node.reads_platform(node.clock.now()) || !node.peer_counts.lock().is_empty() {
-            flush_counts(&node, &*log).await;
-        }
-    }
-}
-
-/// Stores the usage counts that changed since the last call.
-pub(super) async fn flush_counts(node: &Node, log: &dyn SharedLog) {
-    let changed = node.window_counter.lock().take_changed();
-    let mut records = node.count_records(changed);
-    records.append(&mut node.peer_counts.lock());
-    if records.is_empty() {
-        return;
-    }
-    let Ok(bytes) = rmp_serde::to_vec(&records) else {
-        log::error!("cannot encode usage counts");
-        return;
-    };
-    if let Err(e) = log.append(Topic::Usage, &bytes, None).await {
-        log::warn!(error:% = e; "cannot store usage counts");
-        // Counts are cumulative, so storing them twice changes nothing.
-        node.peer_counts.lock().extend(records);
-    }
 }
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod accounting;
 mod capacity_planner;
+mod count_store;
 mod duty_worker;
 mod feed_reader;
 mod gossip;
@@ -12,6 +13,7 @@
 mod run;
 mod shutdown;
 mod state_sync;
+mod usage_reporter;
 mod wall_clock;
 
 pub(crate) use {
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -23,8 +23,8 @@
         sync::{Arc, atomic::AtomicU64},
         time::Duration,
     },
-    types::{Incarnation, OrgId, ServiceId},
-    usage::{WindowCountRecord, WindowCounter},
+    types::{Incarnation, ServiceId},
+    usage::{WindowCountRecord, WindowCounter, WindowCounts, window_at},
 };
 
 /// The process services that the router uses: executor, clock and stop signal.
@@ -151,16 +151,17 @@
         *self.direct_until.lock() = until;
     }
 
-    /// Wraps usage counts of this VM, by window, in records.
-    pub(crate) fn count_records(
-        &self,
-        changed: Vec<(u64, BTreeMap<OrgId, u64>)>,
-    ) -> Vec<WindowCountRecord> {
-        let record = |(window, counts)| WindowCountRecord {
+    /// Usage counts of this VM that changed since the last call, or that became final.
+    pub(crate) fn take_counts(&self) -> Vec<WindowCountRecord> {
+        let unix = self.wall_clock.unix(self.clock.now());
+        let current = window_at(unix, self.settings.bounds.usage_window);
+        let changed = self.window_counter.lock().take_changed(current);
+        let record = |changed: WindowCounts| WindowCountRecord {
             vm: self.settings.vm.clone(),
             incarnation: self.incarnation,
-            window,
-            counts,
+            window: changed.window,
+            counts: changed.counts,
+            complete: changed.complete,
         };
         changed.into_iter().map(record).collect()
     }
--- a/crates/relay/src/process/run.rs
+++ b/crates/relay/src/process/run.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         Node, NodeProcess,
-        duty_worker::{run_duties, store_counts},
+        count_store::store_counts,
+        duty_worker::run_duties,
         feed_reader::follow_feed,
         gossip,
         shutdown::shut_down,
--- a/crates/relay/src/process/shutdown.rs
+++ b/crates/relay/src/process/shutdown.rs
@@ -1,7 +1,7 @@
 //! Graceful shutdown.
 
 use {
-    super::{Node, duty_worker::flush_counts},
+    super::{Node, count_store::flush_counts},
     crate::adapter::SharedLog,
     clock::{Instant, timeout},
     std::time::Duration,
--- a/crates/relay/src/process/state_sync.rs
+++ b/crates/relay/src/process/state_sync.rs
@@ -302,15 +302,15 @@
     waits: bool,
 ) -> Result<StateResponse, String> {
     let counts = if waits {
-        node.window_counter.lock().take_changed()
+        node.take_counts()
     } else {
         Vec::new()
     };
-    let windows: Vec<u64> = counts.iter().map(|(window, _)| *window).collect();
+    let windows: Vec<u64> = counts.iter().map(|c| c.window).collect();
     let request = StateRequest {
         since,
         version: node.config().map_or(Version::default(), |c| c.doc.version),
-        counts: node.count_records(counts),
+        counts,
         waits,
     };
     let body = rmp_serde::to_vec(&request).map_err(|e| e.to_string())?;
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -7,6 +7,7 @@
 mod chunk;
 mod pull;
 mod record;
+mod seal_timing;
 mod sealer;
 mod settings;
 mod unsealed_chunks;
@@ -19,11 +20,12 @@
     chunk::{Chunk, ChunkSource, Counts},
     pull::{Collector, PULL_PATH, PullFuture, PullRequest, PullResponse},
     record::{Seal, UsageRecord, Watermark, WindowId, WindowStart},
+    seal_timing::SealTiming,
     sealer::{Sealer, SealerContext},
     settings::UsageSettings,
     unsealed_chunks::UnsealedChunks,
     usage_counter::UsageCounter,
     usage_state::{FoldOutcome, UnreportedWindow, UsageState},
-    window_counter::{WindowCountRecord, WindowCounter, WindowTotals, window_at},
+    window_counter::{WindowCountRecord, WindowCounter, WindowCounts, WindowTotals, window_at},
     zone_collector::ZoneCollector,
 };
--- a/crates/usage/src/window_counter.rs
+++ b/crates/usage/src/window_counter.rs
@@ -3,7 +3,10 @@
 
 use {
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
     types::{Incarnation, OrgId, VmId},
 };
 
@@ -28,13 +31,29 @@
     pub window: u64,
     /// Requests that began in the window, by organisation.
     pub counts: BTreeMap<OrgId, u64>,
+    /// Whether the window had ended, so that the counts are final.
+    #[serde(default)]
+    pub complete: bool,
+}
+
+/// The counts of a window, to be published.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WindowCounts {
+    /// Number of the window.
+    pub window: u64,
+    /// Requests that began in it, by organisation.
+    pub counts: BTreeMap<OrgId, u64>,
+    /// Whether the window has ended.
+    pub complete: bool,
 }
 
 /// Counts the requests of this process.
 #[derive(Debug, Clone, Default)]
 pub struct WindowCounter {
     windows: BTreeMap<u64, BTreeMap<OrgId, u64>>,
-    changed: BTreeMap<u64, bool>,
+    changed: BTreeSet<u64>,
+    /// The window at the last call of `take_changed`.
+    current: Option<u64>,
 }
 
 impl WindowCounter {
@@ -42,33 +61,46 @@
     pub fn count(&mut self, window: u64, org: &OrgId) {
         let counts = self.windows.entry(window).or_default();
         *counts.entry(org.clone()).or_default() += 1;
-        self.changed.insert(window, true);
+        self.changed.insert(window);
         let oldest = window.saturating_sub(KEPT_WINDOWS);
         self.windows.retain(|w, _| *w >= oldest);
-        self.changed.retain(|w, _| *w >= oldest);
     }
 
-    /// Returns the windows whose counts changed since the last call, with their counts.
-    pub fn take_changed(&mut self) -> Vec<(u64, BTreeMap<OrgId, u64>)> {
+    /// Returns the windows that changed since the last call: those with new counts, and those that
+    /// have ended. `current` is the present window. A window that ends is published even if it has
+    /// no counts, so that nobody waits for them.
+    pub fn take_changed(&mut self, current: u64) -> Vec<WindowCounts> {
+        let last = self.current.unwrap_or(current);
+        let oldest = current.saturating_sub(KEPT_WINDOWS);
+        self.changed.extend(last.max(oldest)..current);
+        self.current = Some(current.max(last));
         let changed = std::mem::take(&mut self.changed);
-        let windows = changed.into_keys();
-        windows
-            .filter_map(|w| Some((w, self.windows.get(&w)?.clone())))
-            .collect()
+        let windows = changed.into_iter().filter(|w| *w >= oldest);
+        let counts = windows.map(|window| WindowCounts {
+            window,
+            counts: self.windows.get(&window).cloned().unwrap_or_default(),
+            complete: window < current,
+        });
+        counts.collect()
     }
 
     /// Marks a window as changed again after its record could not be stored.
     pub fn mark_changed(&mut self, window: u64) {
-        if self.windows.contains_key(&window) {
-            self.changed.insert(window, true);
-        }
+        self.changed.insert(window);
     }
 }
 
+/// The counts of one process in a window.
+#[derive(Debug, Clone, Default)]
+struct Row {
+    counts: BTreeMap<OrgId, u64>,
+    complete: bool,
+}
+
 /// Collects the counts of all processes.
 #[derive(Debug, Clone, Default)]
 pub struct WindowTotals {
-    rows: BTreeMap<(u64, VmId, Incarnation), BTreeMap<OrgId, u64>>,
+    rows: BTreeMap<(u64, VmId, Incarnation), Row>,
 }
 
 impl WindowTotals {
@@ -79,10 +111,12 @@
             incarnation,
             window,
             counts,
+            complete,
         } = record;
         let row = self.rows.entry((window, vm, incarnation)).or_default();
+        row.complete |= complete;
         for (org, count) in counts {
-            let current = row.entry(org).or_default();
+            let current = row.counts.entry(org).or_default();
             *current = count.max(*current);
         }
         let oldest = window.saturating_sub(KEPT_WINDOWS);
@@ -93,9 +127,26 @@
     pub fn total(&self, window: u64) -> BTreeMap<OrgId, u64> {
         let mut sum = BTreeMap::new();
         let rows = self.rows.iter().filter(|((w, _, _), _)| *w == window);
-        for (org, count) in rows.flat_map(|(_, counts)| counts) {
+        for (org, count) in rows.flat_map(|(_, row)| &row.counts) {
             *sum.entry(org.clone()).or_default() += count;
         }
         sum
     }
+
+    /// The VMs whose final counts of a window are not known: those with counts in it or in the one
+    /// before. One that ended meanwhile is among them as well.
+    pub fn missing(&self, window: u64) -> BTreeSet<VmId> {
+        let known = self
+            .rows
+            .keys()
+            .filter(|(w, _, _)| *w <= window && *w + 1 >= window);
+        let is_missing = |(_, vm, incarnation): &&(u64, VmId, Incarnation)| {
+            let row = self.rows.get(&(window, vm.clone(), *incarnation));
+            row.is_none_or(|r| !r.complete)
+        };
+        known
+            .filter(is_missing)
+            .map(|(_, vm, _)| vm.clone())
+            .collect()
+    }
 }
--- a/crates/usage/tests/window_counts.rs
+++ b/crates/usage/tests/window_counts.rs
@@ -20,12 +20,13 @@
     let mut counters: BTreeMap<u8, WindowCounter> = BTreeMap::new();
     let mut records = Vec::new();
     let mut publish = |vm: u8, counter: &mut WindowCounter| {
-        for (window, counts) in counter.take_changed() {
+        for changed in counter.take_changed(102) {
             records.push(WindowCountRecord {
                 vm: format!("vm-{vm}").parse().unwrap(),
                 incarnation: Incarnation(1),
-                window,
-                counts,
+                window: changed.window,
+                counts: changed.counts,
+                complete: changed.complete,
             });
         }
     };
@@ -67,10 +68,10 @@
 fn counts_that_could_not_be_stored_are_published_again() {
     let mut counter = WindowCounter::default();
     counter.count(7, &org(1));
-    assert_eq!(counter.take_changed().len(), 1);
-    assert!(counter.take_changed().is_empty());
+    assert_eq!(counter.take_changed(7).len(), 1);
+    assert!(counter.take_changed(7).is_empty());
     counter.mark_changed(7);
-    assert_eq!(counter.take_changed().len(), 1);
+    assert_eq!(counter.take_changed(7).len(), 1);
 }
 
 #[test]
