Bill requests that an endpoint ran and failed, streams as well

Cause: a stream was counted with its first event, so that one answered with a failure status wasn't, though buffered requests were. Evidence: the missing requests are those of the fault's time; all VMs had completed their counts.

Failures that don't say "not run" count when their head arrives.

--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -191,6 +191,8 @@
         pending: PendingResponse,
     ) -> StreamOutcome {
         let node = self.node.clone();
+        // A failure that doesn't say "not run" ran as well.
+        node.count_usage(request);
         let read = self.watch(pending.read_body(&node, &slot)).await;
         match read {
             WatchOutcome::CallerLeft => StreamOutcome::CallerLeft,
