Don't lose usage counts with the VM that took them, nor wait for ended ones

A VM publishes its latest four windows again when another process takes its counts. A process that drains marks its last counts as such; one that was replaced by a later incarnation is not awaited; and the holder waits past the due margin only for processes that it has heard of lately. The wait counts from the holder's own first read after an outage. VMs store counts a second time 600 ms after the platform's return, as those of the VMs that read through them arrive meanwhile.

--- a/crates/relay/src/peers/peer_table.rs
+++ b/crates/relay/src/peers/peer_table.rs
@@ -324,6 +324,11 @@
         self.send_interval(now) / 2
     }
 
+    /// Whether this process of another VM was heard of lately.
+    pub(crate) fn is_live(&self, now: Instant, vm: &VmId, inc: Incarnation) -> bool {
+        self.live(now).any(|(live, p)| live == vm && p.inc == inc)
+    }
+
     pub(super) fn live(&self, now: Instant) -> impl Iterator<Item = (&VmId, &Peer)> {
         let peers = self.peers.iter();
         peers.filter(move |(_, p)| now.since(p.last_heard) < PEER_TIMEOUT)
--- a/crates/relay/src/process/count_store.rs
+++ b/crates/relay/src/process/count_store.rs
@@ -8,6 +8,9 @@
 
 /// Interval at which this VM stores usage counts.
 const STORE_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Time after the platform's return until counts are stored again: those of the VMs that read
+/// through this one arrive meanwhile.
+const SECOND_STORE_DELAY: Duration = Duration::from_millis(600);
 /// Interval at which it looks whether the platform is back after counts could not be stored.
 const RETURN_POLL: Duration = Duration::from_millis(150);
 /// Age of the last read up to which the platform counts as reachable.
@@ -18,13 +21,16 @@
 
 /// Stores the usage counts of this VM and of the VMs that read through it, until it is dropped.
 pub(super) async fn store_counts(node: Arc<Node>, log: Arc<dyn SharedLog>) {
+    let mut interval = STORE_INTERVAL;
     loop {
-        node.clock.sleep(STORE_INTERVAL).await;
+        node.clock.sleep(interval).await;
+        interval = STORE_INTERVAL;
         if !node.reads_platform(node.clock.now()) && node.peer_counts.lock().is_empty() {
             continue;
         }
         while !flush_counts(&node, &*log).await {
             wait_for_return(&node).await;
+            interval = SECOND_STORE_DELAY;
         }
     }
 }
@@ -48,6 +54,7 @@
 
 /// Stores the usage counts that changed since the last call; false if they have to be stored again.
 pub(super) async fn flush_counts(node: &Node, log: &dyn SharedLog) -> bool {
+    node.note_count_keeper(node.incarnation);
     let mut records = node.take_counts();
     records.append(&mut node.peer_counts.lock());
     if records.is_empty() {
--- a/crates/relay/src/process/duty_worker.rs
+++ b/crates/relay/src/process/duty_worker.rs
@@ -132,9 +132,7 @@
                 log::info!(holder = holder; "duties lost");
             }
         }
-        let now = self.node.clock.now();
-        self.planner.reset(now);
-        self.usage.reset(now);
+        self.planner.reset(self.node.clock.now());
     }
 
     /// Reads the lease's topic to its end; false if the read fails.
--- a/crates/relay/src/process/lifecycle.rs
+++ b/crates/relay/src/process/lifecycle.rs
@@ -98,6 +98,11 @@
         self.stop.lock().is_some()
     }
 
+    /// Whether the shutdown has begun and no request is open.
+    pub(crate) fn has_drained(&self) -> bool {
+        self.is_stopping() && self.closing_idle.load(SeqCst) && self.requests() == 0
+    }
+
     /// Closes idle connections, and from now on each connection that becomes idle.
     pub(crate) fn close_idle(&self) {
         self.closing_idle.store(true, SeqCst);
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -1,7 +1,7 @@
 //! State that all tasks of the process share.
 //!
-//! Lock order: config, registry, sent_loads, placers, retry_budgets, peers, window_counter, history,
-//! freshness.
+//! Lock order: config, registry, sent_loads, placers, retry_budgets, peers, count_keeper,
+//! window_counter, history, freshness.
 //! No lock is held across an await.
 
 use {
@@ -52,6 +52,8 @@
     /// Sequence number of the next gossip message.
     pub(crate) gossip_seq: AtomicU64,
     pub(crate) window_counter: Mutex<WindowCounter>,
+    /// The process that last took this VM's usage counts to store them.
+    count_keeper: Mutex<Option<Incarnation>>,
     /// Usage counts of VMs that read through this one, to be stored.
     pub(crate) peer_counts: Mutex<Vec<WindowCountRecord>>,
     /// Changes of the registry, for VMs that read through this one.
@@ -92,6 +94,7 @@
             sent_loads: Mutex::default(),
             gossip_seq: AtomicU64::new(1),
             window_counter: Mutex::default(),
+            count_keeper: Mutex::default(),
             peer_counts: Mutex::default(),
             history: Mutex::default(),
             changed: Event::new(),
@@ -156,16 +159,27 @@
         let unix = self.wall_clock.unix(self.clock.now());
         let current = window_at(unix, self.settings.bounds.usage_window);
         let changed = self.window_counter.lock().take_changed(current);
+        let stopped = self.lifecycle.has_drained();
         let record = |changed: WindowCounts| WindowCountRecord {
             vm: self.settings.vm.clone(),
             incarnation: self.incarnation,
             window: changed.window,
             counts: changed.counts,
             complete: changed.complete,
+            stopped,
         };
         changed.into_iter().map(record).collect()
     }
 
+    /// Notes which process has taken this VM's usage counts. If it is another one than before, that
+    /// one may have ended without storing what it had, so the latest windows are published again.
+    pub(crate) fn note_count_keeper(&self, keeper: Incarnation) {
+        let last = self.count_keeper.lock().replace(keeper);
+        if last.is_some_and(|last| last != keeper) {
+            self.window_counter.lock().mark_recent();
+        }
+    }
+
     /// Whether the VM is ready for callers: it isn't shutting down and knows a configuration and
     /// endpoints.
     pub(crate) fn is_ready(&self) -> bool {
--- a/crates/relay/src/process/state_sync.rs
+++ b/crates/relay/src/process/state_sync.rs
@@ -322,13 +322,16 @@
     };
     let limits = (MAX_WAIT + RESPONSE_TIMEOUT, MAX_RESPONSE);
     let reply = call(&*node.clock, &node.pool, addr, (head, &body), limits).await;
-    let response = match reply {
+    let response: Result<StateResponse, String> = match reply {
         Ok(reply) if reply.head.status == 200 => {
             rmp_serde::from_slice(&reply.body).map_err(|e| e.to_string())
         }
         Ok(reply) => Err(format!("status {}", reply.head.status)),
         Err(e) => Err(e.to_string()),
     };
+    if let (Ok(response), true) = (&response, waits) {
+        node.note_count_keeper(response.inc);
+    }
     if response.is_err() {
         let mut window_counter = node.window_counter.lock();
         windows
--- a/crates/relay/src/process/usage_reporter.rs
+++ b/crates/relay/src/process/usage_reporter.rs
@@ -28,8 +28,8 @@
     next_offset: u64,
     /// The latest windows that this VM has reported.
     reported: BTreeSet<u64>,
-    /// Since when the platform has been readable without a failure.
-    readable_since: Instant,
+    /// When counts could last not be read.
+    last_failure: Instant,
     last_look: Instant,
 }
 
@@ -40,7 +40,7 @@
         duty_api: Arc<dyn DutyApi>,
     ) -> Self {
         Self {
-            readable_since: node.clock.now(),
+            last_failure: Instant::default(),
             node,
             log,
             duty_api,
@@ -51,12 +51,6 @@
         }
     }
 
-    /// Starts over at `now`; for a change of the duty holder, which may follow an outage.
-    pub(super) fn reset(&mut self, now: Instant) {
-        self.readable_since = now;
-        self.last_look = Instant::default();
-    }
-
     /// The ended windows that this VM has not reported, oldest first.
     pub(super) fn open_windows(&self) -> Vec<u64> {
         let now = self.node.clock.now();
@@ -75,15 +69,20 @@
         }
         self.last_look = self.node.clock.now();
         if !self.read_counts().await {
-            self.readable_since = self.node.clock.now();
+            self.last_failure = self.node.clock.now();
             return None;
         }
         let missing = self.totals.missing(window);
         if !missing.is_empty() {
-            if !timing.is_overdue(self.node.clock.now()) {
+            let now = self.node.clock.now();
+            let peers = self.node.peers.lock();
+            let awaited = missing.iter().any(|(vm, inc)| peers.is_live(now, vm, *inc));
+            drop(peers);
+            if !timing.is_overdue(now, awaited) {
                 return None;
             }
-            let vms: Vec<_> = missing.iter().take(MAX_LOGGED_VMS).collect();
+            let vms = missing.iter().map(|(vm, _)| vm.as_str());
+            let vms: Vec<_> = vms.take(MAX_LOGGED_VMS).collect();
             log::warn!(
                 window = window, missing = missing.len(), vms:? = vms,
                 ended_ms = timing.ended.as_millis() as u64;
@@ -101,10 +100,12 @@
         let length = bounds.usage_window.as_nanos();
         let end = u128::from(window.saturating_add(1)).saturating_mul(length);
         let ended = unix.as_nanos().saturating_sub(end);
+        let reads = self.node.freshness.lock().endpoints_span();
+        let readable_since = reads.map_or(self.last_failure, |span| span.first);
         SealTiming {
             ended: Duration::from_nanos(u64::try_from(ended).unwrap_or(u64::MAX)),
             due: bounds.report_due,
-            readable_since: self.readable_since,
+            readable_since: readable_since.max(self.last_failure),
             last_look: self.last_look,
         }
     }
--- a/crates/usage/src/seal_timing.rs
+++ b/crates/usage/src/seal_timing.rs
@@ -15,7 +15,7 @@
 const REPORT_MARGIN: Duration = Duration::from_millis(2_000);
 /// Time after the platform's return in which VMs store the counts that an outage held back. It
 /// counts before the due time: late figures are better than wrong ones.
-const SETTLE_TIME: Duration = Duration::from_millis(2_500);
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
 /// Times of one window.
 #[derive(Debug, Clone, Copy)]
@@ -37,9 +37,10 @@
         self.ended >= FIRST_LOOK && !looked
     }
 
-    /// Whether the window is sealed although the counts of some VMs are missing.
-    pub fn is_overdue(&self, now: Instant) -> bool {
-        self.ended >= self.due.saturating_sub(REPORT_MARGIN)
-            && now.since(self.readable_since) >= SETTLE_TIME
+    /// Whether the window is sealed although the counts of some VMs are missing. `awaited` tells
+    /// whether any of them is alive.
+    pub fn is_overdue(&self, now: Instant, awaited: bool) -> bool {
+        let settled = now.since(self.readable_since) >= SETTLE_TIME;
+        self.ended >= self.due.saturating_sub(REPORT_MARGIN) && (settled || !awaited)
     }
 }
--- a/crates/usage/src/window_counter.rs
+++ b/crates/usage/src/window_counter.rs
@@ -13,6 +13,9 @@
 /// Windows that are kept after their end; more than are ever due at once.
 const KEPT_WINDOWS: u64 = 12;
 
+/// Ended windows that are published again when the process that stores them changes.
+const REPEATED_WINDOWS: u64 = 4;
+
 /// Returns the number of the window that contains the Unix time `unix`.
 pub fn window_at(unix: Duration, length: Duration) -> u64 {
     let number = unix.as_nanos() / length.as_nanos().max(1);
@@ -34,6 +37,9 @@
     /// Whether the window had ended, so that the counts are final.
     #[serde(default)]
     pub complete: bool,
+    /// Whether the process has stopped and counts nothing more.
+    #[serde(default)]
+    pub stopped: bool,
 }
 
 /// The counts of a window, to be published.
@@ -84,6 +90,15 @@
         counts.collect()
     }
 
+    /// Marks the latest windows as changed again, because those that were published may not have
+    /// been stored.
+    pub fn mark_recent(&mut self) {
+        if let Some(current) = self.current {
+            self.changed
+                .extend(current.saturating_sub(REPEATED_WINDOWS)..=current);
+        }
+    }
+
     /// Marks a window as changed again after its record could not be stored.
     pub fn mark_changed(&mut self, window: u64) {
         self.changed.insert(window);
@@ -95,6 +110,7 @@
 struct Row {
     counts: BTreeMap<OrgId, u64>,
     complete: bool,
+    stopped: bool,
 }
 
 /// Collects the counts of all processes.
@@ -112,9 +128,11 @@
             window,
             counts,
             complete,
+            stopped,
         } = record;
         let row = self.rows.entry((window, vm, incarnation)).or_default();
         row.complete |= complete;
+        row.stopped |= stopped;
         for (org, count) in counts {
             let current = row.counts.entry(org).or_default();
             *current = count.max(*current);
@@ -133,20 +151,26 @@
         sum
     }
 
-    /// The VMs whose final counts of a window are not known: those with counts in it or in the one
-    /// before. One that ended meanwhile is among them as well.
-    pub fn missing(&self, window: u64) -> BTreeSet<VmId> {
+    /// The processes whose final counts of a window are not known: those with counts in it or in the one
+    /// before, unless they have stopped or restarted. One that died is among them.
+    pub fn missing(&self, window: u64) -> BTreeSet<(VmId, Incarnation)> {
         let known = self
             .rows
             .keys()
             .filter(|(w, _, _)| *w <= window && *w + 1 >= window);
-        let is_missing = |(_, vm, incarnation): &&(u64, VmId, Incarnation)| {
+        let is_missing = |(w, vm, incarnation): &&(u64, VmId, Incarnation)| {
             let row = self.rows.get(&(window, vm.clone(), *incarnation));
-            row.is_none_or(|r| !r.complete)
+            let before = self.rows.get(&(*w, vm.clone(), *incarnation));
+            let is_complete = row.is_some_and(|r| r.complete || r.stopped);
+            let has_stopped = before.is_some_and(|r| r.stopped);
+            !is_complete && !has_stopped && !self.has_restarted(vm, *incarnation)
         };
-        known
-            .filter(is_missing)
-            .map(|(_, vm, _)| vm.clone())
-            .collect()
+        let missing = known.filter(is_missing);
+        missing.map(|(_, vm, inc)| (vm.clone(), *inc)).collect()
+    }
+
+    fn has_restarted(&self, vm: &VmId, incarnation: Incarnation) -> bool {
+        let mut rows = self.rows.keys();
+        rows.any(|(_, other, inc)| other == vm && *inc > incarnation)
     }
 }
--- a/crates/usage/tests/window_counts.rs
+++ b/crates/usage/tests/window_counts.rs
@@ -27,6 +27,7 @@
                 window: changed.window,
                 counts: changed.counts,
                 complete: changed.complete,
+                stopped: false,
             });
         }
     };
@@ -74,6 +75,43 @@
     assert_eq!(counter.take_changed(7).len(), 1);
 }
 
+/// Counts were lost with the VM that had taken them to store them.
+#[test]
+fn latest_windows_are_published_again_when_another_process_stores_them() {
+    let mut counter = WindowCounter::default();
+    counter.count(7, &org(1));
+    assert_eq!(counter.take_changed(7).len(), 1);
+    counter.mark_recent();
+    let again = counter.take_changed(8);
+    let seven = again.iter().find(|c| c.window == 7).unwrap();
+    assert_eq!(seven.counts.get(&org(1)), Some(&1));
+    assert!(seven.complete);
+}
+
+/// A VM that had stopped or restarted held up all windows after it.
+#[test]
+fn processes_that_ended_are_not_waited_for() {
+    let record = |incarnation, window, complete, stopped| WindowCountRecord {
+        vm: "vm-1".parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        window,
+        counts: BTreeMap::new(),
+        complete,
+        stopped,
+    };
+    let mut totals = WindowTotals::default();
+    totals.fold(record(1, 7, false, false));
+    assert_eq!(totals.missing(7).len(), 1);
+    assert_eq!(totals.missing(8).len(), 1);
+    totals.fold(record(1, 7, false, true));
+    assert!(totals.missing(7).is_empty());
+    assert!(totals.missing(8).is_empty());
+    totals.fold(record(2, 8, false, false));
+    assert_eq!(totals.missing(8).len(), 1);
+    totals.fold(record(3, 8, true, false));
+    assert!(totals.missing(8).is_empty());
+}
+
 #[test]
 fn windows_start_at_multiples_of_their_length() {
     let length = Duration::from_secs(5);
--- a/crates/usage/tests/window_sealing.rs
+++ b/crates/usage/tests/window_sealing.rs
@@ -86,6 +86,7 @@
             window: c.window,
             counts: c.counts,
             complete: c.complete,
+            stopped: false,
         };
         vm.unstored.extend(changed.into_iter().map(record));
         let answered = self.rng.f64() >= LOST_ANSWERS;
@@ -143,7 +144,7 @@
             }
             self.log.drain(read..).for_each(|r| totals.fold(r));
             read = self.log.len();
-            if totals.missing(window).is_empty() || timing.is_overdue(instant(now)) {
+            if totals.missing(window).is_empty() || timing.is_overdue(instant(now), true) {
                 last_look = Instant::default();
                 let total = totals.total(window).values().sum();
                 self.sealed.insert(window, (total, ended));
