Place by the share of requests that an endpoint refuses, which VMs tell each other

Cause: an endpoint that refused was dearer for 150 ms and then equal; its queue was short, as it ran nothing, so it attracted; and each VM found out alone.

Each VM keeps the decayed numbers of answered and refused sends to an endpoint (two seconds). They are part of the loads that VMs tell each other and hubs add up, so no datagram is new; a load summary has 18 endpoints a packet instead of 24. The expected share of refusals is a cost, and engines that refuse 0.4 or more are not preferred by sessions. Memory that fades sends a few real requests there, which find out that it works again.

--- a/crates/relay/src/peers/load_summary.rs
+++ b/crates/relay/src/peers/load_summary.rs
@@ -9,7 +9,7 @@
 /// First byte of an encoded summary; MessagePack never uses it, so no gossip message begins with it.
 const MARKER: u8 = 0xc1;
 /// Number of endpoints in one part, so that a part fits into one packet of a common link.
-const ENDPOINTS_PER_PART: usize = 24;
+const ENDPOINTS_PER_PART: usize = 18;
 
 /// The VMs that a summary covers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/relay/src/peers/tests.rs
+++ b/crates/relay/src/peers/tests.rs
@@ -4,7 +4,7 @@
     super::{FleetRoster, GossipMessage, LoadSummary, MessageParts, PeerTable, Scope},
     clock::Instant,
     fastrand::Rng,
-    route::Load,
+    route::{Load, Outcomes},
     std::{
         collections::{BTreeMap, VecDeque},
         net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -352,6 +352,10 @@
         pause_sensitive: 200,
         pending_prefill: vec![100_000; 6].into(),
         memory: 5_000_000,
+        outcomes: Outcomes {
+            sends: 100_000,
+            refusals: 100_000,
+        },
     };
     let loads = (0..240).map(|at| (format!("i-4f5d7901{at:02x}").parse().unwrap(), load));
     let summary = LoadSummary {
--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -259,7 +259,7 @@
     let rates = rates
         .map(|(id, p)| (id.clone(), p.prompt_rate(now)))
         .collect();
-    let loads = placers.values().flat_map(|p| p.own_loads());
+    let loads = placers.values().flat_map(|p| p.own_loads(now));
     let loads = loads.map(|(id, load)| (id.clone(), load)).collect();
     SentLoads { loads, rates }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -21,8 +21,8 @@
     notice::{FleetRank, LimitNotice, Notice, NoticeTable, Restriction},
     picker::{Candidate, LoadReport, Picker, RequestOutcome, Requirements},
     placement::{
-        EndpointSpec, EngineProfile, Load, PeerLoad, PendingPrefill, Placement, PlacementOutcome,
-        PlacementRequest, Placer, Reporter,
+        EndpointSpec, EngineProfile, Load, Outcomes, PeerLoad, PendingPrefill, Placement,
+        PlacementOutcome, PlacementRequest, Placer, Reporter,
     },
     prompt::Prompt,
     round_robin::RoundRobin,
--- a/crates/route/src/placement/cost.rs
+++ b/crates/route/src/placement/cost.rs
@@ -52,6 +52,11 @@
 const WORK_COST: f64 = 0.03;
 /// Cost of an endpoint that has just refused a request because it was full.
 const FULL_COST: f64 = 1.0;
+/// Cost of an endpoint that refuses all requests, less for one that refuses a part: most callers of
+/// a refused request are refused as well, as repeats are limited.
+const REFUSAL_COST: f64 = 1.0;
+/// Expected share of refusals from which sessions prefer other engines.
+const MAX_PREFERRED_REFUSALS: f64 = 0.4;
 /// Cost of an unhealthy endpoint, which is chosen only as a last resort.
 const UNHEALTHY_COST: f64 = 100.0;
 /// Cost per request in excess of an engine's slots, which waits for another to end.
@@ -118,7 +123,10 @@
         context.pause_sensitive = is_pause_sensitive(profile, request);
         let preference_order = match request.prompt.map(crate::Prompt::shared_tokens) {
             Some(tokens) if tokens >= MIN_SHARED_TOKENS => {
-                preference_order(healthy(), request, &context)
+                let takes_most = |e: &&TrackedEndpoint| {
+                    total_load(e, now).outcomes.refusal_share() < MAX_PREFERRED_REFUSALS
+                };
+                preference_order(healthy().filter(takes_most), request, &context)
             }
             _ => Vec::new(),
         };
@@ -176,7 +184,7 @@
 
 pub(super) fn total_load(entry: &TrackedEndpoint, now: Instant) -> Load {
     let mut total = entry.peer_loads.sum(now);
-    total.add(entry.own_load);
+    total.add(entry.reported_load(now));
     total
 }
 
@@ -189,6 +197,7 @@
     context: &PlacementContext,
 ) -> (f64, Placement) {
     let total = total_load(entry, now);
+    let refusals = total.outcomes.refusal_share();
     let (mut cost, placement) = match (&placer.profile, request.prompt) {
         (Some(profile), Some(_)) => engine_cost(profile, now, request, entry, (total, context)),
         _ => service_cost(request, entry, (total, context)),
@@ -197,6 +206,7 @@
     if entry.spec.zone != *request.zone {
         cost += CROSS_ZONE_COST;
     }
+    cost += REFUSAL_COST * refusals;
     if entry.full_until > now {
         cost += FULL_COST;
     }
--- a/crates/route/src/placement/load.rs
+++ b/crates/route/src/placement/load.rs
@@ -1,7 +1,7 @@
 //! Load of an endpoint: this VM's own requests, and those reported by other VMs.
 
 use {
-    super::PendingPrefill,
+    super::{Outcomes, PendingPrefill},
     clock::Instant,
     serde::{Deserialize, Serialize},
     std::collections::HashMap,
@@ -34,6 +34,9 @@
     pub pending_prefill: PendingPrefill,
     /// KV cache memory of the requests, in tokens.
     pub memory: u64,
+    /// Outcomes of the latest sends.
+    #[serde(default)]
+    pub outcomes: Outcomes,
 }
 
 impl Load {
@@ -43,6 +46,7 @@
         self.pause_sensitive += other.pause_sensitive;
         self.pending_prefill.add(other.pending_prefill);
         self.memory += other.memory;
+        self.outcomes.add(other.outcomes);
     }
 
     /// Subtracts a load; no amount falls below zero.
@@ -51,6 +55,7 @@
         self.pause_sensitive = self.pause_sensitive.saturating_sub(other.pause_sensitive);
         self.pending_prefill.sub(other.pending_prefill);
         self.memory = self.memory.saturating_sub(other.memory);
+        self.outcomes.sub(other.outcomes);
     }
 }
 
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -9,6 +9,7 @@
 mod cost;
 mod health;
 mod load;
+mod outcomes;
 mod pending_prefill;
 mod placer;
 mod profile;
@@ -17,6 +18,7 @@
 
 pub use {
     load::{Load, PeerLoad, Reporter},
+    outcomes::Outcomes,
     pending_prefill::PendingPrefill,
     placer::{EndpointSpec, Placement, PlacementOutcome, PlacementRequest, Placer},
     profile::EngineProfile,
--- a/crates/route/src/placement/placer.rs
+++ b/crates/route/src/placement/placer.rs
@@ -7,6 +7,7 @@
         cost,
         health::Health,
         load::{Load, PeerLoad, PeerLoads, Reporter},
+        outcomes::RecentOutcomes,
         profile::EngineProfile,
         rate_meter::RateMeter,
     },
@@ -96,6 +97,8 @@
     pub(super) own_load: Load,
     pub(super) peer_loads: PeerLoads,
     pub(super) health: Health,
+    /// Outcomes of this VM's latest sends.
+    pub(super) outcomes: RecentOutcomes,
     pub(super) cached_parts: CachedParts,
     /// Mean time to the first token or the response, in milliseconds; 0 until measured.
     pub(super) latency_ms: f64,
@@ -115,6 +118,14 @@
 }
 
 impl TrackedEndpoint {
+    /// The load of this VM, to be told to others.
+    pub(super) fn reported_load(&self, now: Instant) -> Load {
+        Load {
+            outcomes: self.outcomes.at(now),
+            ..self.own_load
+        }
+    }
+
     /// Whether it takes a request now.
     pub(super) fn accepts(&self, now: Instant) -> bool {
         self.is_open(now) && self.limiter.is_none_or(|l| l.own.is_ready(now))
@@ -199,6 +210,7 @@
                 own_load: Load::default(),
                 peer_loads: PeerLoads::default(),
                 health: Health::default(),
+                outcomes: RecentOutcomes::default(),
                 cached_parts: CachedParts::default(),
                 latency_ms: 0.0,
                 full_until: Instant::default(),
@@ -209,6 +221,7 @@
             entry.cached_parts.clear();
             entry.cold_since = now;
             entry.health = Health::default();
+            entry.outcomes = RecentOutcomes::default();
             entry.closed_until = Instant::default();
             entry.limiter = None;
         }
@@ -336,6 +349,7 @@
             return;
         };
         entry.health.record_activity(now);
+        entry.outcomes.record(now, false);
         let prefilled = Load {
             pending_prefill: placement.load.pending_prefill,
             ..Load::default()
@@ -368,7 +382,10 @@
         match outcome {
             PlacementOutcome::Completed => entry.health.record_result(true),
             PlacementOutcome::Failed => entry.health.record_result(false),
-            PlacementOutcome::Refused => entry.full_until = now + FULL_BACKOFF,
+            PlacementOutcome::Refused => {
+                entry.full_until = now + FULL_BACKOFF;
+                entry.outcomes.record(now, true);
+            }
             PlacementOutcome::Unreachable => entry.health.back_off(now),
             PlacementOutcome::Cancelled if entry.health.is_silent(now) => {
                 entry.health.back_off(now);
@@ -417,19 +434,17 @@
     ) -> Vec<(EndpointId, Load)> {
         let sums = self.endpoints.iter().map(|(id, entry)| {
             let mut sum = entry.peer_loads.sum_of(now, &matches);
-            sum.add(entry.own_load);
+            sum.add(entry.reported_load(now));
             (id.clone(), sum)
         });
         sums.filter(|(_, sum)| *sum != Load::default()).collect()
     }
 
     /// This VM's load by endpoint, to be reported to other VMs.
-    pub fn own_loads(&self) -> impl Iterator<Item = (&EndpointId, Load)> {
-        let endpoints = self
-            .endpoints
-            .iter()
-            .filter(|(_, e)| e.own_load.in_flight > 0);
-        endpoints.map(|(id, e)| (id, e.own_load))
+    pub fn own_loads(&self, now: Instant) -> impl Iterator<Item = (&EndpointId, Load)> {
+        let loads = self.endpoints.iter();
+        let loads = loads.map(move |(id, e)| (id, e.reported_load(now)));
+        loads.filter(|(_, load)| *load != Load::default())
     }
 
     /// Requests in flight at all endpoints, of this VM and the others.
--- a/crates/route/tests/placement_fleet.rs
+++ b/crates/route/tests/placement_fleet.rs
@@ -65,6 +65,7 @@
                 pause_sensitive: 6,
                 pending_prefill: PendingPrefill::default(),
                 memory: 6_000,
+                ..Load::default()
             };
             let until = start() + Duration::from_secs(3);
             placer.set_peer_load(&peer, &id(&format!("e{at}")), PeerLoad { load, until });
