Tell refused callers to come back later, the more of all requests are refused

Cause: the time didn't depend on the chance to be served.

It is now the share of the service's latest sends that were refused, known from all VMs, of the longest time that a caller waits, a third of what it has left, spread by 0.6 to 1; at least 0.4 s as before. With few refusals nothing changes.

--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -23,6 +23,10 @@
 const ASSUMED_VMS: u32 = 8;
 /// `Retry-After` for a request that no endpoint could take: about the time of one request.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Share of the time that a caller has left after which it may still come back and be served.
+const MAX_RETURN_SHARE: f64 = 1.0 / 3.0;
+/// Smallest part of the longest wait that a refused caller is told, so that callers return spread.
+const MIN_RETURN_JITTER: f64 = 0.6;
 /// Range of the random share by which callers come back later than the first endpoint does, so that
 /// they don't all return at once.
 const BUSY_JITTER: f64 = 0.5;
@@ -276,11 +280,10 @@
             let retry_after = placers
                 .get_mut(&request.service)
                 .and_then(|p| p.schedule_return(now));
+            drop(placers);
             return Err(match retry_after {
                 Some(wait) => request.all_busy(wait.mul_f64(1.0 + fastrand::f64() * BUSY_JITTER)),
-                None => request
-                    .unavailable("no endpoint is listed")
-                    .retry_if_not_run(),
+                None => self.failure_refusal(request, "no other endpoint is listed"),
             });
         };
         request.record_forecast(&placement);
@@ -318,9 +321,22 @@
         placer.is_some_and(|p| p.is_silent(self.clock.now(), id))
     }
 
-    /// The refusal of a request whose last attempt failed with `cause`.
+    /// The refusal of a request whose last attempt failed with `cause`. The more of all requests the
+    /// endpoints refuse, the later the caller may come back: it would only be refused again.
     pub(crate) fn failure_refusal(&self, request: &RoutedRequest, cause: &'static str) -> Refusal {
-        request.unavailable(cause).retry_if_not_run()
+        let refusal = request.unavailable(cause).retry_if_not_run();
+        let Some(retry_after) = refusal.retry_after else {
+            return refusal;
+        };
+        let now = self.clock.now();
+        let share = {
+            let placers = self.placers.lock();
+            let placer = placers.get(&request.service);
+            placer.map_or(0.0, |p| p.refusal_share(now))
+        };
+        let longest = request.deadline.since(now).mul_f64(MAX_RETURN_SHARE);
+        let jitter = MIN_RETURN_JITTER + (1.0 - MIN_RETURN_JITTER) * fastrand::f64();
+        refusal.with_retry_after(retry_after.max(longest.mul_f64(share * jitter)))
     }
 
     /// Counts a request, which earns a part of a retry in its service's retry budget.
--- a/crates/relay/tests/closed_endpoints.rs
+++ b/crates/relay/tests/closed_endpoints.rs
@@ -183,7 +183,28 @@
     let response = router.exchange(&request());
     assert!(response.starts_with("HTTP/1.1 503"), "{response}");
     assert_eq!(busy.count(), 1);
-    let line = response.lines().find(|l| l.starts_with("Retry-After"));
-    let seconds: f64 = line.unwrap()["Retry-After: ".len()..].parse().unwrap();
+    let seconds = retry_after(&response);
     assert!((8.0..=15.0).contains(&seconds), "{response}");
 }
+
+/// Callers were told to come back in 0.4 s however many of them were refused again.
+#[test]
+fn callers_return_later_while_endpoints_refuse_all_requests() {
+    let full = FakeEndpoint::start(|_, _| {
+        let response = "HTTP/1.1 503 Full\r\nid: q1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+        Script::Send(vec![response.into()], Duration::ZERO)
+    });
+    let router = Router::with(RouteKind::Idempotent, vec![endpoint("e1", full.addr)]);
+    let first = retry_after(&router.exchange(&request()));
+    // One refusal is taken for a half, as one send without a refusal is assumed.
+    assert!(first <= 1.0, "{first}");
+    (0..9).for_each(|_| drop(router.exchange(&request())));
+    // Callers wait up to a third of the six seconds that they have.
+    let later = retry_after(&router.exchange(&request()));
+    assert!((1.05..=2.0).contains(&later), "{later}");
+}
+
+fn retry_after(response: &str) -> f64 {
+    let line = response.lines().find(|l| l.starts_with("Retry-After"));
+    line.unwrap()["Retry-After: ".len()..].parse().unwrap()
+}
--- a/crates/route/src/placement/placer.rs
+++ b/crates/route/src/placement/placer.rs
@@ -299,6 +299,14 @@
         Some(self.last_return.since(now))
     }
 
+    /// Share of the latest sends that the endpoints refused, of all VMs.
+    pub fn refusal_share(&self, now: Instant) -> f64 {
+        let mut total = Load::default();
+        let open = self.endpoints.values().filter(|e| e.open);
+        open.for_each(|e| total.add(cost::total_load(e, now)));
+        total.outcomes.refusal_share()
+    }
+
     /// Chooses an endpoint and adds the request to its load.
     pub fn place(&mut self, now: Instant, request: &PlacementRequest<'_>) -> Option<Placement> {
         self.decay_failures(now);
