Split files that had grown: endpoint state, notices, list changes, summaries

The state of one endpoint, its availability and the cache estimate get files of their own in route; changes of the endpoint list, notices, and the sums that a first hub sends get theirs in relay.

--- /dev/null
+++ b/crates/relay/src/process/endpoint_list.rs
@@ -0,0 +1,97 @@
+//! Changes of the endpoint list, applied to the registry and the placers.
+
+use {
+    super::{Node, placement::endpoint_spec},
+    crate::endpoints::{Endpoint, EndpointChange, RegistryChange},
+    types::EndpointId,
+};
+
+impl Node {
+    /// Adds or updates an endpoint.
+    pub(crate) fn upsert_endpoint(&self, endpoint: Endpoint) {
+        let now = self.clock.now();
+        let mut registry = self.registry.lock();
+        let change = registry.upsert(now, endpoint.clone());
+        if change == RegistryChange::None {
+            return;
+        }
+        // A departure that is known from elsewhere overrides an older list.
+        let endpoint = registry.get(&endpoint.id).cloned().unwrap_or(endpoint);
+        log::info!(
+            endpoint:% = endpoint.id, service:% = endpoint.service, zone:% = endpoint.zone,
+            addr:% = endpoint.addr, leaving = endpoint.leaving, cheap = endpoint.cheap, change:? = change;
+            "endpoint listed"
+        );
+        self.record_change(EndpointChange::Listed(endpoint.clone()));
+        let mut placers = self.placers.lock();
+        if let Some(placer) = placers.get_mut(&endpoint.service) {
+            if endpoint.leaving {
+                placer.remove_endpoint(&endpoint.id);
+            } else {
+                placer.upsert_endpoint(now, endpoint_spec(&endpoint));
+                placer.restrict(now, &endpoint.id, registry.restriction(&endpoint.id));
+            }
+        }
+    }
+
+    /// Removes an endpoint that the platform no longer lists, unless it may have lapsed in an
+    /// outage.
+    pub(crate) fn remove_endpoint(&self, id: &EndpointId) {
+        let now = self.clock.now();
+        let mut registry = self.registry.lock();
+        let change = registry.remove(now, id);
+        log::info!(endpoint:% = id, change:? = change; "endpoint removed from the list");
+        if change == RegistryChange::Removed {
+            self.remove_from_placers(std::slice::from_ref(id));
+        }
+    }
+
+    /// Removes an endpoint that the zone's reader has removed.
+    pub(crate) fn remove_endpoint_now(&self, id: &EndpointId) {
+        let mut registry = self.registry.lock();
+        let change = registry.remove_now(id);
+        log::info!(endpoint:% = id, change:? = change; "endpoint removed by the zone's reader");
+        if change == RegistryChange::Removed {
+            self.remove_from_placers(std::slice::from_ref(id));
+        }
+    }
+
+    /// Known endpoints that are absent from `listed`, a complete list.
+    pub(crate) fn absent_endpoints(&self, listed: &[EndpointId]) -> Vec<EndpointId> {
+        self.registry.lock().absent_from(listed)
+    }
+
+    /// Removes lapsed endpoints whose grace period has ended.
+    pub(crate) fn drop_expired(&self) {
+        let now = self.clock.now();
+        let mut registry = self.registry.lock();
+        let expired = registry.expire(now);
+        for id in &expired {
+            log::info!(endpoint:% = id; "lapsed endpoint removed");
+        }
+        self.remove_from_placers(&expired);
+        for id in registry.expire_notices(now) {
+            log::info!(endpoint:% = id; "limit of an endpoint expired");
+            self.restrict(&registry, &id);
+        }
+    }
+
+    pub(super) fn record_change(&self, change: EndpointChange) {
+        self.history.lock().add(change);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Records the removal of endpoints and removes them from the placers. Called with the registry
+    /// locked.
+    fn remove_from_placers(&self, ids: &[EndpointId]) {
+        if ids.is_empty() {
+            return;
+        }
+        ids.iter()
+            .for_each(|id| self.record_change(EndpointChange::Gone(id.clone())));
+        let mut placers = self.placers.lock();
+        for placer in placers.values_mut() {
+            ids.iter().for_each(|id| placer.remove_endpoint(id));
+        }
+    }
+}
--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -1,10 +1,13 @@
 //! Exchange of load and state with the other VMs by UDP.
 
 use {
-    super::Node,
+    super::{
+        Node,
+        summaries::{apply_summary, send_roster, send_summaries},
+    },
     crate::{
         endpoints::ReadAges,
-        peers::{FleetRoster, GossipMessage, LoadSummary, MessageParts, PEER_TIMEOUT, Scope},
+        peers::{FleetRoster, GossipMessage, LoadSummary, MessageParts, PEER_TIMEOUT},
     },
     async_io::Async,
     clock::Instant,
@@ -14,19 +17,15 @@
         io,
         net::{SocketAddr, UdpSocket},
         sync::{Arc, atomic::Ordering::SeqCst},
-        time::Duration,
     },
     types::{EndpointId, PerSecond, ServiceId, Version},
 };
 
 /// Largest datagram that is sent; fits into one packet of a common link.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
-/// Time for which a summary counts: three rounds of a hub.
-const SUMMARY_TIMEOUT: Duration = Duration::from_millis(1_200);
-
 /// Why a datagram is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum DatagramKind {
+pub(super) enum DatagramKind {
     /// A message of a regular round.
     Round,
     /// The reply to a VM that asks for the addresses of hubs.
@@ -51,8 +50,8 @@
 /// The loads and rates that this VM last sent to its hub; its summaries contain them.
 #[derive(Debug, Default)]
 pub(crate) struct SentLoads {
-    loads: BTreeMap<EndpointId, Load>,
-    rates: BTreeMap<ServiceId, u64>,
+    pub(super) loads: BTreeMap<EndpointId, Load>,
+    pub(super) rates: BTreeMap<ServiceId, u64>,
 }
 
 /// Sends gossip to the other VMs until it is dropped.
@@ -103,7 +102,12 @@
     }
 }
 
-async fn send(socket: &Async<UdpSocket>, addr: SocketAddr, bytes: &[u8], kind: DatagramKind) {
+pub(super) async fn send(
+    socket: &Async<UdpSocket>,
+    addr: SocketAddr,
+    bytes: &[u8],
+    kind: DatagramKind,
+) {
     let kind = kind.as_str();
     metrics::counter!("celerystage_gossip_datagrams_total", "kind" => kind).increment(1);
     metrics::counter!("celerystage_gossip_bytes_total", "kind" => kind)
@@ -113,79 +117,6 @@
     }
 }
 
-/// Sends the sum over this zone to the hubs of the other zones, and the sum over the fleet to the
-/// VMs of this zone.
-async fn send_summaries(node: &Node, socket: &Async<UdpSocket>) {
-    let now = node.clock.now();
-    let (hubs, members) = node.peers.lock().summary_targets(now);
-    for (scope, addrs) in [(Scope::Zone, hubs), (Scope::Fleet, members)] {
-        let parts = match summarize(node, now, scope).encode() {
-            Ok(parts) => parts,
-            Err(e) => {
-                log::error!(error:% = e; "cannot encode a load summary");
-                return;
-            }
-        };
-        for addr in addrs {
-            for part in &parts {
-                send(socket, addr, part, DatagramKind::Summary).await;
-            }
-        }
-    }
-}
-
-/// Sends the order of the fleet's VMs to the VMs of this zone, while endpoints name limits.
-async fn send_roster(node: &Node, socket: &Async<UdpSocket>) {
-    if !node.registry.lock().has_limits() {
-        return;
-    }
-    let now = node.clock.now();
-    let (roster, (_, members)) = {
-        let peers = node.peers.lock();
-        (peers.roster(now), peers.summary_targets(now))
-    };
-    let bytes = match roster.encode() {
-        Ok(bytes) => bytes,
-        Err(e) => {
-            log::error!(error:% = e; "cannot encode a roster");
-            return;
-        }
-    };
-    for addr in members {
-        send(socket, addr, &bytes, DatagramKind::Roster).await;
-    }
-}
-
-fn summarize(node: &Node, now: Instant, scope: Scope) -> LoadSummary {
-    let matches = |reporter: &Reporter| match (scope, reporter) {
-        (_, Reporter::Vm(_)) | (Scope::Fleet, Reporter::Zone(_)) => true,
-        (Scope::Zone, Reporter::Zone(_)) | (_, Reporter::Fleet) => false,
-    };
-    let mut placers = node.placers.lock();
-    let loads = placers.values().flat_map(|p| p.summed_loads(now, matches));
-    let loads = loads.collect();
-    let rates = placers.iter_mut();
-    let rates = rates
-        .map(|(id, p)| (id.clone(), p.summed_rate(now, matches)))
-        .collect();
-    let mut peers = node.peers.lock();
-    let vms = match scope {
-        Scope::Zone => peers.own_zone_vms(now),
-        Scope::Fleet => peers.summed_vms(now),
-    };
-    if scope == Scope::Fleet {
-        peers.set_fleet_vms(now, vms);
-    }
-    LoadSummary {
-        vm: node.settings.vm.clone(),
-        zone: node.settings.zone.clone(),
-        scope,
-        vms,
-        loads,
-        rates,
-    }
-}
-
 /// Encodes the state of this VM with the given parts, and tells the loads and rates in it. `reply`
 /// are the addresses for a VM that asked for them. The smallest loads are left out if the datagram
 /// would be too large.
@@ -372,47 +303,3 @@
         }
     }
 }
-
-/// Applies the summary of a hub to the peer table and the placers.
-fn apply_summary(node: &Node, summary: &LoadSummary) {
-    let now = node.clock.now();
-    let own_zone = summary.zone == node.settings.zone;
-    let reporter = {
-        let mut peers = node.peers.lock();
-        let is_first_hub = peers.is_first_hub(now);
-        match summary.scope {
-            Scope::Fleet if own_zone && !is_first_hub => {
-                if peers.set_fleet_vms(now, summary.vms) {
-                    drop(peers);
-                    node.set_budget_reserves(summary.vms);
-                }
-                Reporter::Fleet
-            }
-            Scope::Zone if !own_zone && is_first_hub => {
-                peers.set_zone_vms(now, &summary.zone, summary.vms);
-                Reporter::Zone(summary.zone.clone())
-            }
-            Scope::Fleet | Scope::Zone => return,
-        }
-    };
-    let until = now + SUMMARY_TIMEOUT;
-    let sent = node.sent_loads.lock();
-    let is_fleet = reporter == Reporter::Fleet;
-    let mut placers = node.placers.lock();
-    for (service, rate) in &summary.rates {
-        let own = sent.rates.get(service).filter(|_| is_fleet);
-        if let Some(placer) = placers.get_mut(service) {
-            let others = rate.saturating_sub(own.copied().unwrap_or_default());
-            placer.set_peer_rate(&reporter, others, until);
-        }
-    }
-    for (id, load) in &summary.loads {
-        let mut load = *load;
-        if let Some(own) = sent.loads.get(id).filter(|_| is_fleet) {
-            load.sub(*own);
-        }
-        for placer in placers.values_mut() {
-            placer.set_peer_load(&reporter, id, PeerLoad { load, until });
-        }
-    }
-}
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -4,15 +4,18 @@
 mod capacity_planner;
 mod count_store;
 mod duty_worker;
+mod endpoint_list;
 mod feed_reader;
 mod gossip;
 mod lifecycle;
 mod node;
+mod notices;
 mod other_zone;
 mod placement;
 mod run;
 mod shutdown;
 mod state_sync;
+mod summaries;
 mod usage_reporter;
 mod wall_clock;
 
--- /dev/null
+++ b/crates/relay/src/process/notices.rs
@@ -0,0 +1,93 @@
+//! What endpoints say of themselves, to this VM or to others.
+
+use {
+    super::Node,
+    crate::{
+        adapter::ResponseHeaders,
+        endpoints::{EndpointChange, Registry, RegistryChange},
+        request::{RoutedRequest, SlotLease},
+    },
+    route::LimitNotice,
+    types::{EndpointId, PerSecond},
+};
+
+impl Node {
+    /// Closes an endpoint whose response, to this VM or to another, said that it leaves. Returns
+    /// whether it was open.
+    pub(crate) fn mark_leaving(&self, id: &EndpointId, born: u64) -> bool {
+        let mut registry = self.registry.lock();
+        let change = registry.mark_leaving(self.clock.now(), id, born);
+        if change != RegistryChange::Leaving {
+            return false;
+        }
+        if let Some(endpoint) = registry.get(id).cloned() {
+            let mut placers = self.placers.lock();
+            if let Some(placer) = placers.get_mut(&endpoint.service) {
+                placer.remove_endpoint(id);
+            }
+            drop(placers);
+            self.record_change(EndpointChange::Listed(endpoint));
+        }
+        true
+    }
+
+    /// Applies what a response of an endpoint says of the endpoint itself.
+    pub(crate) fn note_response(
+        &self,
+        slot: &SlotLease,
+        request: &RoutedRequest,
+        (status, said): (u16, &ResponseHeaders),
+    ) {
+        // The response of another instance at the same address says nothing of this one.
+        if said.misdirected {
+            return;
+        }
+        let id = slot.endpoint();
+        let notice = said.notice;
+        let now = self.clock.now();
+        if notice.leaving && self.mark_leaving(id, slot.born) {
+            log::info!(endpoint:% = id, request:% = request.caller.id, status = status; "endpoint says that it leaves");
+        }
+        if let Some(time) = notice.busy_for {
+            let mut registry = self.registry.lock();
+            registry.close(now, id, slot.born, now + time);
+            self.restrict(&registry, id);
+            log::info!(
+                endpoint:% = id, request:% = request.caller.id, status = status,
+                busy_ms = time.as_millis() as u64;
+                "endpoint refuses requests for a time"
+            );
+        }
+        let mut registry = self.registry.lock();
+        if registry.set_limit(now, (id, slot.born), notice.limit) {
+            self.restrict(&registry, id);
+            log::info!(
+                endpoint:% = id, request:% = request.caller.id, status = status,
+                limit = notice.limit.map_or(-1.0, PerSecond::get);
+                "endpoint changed its limit"
+            );
+        }
+    }
+
+    /// Applies the limit that an endpoint named in a response to another VM. Returns whether the
+    /// known limit changed.
+    pub(crate) fn learn_limit(&self, notice: &LimitNotice) -> bool {
+        let mut registry = self.registry.lock();
+        let changed = registry.learn_limit(self.clock.now(), notice);
+        if changed {
+            self.restrict(&registry, &notice.id);
+        }
+        changed
+    }
+
+    /// Applies what an endpoint has said of itself to its placer.
+    pub(super) fn restrict(&self, registry: &Registry, id: &EndpointId) {
+        let Some(endpoint) = registry.get(id) else {
+            return;
+        };
+        let mut placers = self.placers.lock();
+        if let Some(placer) = placers.get_mut(&endpoint.service) {
+            placer.restrict(self.clock.now(), id, registry.restriction(id));
+        }
+    }
+}
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -1,21 +1,20 @@
-//! Configuration and endpoint changes, and the choice of an endpoint for each request.
+//! Configuration changes, and the choice of an endpoint for each request.
 
 use {
     super::Node,
     crate::{
-        adapter::ResponseHeaders,
         configuration::Config,
-        endpoints::{Endpoint, EndpointChange, Registry, RegistryChange},
+        endpoints::Endpoint,
         request::{RoutedRequest, SlotLease},
     },
     admit::{Forecast, QueueForecast},
     clock::Instant,
     route::{
-        EndpointSpec, EngineProfile, FleetRank, LimitNotice, Placement, PlacementOutcome,
-        PlacementRequest, Placer, SlidingRetryBudget,
+        EndpointSpec, EngineProfile, FleetRank, Placement, PlacementOutcome, PlacementRequest,
+        Placer, SlidingRetryBudget,
     },
     std::{sync::Arc, time::Duration},
-    types::{EndpointId, PerSecond, Reason, Refusal, ServiceId, Verdict},
+    types::{EndpointId, Reason, Refusal, ServiceId, Verdict},
 };
 
 /// Smallest number of VMs that the retry reserve is divided by: at the start not all VMs are known
@@ -71,112 +70,6 @@
         true
     }
 
-    /// Adds or updates an endpoint.
-    pub(crate) fn upsert_endpoint(&self, endpoint: Endpoint) {
-        let now = self.clock.now();
-        let mut registry = self.registry.lock();
-        let change = registry.upsert(now, endpoint.clone());
-        if change == RegistryChange::None {
-            return;
-        }
-        // A departure that is known from elsewhere overrides an older list.
-        let endpoint = registry.get(&endpoint.id).cloned().unwrap_or(endpoint);
-        log::info!(
-            endpoint:% = endpoint.id, service:% = endpoint.service, zone:% = endpoint.zone,
-            addr:% = endpoint.addr, leaving = endpoint.leaving, cheap = endpoint.cheap, change:? = change;
-            "endpoint listed"
-        );
-        self.record_change(EndpointChange::Listed(endpoint.clone()));
-        let mut placers = self.placers.lock();
-        if let Some(placer) = placers.get_mut(&endpoint.service) {
-            if endpoint.leaving {
-                placer.remove_endpoint(&endpoint.id);
-            } else {
-                placer.upsert_endpoint(now, endpoint_spec(&endpoint));
-                placer.restrict(now, &endpoint.id, registry.restriction(&endpoint.id));
-            }
-        }
-    }
-
-    /// Closes an endpoint whose response, to this VM or to another, said that it leaves. Returns
-    /// whether it was open.
-    pub(crate) fn mark_leaving(&self, id: &EndpointId, born: u64) -> bool {
-        let mut registry = self.registry.lock();
-        let change = registry.mark_leaving(self.clock.now(), id, born);
-        if change != RegistryChange::Leaving {
-            return false;
-        }
-        if let Some(endpoint) = registry.get(id).cloned() {
-            let mut placers = self.placers.lock();
-            if let Some(placer) = placers.get_mut(&endpoint.service) {
-                placer.remove_endpoint(id);
-            }
-            drop(placers);
-            self.record_change(EndpointChange::Listed(endpoint));
-        }
-        true
-    }
-
-    /// Applies what a response of an endpoint says of the endpoint itself.
-    pub(crate) fn note_response(
-        &self,
-        slot: &SlotLease,
-        request: &RoutedRequest,
-        (status, said): (u16, &ResponseHeaders),
-    ) {
-        // The response of another instance at the same address says nothing of this one.
-        if said.misdirected {
-            return;
-        }
-        let id = slot.endpoint();
-        let notice = said.notice;
-        let now = self.clock.now();
-        if notice.leaving && self.mark_leaving(id, slot.born) {
-            log::info!(endpoint:% = id, request:% = request.caller.id, status = status; "endpoint says that it leaves");
-        }
-        if let Some(time) = notice.busy_for {
-            let mut registry = self.registry.lock();
-            registry.close(now, id, slot.born, now + time);
-            self.restrict(&registry, id);
-            log::info!(
-                endpoint:% = id, request:% = request.caller.id, status = status,
-                busy_ms = time.as_millis() as u64;
-                "endpoint refuses requests for a time"
-            );
-        }
-        let mut registry = self.registry.lock();
-        if registry.set_limit(now, (id, slot.born), notice.limit) {
-            self.restrict(&registry, id);
-            log::info!(
-                endpoint:% = id, request:% = request.caller.id, status = status,
-                limit = notice.limit.map_or(-1.0, PerSecond::get);
-                "endpoint changed its limit"
-            );
-        }
-    }
-
-    /// Applies the limit that an endpoint named in a response to another VM. Returns whether the
-    /// known limit changed.
-    pub(crate) fn learn_limit(&self, notice: &LimitNotice) -> bool {
-        let mut registry = self.registry.lock();
-        let changed = registry.learn_limit(self.clock.now(), notice);
-        if changed {
-            self.restrict(&registry, &notice.id);
-        }
-        changed
-    }
-
-    /// Applies what an endpoint has said of itself to its placer.
-    fn restrict(&self, registry: &Registry, id: &EndpointId) {
-        let Some(endpoint) = registry.get(id) else {
-            return;
-        };
-        let mut placers = self.placers.lock();
-        if let Some(placer) = placers.get_mut(&endpoint.service) {
-            placer.restrict(self.clock.now(), id, registry.restriction(id));
-        }
-    }
-
     /// Sets the position of this VM in the fleet.
     pub(crate) fn set_rank(&self, rank: Option<FleetRank>) {
         let now = self.clock.now();
@@ -194,67 +87,6 @@
         registry.accepting(id).is_some() && placer.is_some_and(|p| p.is_open(self.clock.now(), id))
     }
 
-    /// Removes an endpoint that the platform no longer lists, unless it may have lapsed in an
-    /// outage.
-    pub(crate) fn remove_endpoint(&self, id: &EndpointId) {
-        let now = self.clock.now();
-        let mut registry = self.registry.lock();
-        let change = registry.remove(now, id);
-        log::info!(endpoint:% = id, change:? = change; "endpoint removed from the list");
-        if change == RegistryChange::Removed {
-            self.remove_from_placers(std::slice::from_ref(id));
-        }
-    }
-
-    /// Removes an endpoint that the zone's reader has removed.
-    pub(crate) fn remove_endpoint_now(&self, id: &EndpointId) {
-        let mut registry = self.registry.lock();
-        let change = registry.remove_now(id);
-        log::info!(endpoint:% = id, change:? = change; "endpoint removed by the zone's reader");
-        if change == RegistryChange::Removed {
-            self.remove_from_placers(std::slice::from_ref(id));
-        }
-    }
-
-    /// Known endpoints that are absent from `listed`, a complete list.
-    pub(crate) fn absent_endpoints(&self, listed: &[EndpointId]) -> Vec<EndpointId> {
-        self.registry.lock().absent_from(listed)
-    }
-
-    /// Removes lapsed endpoints whose grace period has ended.
-    pub(crate) fn drop_expired(&self) {
-        let now = self.clock.now();
-        let mut registry = self.registry.lock();
-        let expired = registry.expire(now);
-        for id in &expired {
-            log::info!(endpoint:% = id; "lapsed endpoint removed");
-        }
-        self.remove_from_placers(&expired);
-        for id in registry.expire_notices(now) {
-            log::info!(endpoint:% = id; "limit of an endpoint expired");
-            self.restrict(&registry, &id);
-        }
-    }
-
-    fn record_change(&self, change: EndpointChange) {
-        self.history.lock().add(change);
-        self.changed.notify(usize::MAX);
-    }
-
-    /// Records the removal of endpoints and removes them from the placers. Called with the registry
-    /// locked.
-    fn remove_from_placers(&self, ids: &[EndpointId]) {
-        if ids.is_empty() {
-            return;
-        }
-        ids.iter()
-            .for_each(|id| self.record_change(EndpointChange::Gone(id.clone())));
-        let mut placers = self.placers.lock();
-        for placer in placers.values_mut() {
-            ids.iter().for_each(|id| placer.remove_endpoint(id));
-        }
-    }
-
     /// Chooses an endpoint for a request and reserves a slot there. `avoid` are the endpoints tried
     /// before.
     pub(crate) fn acquire_slot(
@@ -422,7 +254,7 @@
     }
 }
 
-fn endpoint_spec(endpoint: &Endpoint) -> EndpointSpec {
+pub(super) fn endpoint_spec(endpoint: &Endpoint) -> EndpointSpec {
     EndpointSpec {
         id: endpoint.id.clone(),
         zone: endpoint.zone.clone(),
--- a/crates/route/src/placement/cost.rs
+++ b/crates/route/src/placement/cost.rs
@@ -3,12 +3,16 @@
 
 use {
     super::{
+        cache_estimate::{
+            CACHE_FILL_TIME, CacheEstimate, MIN_SHARED_TOKENS, PREFERRED_CACHED_SHARES,
+        },
         cached_parts,
         load::Load,
         pending_prefill::PendingPrefill,
-        placer::{Placement, PlacementRequest, Placer, TrackedEndpoint},
+        placer::{Placement, PlacementRequest, Placer},
         profile::EngineProfile,
         reserved::reserved_engines,
+        tracked_endpoint::TrackedEndpoint,
     },
     clock::Instant,
     std::{collections::BTreeSet, time::Duration},
@@ -33,9 +37,6 @@
 /// session; otherwise all VMs, acting on the same second-old load reports, would send theirs to the
 /// one engine that was free.
 const UNPREFERRED_COST: f64 = 0.8;
-/// Minimum number of shared tokens for which affinity and fetching pay off: setting up a fetch
-/// takes as long as prefilling a few hundred tokens.
-const MIN_SHARED_TOKENS: u64 = 1_000;
 /// Range of the pseudo-random cost that spreads requests over equal engines. Otherwise all VMs,
 /// acting on the same second-old load reports, would choose the same one.
 const SPREAD_COST: f64 = 0.06;
@@ -67,12 +68,6 @@
 const SAFE_MEMORY_SHARE: f64 = 0.7;
 /// Prompt length above which a prompt counts as long: two prefill chunks in a row lengthen a pause.
 const LONG_PROMPT_TOKENS: u64 = 2_048;
-/// Share of a shared part that is assumed to be cached at each of its preferred endpoints, in order
-/// of preference, once their caches have filled.
-const PREFERRED_CACHED_SHARES: [f64; 4] = [0.85, 0.3, 0.15, 0.1];
-/// Time constant in which a new endpoint's cache fills: about the time between two requests of a
-/// session.
-const CACHE_FILL_TIME: Duration = Duration::from_secs(5);
 /// Failure share in excess of the usual one that costs nothing, so that a recovered endpoint is
 /// used again.
 const TOLERATED_FAILURES: f64 = 0.1;
@@ -339,64 +334,3 @@
     };
     (cost, placement)
 }
-
-/// Expected cache state of a prompt at one endpoint, in tokens.
-struct CacheEstimate {
-    /// In the endpoint's cache.
-    cached: f64,
-    /// To be fetched from another endpoint.
-    fetched: f64,
-    /// Shared tokens to be prefilled again.
-    recomputed: f64,
-    /// Endpoint to fetch from.
-    kv_source: Option<EndpointId>,
-}
-
-impl CacheEstimate {
-    fn at(
-        now: Instant,
-        prompt: &crate::Prompt,
-        entry: &TrackedEndpoint,
-        preference: Option<usize>,
-        kv_sources: &[EndpointId],
-    ) -> Self {
-        let age = now.since(entry.cold_since).as_secs_f64() / CACHE_FILL_TIME.as_secs_f64();
-        let filled = 1.0 - (-age).exp();
-        let last = prompt.parts.len().saturating_sub(1);
-        let (mut cached, mut missing_shared, mut prefix_broken) = (0.0, 0.0, false);
-        for (at, (part, tokens)) in prompt.parts.iter().enumerate() {
-            let tokens = tokens.0 as f64;
-            let share = match preference {
-                _ if prefix_broken => 0.0,
-                _ if entry.cached_parts.contains(now, *part) => 1.0,
-                Some(rank) if at < last => PREFERRED_CACHED_SHARES[rank] * filled,
-                _ => 0.0,
-            };
-            prefix_broken |= share == 0.0;
-            cached += share * tokens;
-            if at < last {
-                missing_shared += (1.0 - share) * tokens;
-            }
-        }
-        let kv_source = kv_sources.iter().find(|id| **id != entry.spec.id);
-        let kv_source = kv_source
-            .filter(|_| missing_shared >= MIN_SHARED_TOKENS as f64)
-            .cloned();
-        let fetched = match kv_source {
-            Some(_) => missing_shared * PREFERRED_CACHED_SHARES[0],
-            None => 0.0,
-        };
-        Self {
-            cached,
-            fetched,
-            recomputed: missing_shared - fetched,
-            kv_source,
-        }
-    }
-
-    /// Tokens that the endpoint has to prefill.
-    fn prefill_tokens(&self, prompt: &crate::Prompt) -> u64 {
-        let available = (self.cached + self.fetched) as u64;
-        prompt.input.0.saturating_sub(available)
-    }
-}
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -4,6 +4,8 @@
 //! same engine; sessions whose shared prompt parts are cached by one engine; endpoints that fail
 //! some of their requests, hang or slow down; other VMs that place requests at the same time.
 
+mod availability;
+mod cache_estimate;
 mod cached_parts;
 mod correction;
 mod cost;
@@ -15,6 +17,7 @@
 mod profile;
 mod rate_meter;
 mod reserved;
+mod tracked_endpoint;
 
 pub use {
     load::{Load, PeerLoad, Reporter},
--- a/crates/route/src/placement/placer.rs
+++ b/crates/route/src/placement/placer.rs
@@ -10,11 +10,12 @@
         outcomes::RecentOutcomes,
         profile::EngineProfile,
         rate_meter::RateMeter,
+        tracked_endpoint::TrackedEndpoint,
     },
-    crate::{FleetRank, Prompt, Restriction, notice::ShareLimiter},
+    crate::{FleetRank, Prompt},
     clock::Instant,
     std::{collections::BTreeMap, time::Duration},
-    types::{EndpointId, PerSecond, PromptPartId, Urgency, ZoneId},
+    types::{EndpointId, PromptPartId, Urgency, ZoneId},
 };
 
 /// Factor by which failure shares decay in each interval.
@@ -86,88 +87,8 @@
     Unsent,
 }
 
-/// An endpoint with its load, health and cache state as known to this VM.
-#[derive(Debug, Clone)]
-pub(super) struct TrackedEndpoint {
-    pub(super) spec: EndpointSpec,
-    /// Whether it takes new requests.
-    pub(super) open: bool,
-    /// When its cache was last empty: it was listed, or restarted.
-    pub(super) cold_since: Instant,
-    pub(super) own_load: Load,
-    pub(super) peer_loads: PeerLoads,
-    pub(super) health: Health,
-    /// Outcomes of this VM's latest sends.
-    pub(super) outcomes: RecentOutcomes,
-    pub(super) cached_parts: CachedParts,
-    /// Mean time to the first token or the response, in milliseconds; 0 until measured.
-    pub(super) latency_ms: f64,
-    /// Until when it is assumed to be full after a refusal.
-    pub(super) full_until: Instant,
-    /// Until when it has refused all requests.
-    pub(super) closed_until: Instant,
-    /// Limiter of this VM's requests, while the endpoint names a limit for the fleet.
-    limiter: Option<Limiter>,
-}
-
-/// A limit that an endpoint names, and the share of this VM.
-#[derive(Debug, Clone, Copy)]
-struct Limiter {
-    limit: PerSecond,
-    own: ShareLimiter,
-}
-
-impl TrackedEndpoint {
-    /// The load of this VM, to be told to others.
-    pub(super) fn reported_load(&self, now: Instant) -> Load {
-        Load {
-            outcomes: self.outcomes.at(now),
-            ..self.own_load
-        }
-    }
-
-    /// Whether it takes a request now.
-    pub(super) fn accepts(&self, now: Instant) -> bool {
-        self.is_open(now) && self.limiter.is_none_or(|l| l.own.is_ready(now))
-    }
-
-    /// Whether it takes requests, of which there may be too many now.
-    fn is_open(&self, now: Instant) -> bool {
-        self.open && self.closed_until <= now
-    }
-
-    /// Time until it takes a request.
-    fn accepts_in(&self, now: Instant) -> Duration {
-        let wait = self
-            .limiter
-            .map(|l| l.own.ready_in(now).unwrap_or(NO_SHARE_WAIT));
-        self.closed_until.since(now).max(wait.unwrap_or_default())
-    }
-
-    fn set_limit(&mut self, now: Instant, limit: Option<PerSecond>, rank: Option<FleetRank>) {
-        let Some(limit) = limit else {
-            self.limiter = None;
-            return;
-        };
-        let share = rank.map_or(PerSecond::default(), |r| r.share(limit, &self.spec.id));
-        let limiter = self.limiter.get_or_insert(Limiter {
-            limit,
-            own: ShareLimiter::new(now, share),
-        });
-        limiter.limit = limit;
-        if limiter.own.share() != share {
-            limiter.own.set_share(now, share);
-        }
-    }
-}
-
 /// Time for which an endpoint is assumed to be full after it refused a request.
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
-/// Time after which callers may retry if this VM has no share in the limits of any endpoint; they
-/// may reach another VM then.
-const NO_SHARE_WAIT: Duration = Duration::from_secs(1);
-/// Longest time after which a caller is told to retry while endpoints limit their requests.
-const MAX_RETURN_WAIT: Duration = Duration::from_secs(10);
 /// Weight of a new sample in the mean latency.
 const LATENCY_WEIGHT: f64 = 0.1;
 
@@ -184,9 +105,9 @@
     /// Prompt tokens per second of other VMs, with the time when the report expires.
     peer_rates: BTreeMap<Reporter, (u64, Instant)>,
     /// Position of this VM in the fleet; `None` while it is unknown.
-    rank: Option<FleetRank>,
+    pub(super) rank: Option<FleetRank>,
     /// When the last caller may retry that was refused because of the endpoints' limits.
-    last_return: Instant,
+    pub(super) last_return: Instant,
 }
 
 impl Placer {
@@ -240,65 +161,6 @@
         }
     }
 
-    /// Restricts the requests to an endpoint as it has said itself. A restart ends the restriction.
-    pub fn restrict(&mut self, now: Instant, id: &EndpointId, restriction: Restriction) {
-        if let Some(entry) = self.endpoints.get_mut(id) {
-            entry.closed_until = restriction.closed_until;
-            entry.set_limit(now, restriction.limit, self.rank);
-        }
-    }
-
-    /// Sets the position of this VM in the fleet, which decides its shares in the limits of
-    /// endpoints; `None` if it is unknown.
-    pub fn set_rank(&mut self, now: Instant, rank: Option<FleetRank>) {
-        if self.rank == rank {
-            return;
-        }
-        self.rank = rank;
-        for entry in self.endpoints.values_mut() {
-            let limit = entry.limiter.map(|l| l.limit);
-            entry.set_limit(now, limit, rank);
-        }
-    }
-
-    /// Whether an endpoint takes requests, of which there may be too many now.
-    pub fn is_open(&self, now: Instant, id: &EndpointId) -> bool {
-        self.endpoints.get(id).is_some_and(|e| e.is_open(now))
-    }
-
-    /// Time until the first endpoint takes a request, if none does now.
-    pub fn reopens_in(&self, now: Instant) -> Option<Duration> {
-        self.first_to_reopen(now).map(|(wait, _)| wait)
-    }
-
-    fn first_to_reopen(&self, now: Instant) -> Option<(Duration, &TrackedEndpoint)> {
-        let open = self.endpoints.values().filter(|e| e.open);
-        let waits = open.map(|e| (e.accepts_in(now), e));
-        let first = waits.min_by_key(|(wait, _)| *wait);
-        first.filter(|(wait, _)| !wait.is_zero())
-    }
-
-    /// Time after which a caller that no endpoint takes may retry. Callers that wait for limited
-    /// endpoints get consecutive times, as many as the shares of this VM allow; otherwise all of
-    /// them would come for the next request.
-    pub fn schedule_return(&mut self, now: Instant) -> Option<Duration> {
-        let (wait, first) = self.first_to_reopen(now)?;
-        if first.limiter.is_none() {
-            return Some(wait);
-        }
-        let open = self.endpoints.values().filter(|e| e.open);
-        let shares = open.filter_map(|e| e.limiter).map(|l| l.own.share().get());
-        let rate: f64 = shares.sum();
-        if rate == 0.0 {
-            return Some(wait);
-        }
-        let earliest = now + wait;
-        let pause = Duration::from_secs_f64((1.0 / rate).min(MAX_RETURN_WAIT.as_secs_f64()));
-        let at = earliest.max(self.last_return + pause);
-        self.last_return = at.min(now + MAX_RETURN_WAIT).max(earliest);
-        Some(self.last_return.since(now))
-    }
-
     /// Share of the latest sends that the endpoints refused, of all VMs.
     pub fn refusal_share(&self, now: Instant) -> f64 {
         let mut total = Load::default();
--- a/crates/route/src/placement/reserved.rs
+++ b/crates/route/src/placement/reserved.rs
@@ -6,7 +6,7 @@
 //! those have capacity.
 
 use {
-    super::placer::TrackedEndpoint,
+    super::tracked_endpoint::TrackedEndpoint,
     std::{
         collections::{BTreeMap, BTreeSet},
         hash::{DefaultHasher, Hash, Hasher},
--- /dev/null
+++ b/crates/route/src/placement/tracked_endpoint.rs
@@ -0,0 +1,98 @@
+//! State of one endpoint.
+
+use {
+    super::{
+        cached_parts::CachedParts,
+        health::Health,
+        load::{Load, PeerLoads},
+        outcomes::RecentOutcomes,
+        placer::EndpointSpec,
+    },
+    crate::{FleetRank, notice::ShareLimiter},
+    clock::Instant,
+    std::time::Duration,
+    types::PerSecond,
+};
+
+/// Time after which callers may retry if this VM has no share in the limits of any endpoint; they
+/// may reach another VM then.
+const NO_SHARE_WAIT: Duration = Duration::from_secs(1);
+/// An endpoint with its load, health and cache state as known to this VM.
+#[derive(Debug, Clone)]
+pub(super) struct TrackedEndpoint {
+    pub(super) spec: EndpointSpec,
+    /// Whether it takes new requests.
+    pub(super) open: bool,
+    /// When its cache was last empty: it was listed, or restarted.
+    pub(super) cold_since: Instant,
+    pub(super) own_load: Load,
+    pub(super) peer_loads: PeerLoads,
+    pub(super) health: Health,
+    /// Outcomes of this VM's latest sends.
+    pub(super) outcomes: RecentOutcomes,
+    pub(super) cached_parts: CachedParts,
+    /// Mean time to the first token or the response, in milliseconds; 0 until measured.
+    pub(super) latency_ms: f64,
+    /// Until when it is assumed to be full after a refusal.
+    pub(super) full_until: Instant,
+    /// Until when it has refused all requests.
+    pub(super) closed_until: Instant,
+    /// Limiter of this VM's requests, while the endpoint names a limit for the fleet.
+    pub(super) limiter: Option<Limiter>,
+}
+
+/// A limit that an endpoint names, and the share of this VM.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Limiter {
+    pub(super) limit: PerSecond,
+    pub(super) own: ShareLimiter,
+}
+
+impl TrackedEndpoint {
+    /// The load of this VM, to be told to others.
+    pub(super) fn reported_load(&self, now: Instant) -> Load {
+        Load {
+            outcomes: self.outcomes.at(now),
+            ..self.own_load
+        }
+    }
+
+    /// Whether it takes a request now.
+    pub(super) fn accepts(&self, now: Instant) -> bool {
+        self.is_open(now) && self.limiter.is_none_or(|l| l.own.is_ready(now))
+    }
+
+    /// Whether it takes requests, of which there may be too many now.
+    pub(super) fn is_open(&self, now: Instant) -> bool {
+        self.open && self.closed_until <= now
+    }
+
+    /// Time until it takes a request.
+    pub(super) fn accepts_in(&self, now: Instant) -> Duration {
+        let wait = self
+            .limiter
+            .map(|l| l.own.ready_in(now).unwrap_or(NO_SHARE_WAIT));
+        self.closed_until.since(now).max(wait.unwrap_or_default())
+    }
+
+    pub(super) fn set_limit(
+        &mut self,
+        now: Instant,
+        limit: Option<PerSecond>,
+        rank: Option<FleetRank>,
+    ) {
+        let Some(limit) = limit else {
+            self.limiter = None;
+            return;
+        };
+        let share = rank.map_or(PerSecond::default(), |r| r.share(limit, &self.spec.id));
+        let limiter = self.limiter.get_or_insert(Limiter {
+            limit,
+            own: ShareLimiter::new(now, share),
+        });
+        limiter.limit = limit;
+        if limiter.own.share() != share {
+            limiter.own.set_share(now, share);
+        }
+    }
+}
