Bound the usage counts that wait for the platform

What organisations would see: after an outage of the store of half an hour or so, usage was never stored again. Cause, read in the code while reviewing the retries: records that could not be appended were added back to a list each time, two or three for each VM and window, without end; once they exceeded the largest record, no append could succeed. The same list cost memory.

The newest counts of each process and window wait now, in CountBacklog, for as many windows as can still be reported. Records and rows of the totals merge by one function. backlog_of_a_long_outage_is_bounded_and_keeps_the_newest_counts covers 1,000 windows; it doesn't compile without the type, so there is no failing run.

--- a/crates/relay/src/process/count_store.rs
+++ b/crates/relay/src/process/count_store.rs
@@ -25,7 +25,7 @@
     loop {
         node.clock.sleep(interval).await;
         interval = STORE_INTERVAL;
-        if !node.reads_platform(node.clock.now()) && node.peer_counts.lock().is_empty() {
+        if !node.reads_platform(node.clock.now()) && node.count_backlog.lock().is_empty() {
             continue;
         }
         while !flush_counts(&node, &*log).await {
@@ -55,8 +55,12 @@
 /// Stores the usage counts that changed since the last call; false if they have to be stored again.
 pub(super) async fn flush_counts(node: &Node, log: &dyn SharedLog) -> bool {
     node.note_count_keeper(node.incarnation);
-    let mut records = node.take_counts();
-    records.append(&mut node.peer_counts.lock());
+    let records = {
+        let own = node.take_counts();
+        let mut backlog = node.count_backlog.lock();
+        own.into_iter().for_each(|record| backlog.add(record));
+        backlog.take()
+    };
     if records.is_empty() {
         return true;
     }
@@ -67,7 +71,8 @@
     if let Err(e) = log.append(Topic::Usage, &bytes, None).await {
         log::warn!(error:% = e; "cannot store usage counts");
         // Counts are cumulative, so storing them twice changes nothing.
-        node.peer_counts.lock().extend(records);
+        let mut backlog = node.count_backlog.lock();
+        records.into_iter().for_each(|record| backlog.add(record));
         return false;
     }
     true
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -24,7 +24,7 @@
         time::Duration,
     },
     types::{Incarnation, ServiceId},
-    usage::{WindowCountRecord, WindowCounter, WindowCounts, window_at},
+    usage::{CountBacklog, WindowCountRecord, WindowCounter, WindowCounts, window_at},
 };
 
 /// The process services that the router uses: executor, clock and stop signal.
@@ -54,8 +54,8 @@
     pub(crate) window_counter: Mutex<WindowCounter>,
     /// The process that last took this VM's usage counts to store them.
     count_keeper: Mutex<Option<Incarnation>>,
-    /// Usage counts of VMs that read through this one, to be stored.
-    pub(crate) peer_counts: Mutex<Vec<WindowCountRecord>>,
+    /// Usage counts to be stored, of this VM and of those that read through it.
+    pub(crate) count_backlog: Mutex<CountBacklog>,
     /// Changes of the registry, for VMs that read through this one.
     pub(crate) history: Mutex<ChangeHistory>,
     /// Notified on each change of the configuration or the registry.
@@ -95,7 +95,7 @@
             gossip_seq: AtomicU64::new(1),
             window_counter: Mutex::default(),
             count_keeper: Mutex::default(),
-            peer_counts: Mutex::default(),
+            count_backlog: Mutex::default(),
             history: Mutex::default(),
             changed: Event::new(),
             freshness: Mutex::default(),
--- a/crates/relay/src/process/state_sync.rs
+++ b/crates/relay/src/process/state_sync.rs
@@ -94,9 +94,8 @@
         return (503, Vec::new());
     }
     if !request.counts.is_empty() {
-        node.peer_counts
-            .lock()
-            .extend(request.counts.iter().cloned());
+        let mut backlog = node.count_backlog.lock();
+        request.counts.iter().for_each(|c| backlog.add(c.clone()));
     }
     if request.waits {
         let waiting = async {
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -5,6 +5,7 @@
 //! Only [`Sealer`] and [`ZoneCollector`] do I/O.
 
 mod chunk;
+mod count_backlog;
 mod pull;
 mod record;
 mod seal_timing;
@@ -18,6 +19,7 @@
 
 pub use {
     chunk::{Chunk, ChunkSource, Counts},
+    count_backlog::CountBacklog,
     pull::{Collector, PULL_PATH, PullFuture, PullRequest, PullResponse},
     record::{Seal, UsageRecord, Watermark, WindowId, WindowStart},
     seal_timing::SealTiming,
--- a/crates/usage/src/window_counter.rs
+++ b/crates/usage/src/window_counter.rs
@@ -4,14 +4,14 @@
 use {
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, btree_map::Entry},
         time::Duration,
     },
     types::{Incarnation, OrgId, VmId},
 };
 
 /// Windows that are kept after their end; more than are ever due at once.
-const KEPT_WINDOWS: u64 = 12;
+pub(crate) const KEPT_WINDOWS: u64 = 12;
 
 /// Ended windows that are published again when the process that stores them changes.
 const REPEATED_WINDOWS: u64 = 4;
@@ -42,6 +42,18 @@
     pub stopped: bool,
 }
 
+impl WindowCountRecord {
+    /// Merges a record of the same process and window. Counts only grow.
+    pub(crate) fn merge(&mut self, other: Self) {
+        self.complete |= other.complete;
+        self.stopped |= other.stopped;
+        for (org, count) in other.counts {
+            let current = self.counts.entry(org).or_default();
+            *current = count.max(*current);
+        }
+    }
+}
+
 /// The counts of a window, to be published.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WindowCounts {
@@ -105,39 +117,23 @@
     }
 }
 
-/// The counts of one process in a window.
-#[derive(Debug, Clone, Default)]
-struct Row {
-    counts: BTreeMap<OrgId, u64>,
-    complete: bool,
-    stopped: bool,
-}
-
 /// Collects the counts of all processes.
 #[derive(Debug, Clone, Default)]
 pub struct WindowTotals {
-    rows: BTreeMap<(u64, VmId, Incarnation), Row>,
+    rows: BTreeMap<(u64, VmId, Incarnation), WindowCountRecord>,
 }
 
 impl WindowTotals {
-    /// Applies a record. Counts of a process only grow.
+    /// Applies a record.
     pub fn fold(&mut self, record: WindowCountRecord) {
-        let WindowCountRecord {
-            vm,
-            incarnation,
-            window,
-            counts,
-            complete,
-            stopped,
-        } = record;
-        let row = self.rows.entry((window, vm, incarnation)).or_default();
-        row.complete |= complete;
-        row.stopped |= stopped;
-        for (org, count) in counts {
-            let current = row.counts.entry(org).or_default();
-            *current = count.max(*current);
+        let oldest = record.window.saturating_sub(KEPT_WINDOWS);
+        let key = (record.window, record.vm.clone(), record.incarnation);
+        match self.rows.entry(key) {
+            Entry::Vacant(entry) => {
+                entry.insert(record);
+            }
+            Entry::Occupied(mut entry) => entry.get_mut().merge(record),
         }
-        let oldest = window.saturating_sub(KEPT_WINDOWS);
         self.rows.retain(|(w, _, _), _| *w >= oldest);
     }
 
--- a/crates/usage/tests/window_counts.rs
+++ b/crates/usage/tests/window_counts.rs
@@ -4,7 +4,7 @@
     quickcheck::{Gen, QuickCheck},
     std::{collections::BTreeMap, time::Duration},
     types::{Incarnation, OrgId},
-    usage::{WindowCountRecord, WindowCounter, WindowTotals, window_at},
+    usage::{CountBacklog, WindowCountRecord, WindowCounter, WindowTotals, window_at},
 };
 
 const SEED: u64 = 21;
@@ -112,6 +112,30 @@
     assert!(totals.missing(8).is_empty());
 }
 
+/// In a long outage the counts to be stored grew until no append could hold them.
+#[test]
+fn backlog_of_a_long_outage_is_bounded_and_keeps_the_newest_counts() {
+    let mut backlog = CountBacklog::default();
+    let record = |window, count| WindowCountRecord {
+        vm: "vm-1".parse().unwrap(),
+        incarnation: Incarnation(1),
+        window,
+        counts: [(org(1), count)].into(),
+        complete: false,
+        stopped: false,
+    };
+    for window in 0..1_000 {
+        (0..5).for_each(|count| backlog.add(record(window, count)));
+    }
+    backlog.add(record(999, 2));
+    backlog.add(record(3, 9));
+    let records = backlog.take();
+    assert!(records.len() <= 13, "{} records", records.len());
+    assert!(records.iter().all(|r| r.counts[&org(1)] == 4));
+    assert_eq!(records.last().unwrap().window, 999);
+    assert!(backlog.is_empty());
+}
+
 #[test]
 fn windows_start_at_multiples_of_their_length() {
     let length = Duration::from_secs(5);
