Tell other VMs only of endpoints that refuse, so that loads stay in the datagram

Cause: with the outcomes of sends every endpoint that had been used in the last nine seconds took a row in a VM's datagram, and the smallest loads were cut off to fit.

Outcomes are told only while refusals count, and when a datagram is too large, an endpoint with requests in flight stays before one without.

--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -13,6 +13,7 @@
     clock::Instant,
     route::{LimitNotice, Load, PeerLoad, Reporter},
     std::{
+        cmp::Reverse,
         collections::BTreeMap,
         io,
         net::{SocketAddr, UdpSocket},
@@ -178,7 +179,7 @@
             return (bytes, sent);
         }
         // Drops the smallest loads, which matter least.
-        loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.pending_prefill));
+        loads.sort_by_key(|(_, load)| Reverse((load.pending_prefill, load.in_flight)));
         loads.truncate(loads.len() * 3 / 4);
     }
 }
--- a/crates/route/src/placement/outcomes.rs
+++ b/crates/route/src/placement/outcomes.rs
@@ -12,6 +12,8 @@
 /// Sends without a refusal that are assumed in addition to those seen, so that one refusal is no
 /// verdict.
 const ASSUMED_SENDS: f64 = 1.0;
+/// Smallest decayed number of refusals that counts.
+const MIN_REFUSALS: f64 = 0.01;
 /// Resolution of the counts that VMs tell each other.
 const UNITS_PER_SEND: f64 = 100.0;
 
@@ -59,7 +61,12 @@
         self.updated = now;
     }
 
+    /// The outcomes at `now`; none without a recent refusal, so that endpoints without trouble take
+    /// no room in the datagrams of other loads.
     pub(super) fn at(&self, now: Instant) -> Outcomes {
+        if self.refusals * self.weight(now) < MIN_REFUSALS {
+            return Outcomes::default();
+        }
         let units = |count: f64| (count * self.weight(now) * UNITS_PER_SEND) as u32;
         Outcomes {
             sends: units(self.sends),
