Log the prompt parts of requests that endpoints cut

Cause: the lines of a cut request did not tell what cut requests have in common, so that the hypotheses of the incident could not be told apart.

One line for each send that breaks or goes silent, with the shared prompt parts. No decision changes.

--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod accounting;
 mod capacity_planner;
 mod count_store;
+mod cut_requests;
 mod duty_worker;
 mod endpoint_list;
 mod feed_reader;
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -95,6 +95,7 @@
     match answer.or(dead).await {
         Ok(pending) => check_not_run(node, request, slot, pending).await,
         Err(cause) => {
+            node.note_cut(request, slot, cause);
             request.end_send(Verdict::MayHaveRun, Some(cause));
             Err(FailedAttempt {
                 verdict: Verdict::MayHaveRun,
--- a/crates/relay/src/request/buffered.rs
+++ b/crates/relay/src/request/buffered.rs
@@ -82,6 +82,7 @@
     let read = pending.read_body(node, &slot).await;
     node.count_usage(request);
     let Ok((head, body)) = read else {
+        node.note_cut(request, &slot, "answer cut short");
         request.end_send(Verdict::MayHaveRun, Some("answer cut short"));
         slot.finish(PlacementOutcome::Failed);
         return Err("answer cut short");
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -120,6 +120,7 @@
             WatchOutcome::CallerLeft => return StreamOutcome::CallerLeft,
             WatchOutcome::TimedOut => return stream.fail(request.timed_out()),
             WatchOutcome::Done(None) => {
+                node.note_cut(request, &slot, "no answer from the endpoint");
                 request.end_send(Verdict::MayHaveRun, Some("no answer from the endpoint"));
                 slot.finish(PlacementOutcome::Unreachable);
                 if !may_retry(request, Verdict::MayHaveRun) {
@@ -198,6 +199,7 @@
             WatchOutcome::CallerLeft => StreamOutcome::CallerLeft,
             WatchOutcome::TimedOut => self.fail(request.timed_out()),
             WatchOutcome::Done(Err(_)) => {
+                node.note_cut(request, &slot, "answer cut short");
                 request.end_send(Verdict::MayHaveRun, Some("answer cut short"));
                 slot.finish(PlacementOutcome::Failed);
                 self.fail(request.unavailable("answer cut short"))
@@ -311,6 +313,7 @@
                 // Closing the connection makes the endpoint stop the run before the next endpoint
                 // starts one.
                 drop(pending);
+                self.node.note_cut(request, &slot, cause);
                 request.end_send(verdict, Some(cause));
                 slot.finish(*placement_outcome);
             }
--- a/crates/route/src/prompt.rs
+++ b/crates/route/src/prompt.rs
@@ -25,10 +25,14 @@
         self.input + self.output
     }
 
+    /// The parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[(PromptPartId, Tokens)] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Total length of the parts that other requests may share.
     pub fn shared_tokens(&self) -> u64 {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].iter().map(|(_, t)| t.0).sum()
+        self.shared_parts().iter().map(|(_, t)| t.0).sum()
     }
 
     /// The last part that other requests may share.
