Add failing tests: one prompt part crashes one engine after the other

Nothing remembers what requests did to engines. Fleets of 8 and 44 routers over real sockets, with engines that crash as they begin a response to prompts with one part: the response breaks off inside its first event, the connection closes, or it goes silent.

--- a/crates/relay/tests/common/endpoint.rs
+++ b/crates/relay/tests/common/endpoint.rs
@@ -117,7 +117,7 @@
     }
 }
 
-fn read_request(socket: &mut TcpStream) -> Option<SeenRequest> {
+pub(super) fn read_request(socket: &mut TcpStream) -> Option<SeenRequest> {
     let mut bytes = Vec::new();
     let mut buf = [0; 4096];
     let end = loop {
--- a/crates/relay/tests/common/fakes.rs
+++ b/crates/relay/tests/common/fakes.rs
@@ -34,7 +34,10 @@
             model: "m".parse().unwrap(),
             input: Tokens(input),
             output: Tokens(50),
-            parts: vec![(part(1), Tokens(input / 2)), (part(2), Tokens(input / 2))],
+            parts: match headers.get("parts") {
+                Some(ids) => parse_parts(ids),
+                None => vec![(part(1), Tokens(input / 2)), (part(2), Tokens(input / 2))],
+            },
         });
         Ok(CallerHeaders {
             id: id.ok_or(InvalidHeader("id"))?,
@@ -78,6 +81,12 @@
     }
 }
 
+/// Prompt parts of ten tokens, by their numbers.
+fn parse_parts(ids: &str) -> Vec<(PromptPartId, Tokens)> {
+    let ids = ids.split(',').filter_map(|id| id.trim().parse().ok());
+    ids.map(|id| (PromptPartId(id), Tokens(10))).collect()
+}
+
 /// Feeds whose changes the test adds.
 #[derive(Default)]
 pub(crate) struct FakeFeed {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -2,11 +2,13 @@
 
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
+mod crashing;
 mod endpoint;
 mod fakes;
 mod router;
 
 pub(crate) use {
+    crashing::{CrashForm, CrashLog, CrashingEngine},
     endpoint::{FakeEndpoint, Script, SeenRequest},
     fakes::{FakeDutyApi, FakeFeed, FakeLog},
     router::{Ports, Router, RouterSpec, config_change, endpoint, free_addr, response_head, route},
--- /dev/null
+++ b/crates/relay/tests/deadly_requests.rs
@@ -0,0 +1,176 @@
+//! Requests that crash the endpoints which run them.
+
+mod common;
+
+use {
+    common::{CrashForm, CrashLog, CrashingEngine, Ports, Router, RouterSpec},
+    relay::{FeedChange, FeedKind, RouteKind},
+    std::{
+        net::IpAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering::SeqCst},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// VMs of the users' smaller fleets, and more VMs than exchange their loads with each other.
+const SMALL: u8 = 8;
+const LARGE: u8 = 44;
+/// Time in which all VMs of a large fleet find their hubs.
+const START_TIME: Duration = Duration::from_secs(6);
+/// Time after the fifth crash from which VMs have to know what crashes engines.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Most deadly requests that may reach engines afterwards.
+const MAX_ARRIVALS: usize = 3;
+const ENGINES: usize = 10;
+/// Pauses of the callers between two requests of the fleet.
+const SOUND_PAUSE: Duration = Duration::from_millis(15);
+const DEADLY_PAUSE: Duration = Duration::from_millis(180);
+/// A part that all prompts begin with, one that deadly and some sound prompts share, and the one
+/// that crashes engines.
+const FIRST_PART: u64 = 1;
+const SHARED_PART: u64 = 2;
+const DEADLY_PART: u64 = 666;
+
+struct Fleet {
+    routers: Vec<Router>,
+    log: Arc<CrashLog>,
+}
+
+fn start_fleet(vms: u8, form: CrashForm) -> Fleet {
+    let ports = Ports::free();
+    let first = RouterSpec::new(RouteKind::Stream, Vec::new());
+    let (feed, log) = (first.feed.clone(), Arc::<CrashLog>::default());
+    let deadly = format!("{DEADLY_PART}");
+    let engines: Vec<_> = (0..ENGINES)
+        .map(|at| {
+            let deadly = deadly.clone();
+            let is_deadly = move |seen: &common::SeenRequest| {
+                let parts = seen.field("parts").unwrap_or_default();
+                parts.split(',').any(|p| p == deadly)
+            };
+            CrashingEngine::start(&format!("e{at}"), form, is_deadly, (&log, &feed))
+        })
+        .collect();
+    for engine in &engines {
+        feed.push(
+            FeedKind::Endpoints,
+            FeedChange::Listed(engine.listed.clone()),
+        );
+    }
+    let mut routers: Vec<Router> = Vec::new();
+    for at in 0..vms {
+        let mut spec = RouterSpec::new(RouteKind::Stream, Vec::new());
+        spec.feed = feed.clone();
+        if at > 0 {
+            spec.config = None;
+        }
+        spec.name = format!("vm-{at:02}").leak();
+        spec.ip = IpAddr::from([127, 0, 0, 1 + at]);
+        spec.ports = ports;
+        spec.seeds = routers.iter().take(3).map(|r| r.control).collect();
+        routers.push(Router::start(spec));
+    }
+    routers.iter().for_each(Router::wait_ready);
+    Fleet { routers, log }
+}
+
+fn prompt_request(parts: &[u64]) -> String {
+    let parts: Vec<_> = parts.iter().map(u64::to_string).collect();
+    format!(
+        "POST /a HTTP/1.1\r\nHost: h\r\nid: q1\r\ntimeout-ms: 4000\r\nprompt: 100\r\nparts: {}\r\n\
+         Connection: close\r\nContent-Length: 0\r\n\r\n",
+        parts.join(",")
+    )
+}
+
+/// Sent and served sound requests.
+#[derive(Default)]
+struct Served {
+    sent: AtomicUsize,
+    served: AtomicUsize,
+}
+
+impl Fleet {
+    /// Sends sound and deadly requests, no two alike, to all VMs for `time`.
+    fn run(&self, time: Duration, served: &Served) {
+        let end = Instant::now() + time;
+        let number = AtomicUsize::new(1_000);
+        let next = || number.fetch_add(1, SeqCst) as u64;
+        thread::scope(|scope| {
+            for (at, router) in self.routers.iter().enumerate() {
+                let next = &next;
+                scope.spawn(move || {
+                    while Instant::now() < end {
+                        thread::sleep(SOUND_PAUSE * self.routers.len() as u32);
+                        // Every third one shares more than the first part with deadly prompts.
+                        let own = next();
+                        let shared = if own % 3 == 0 { SHARED_PART } else { own };
+                        let request = prompt_request(&[FIRST_PART, shared, own + 100_000]);
+                        let response = router.exchange(request.as_bytes());
+                        served.sent.fetch_add(1, SeqCst);
+                        let whole =
+                            response.starts_with("HTTP/1.1 200") && response.ends_with("0\r\n\r\n");
+                        served.served.fetch_add(usize::from(whole), SeqCst);
+                    }
+                });
+                scope.spawn(move || {
+                    let count = self.routers.len() as u32;
+                    thread::sleep(DEADLY_PAUSE * at as u32);
+                    while Instant::now() < end {
+                        let parts = [FIRST_PART, SHARED_PART, DEADLY_PART, next()];
+                        router.exchange(prompt_request(&parts).as_bytes());
+                        thread::sleep(DEADLY_PAUSE * count);
+                    }
+                });
+            }
+        });
+    }
+}
+
+/// Checks that few requests with a deadly part reach engines once five of them have crashed, and
+/// that requests which share other parts with them are served.
+fn check_deadly_part(vms: u8, form: CrashForm, start_time: Duration) {
+    let fleet = start_fleet(vms, form);
+    thread::sleep(start_time);
+    fleet.run(CONTACT_TIME * 2 + CONTACT_TIME / 2, &Served::default());
+    let fifth = fleet.log.crash(5);
+    let served = Served::default();
+    fleet.run(CONTACT_TIME, &served);
+    if let Some(at) = fifth {
+        let late = fleet.log.arrivals_since(at + CONTACT_TIME);
+        assert!(late <= MAX_ARRIVALS, "{late} deadly requests");
+    }
+    let (sent, served) = (served.sent.into_inner(), served.served.into_inner());
+    assert!(
+        sent > 50 && served * 2 > sent,
+        "{served} of {sent} sound requests served"
+    );
+}
+
+/// Each request with the part crashed one engine more.
+#[test]
+fn prompt_part_does_not_crash_one_engine_after_the_other() {
+    check_deadly_part(SMALL, CrashForm::BrokenResponse, Duration::ZERO);
+}
+
+/// As above, where the connection is closed without a response.
+#[test]
+fn prompt_part_that_makes_engines_close_connections_is_stopped() {
+    check_deadly_part(SMALL, CrashForm::Closed, Duration::ZERO);
+}
+
+/// As above, where connections go silent.
+#[test]
+fn prompt_part_that_makes_engines_silent_is_stopped() {
+    check_deadly_part(SMALL, CrashForm::Silence, Duration::ZERO);
+}
+
+/// As above, in a fleet whose VMs know only the hubs of their zone.
+#[test]
+fn prompt_part_is_stopped_by_a_fleet_with_hubs() {
+    check_deadly_part(LARGE, CrashForm::BrokenResponse, START_TIME);
+}
