Refuse requests with a prompt part that crashes the engines which answer it

Cause: nothing remembered what requests did to endpoints. A cut stream counted against the engine alone, so that each new request with the part went to the next one. Class: evidence is kept by endpoint where the cause is in the request.

Change: route::CrashTable, the fleet's knowledge of what requests do to endpoints. Cut requests accuse their shared parts if a new connection shows that the endpoint crashed; responses acquit; a part with crashes at three addresses is refused. VMs exchange evidence in a datagram of its own, through the hubs in large fleets.

--- a/crates/h1/src/pool.rs
+++ b/crates/h1/src/pool.rs
@@ -79,6 +79,16 @@
         }
     }
 
+    /// Puts back a connection that has carried no request yet.
+    pub fn put_unused(&self, now: Instant, addr: SocketAddr, conn: Conn) {
+        let until = now + DEFAULT_IDLE_TIMEOUT - IDLE_MARGIN;
+        let mut table = self.idle.lock();
+        let list = table.entry(addr).or_default();
+        if list.len() < MAX_IDLE {
+            list.push(IdleConn { conn, until });
+        }
+    }
+
     /// Closes connections whose idle timeout has passed or whose peer has closed.
     pub fn remove_expired(&self, now: Instant) {
         let mut idle = self.idle.lock();
--- a/crates/relay/src/endpoints/registry.rs
+++ b/crates/relay/src/endpoints/registry.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Whether the endpoint with this start time, or a later one, is known to leave.
+    pub fn has_left(&self, id: &EndpointId, born: u64) -> bool {
+        self.notices.has_left(id, born)
+    }
+
     /// Records that the endpoint with this start time refuses all requests of this VM until `until`.
     pub fn close(&mut self, now: Instant, id: &EndpointId, born: u64, until: Instant) {
         self.notices.close(now, id, born, until);
--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Node,
+        crashes::{apply_crash_news, send_crash_news},
         summaries::{apply_summary, send_roster, send_summaries},
     },
     crate::{
@@ -23,7 +24,7 @@
 };
 
 /// Largest datagram that is sent; fits into one packet of a common link.
-const MAX_DATAGRAM_BYTES: usize = 1_400;
+pub(super) const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Why a datagram is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum DatagramKind {
@@ -35,6 +36,8 @@
     Summary,
     /// The order of the fleet's VMs.
     Roster,
+    /// Crashes of endpoints and their causes.
+    Crashes,
 }
 
 impl DatagramKind {
@@ -44,6 +47,7 @@
             Self::Reply => "reply",
             Self::Summary => "summary",
             Self::Roster => "roster",
+            Self::Crashes => "crashes",
         }
     }
 }
@@ -83,6 +87,8 @@
         if let Some(offset) = node.wall_clock.update_offset(offsets) {
             log::warn!(offset_ms = offset; "wall clock corrected from the clocks of the other VMs");
         }
+        let addrs: Vec<_> = targets.iter().map(|t| t.addr).collect();
+        send_crash_news(&node, &socket, &addrs).await;
         let mut encoded: BTreeMap<MessageParts, Vec<u8>> = BTreeMap::new();
         for target in targets {
             let parts = target.parts;
@@ -217,6 +223,9 @@
 
 /// Applies a datagram; returns the reply to a VM that asks for the addresses of hubs.
 fn apply_datagram(node: &Node, from: SocketAddr, bytes: &[u8]) -> Option<Vec<u8>> {
+    if apply_crash_news(node, from, bytes) {
+        return None;
+    }
     match FleetRoster::decode(bytes) {
         Some(Ok(roster)) => {
             let mut peers = node.peers.lock();
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -3,7 +3,8 @@
 mod accounting;
 mod capacity_planner;
 mod count_store;
-mod cut_requests;
+mod crashes;
+
 mod duty_worker;
 mod endpoint_list;
 mod feed_reader;
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -17,7 +17,7 @@
     event_listener::Event,
     h1::Pool,
     parking_lot::{Mutex, RwLock},
-    route::{Placer, SlidingRetryBudget},
+    route::{CrashTable, Placer, SlidingRetryBudget},
     std::{
         collections::BTreeMap,
         sync::{Arc, atomic::AtomicU64},
@@ -49,6 +49,8 @@
     pub(crate) retry_budgets: Mutex<BTreeMap<ServiceId, SlidingRetryBudget>>,
     pub(crate) peers: Mutex<PeerTable>,
     pub(crate) sent_loads: Mutex<SentLoads>,
+    /// What requests have done to endpoints. Not locked together with anything else.
+    pub(crate) crashes: Mutex<CrashTable>,
     /// Sequence number of the next gossip message.
     pub(crate) gossip_seq: AtomicU64,
     pub(crate) window_counter: Mutex<WindowCounter>,
@@ -92,6 +94,7 @@
                 settings.millicores,
             )),
             sent_loads: Mutex::default(),
+            crashes: Mutex::new(CrashTable::new(fastrand::f64())),
             gossip_seq: AtomicU64::new(1),
             window_counter: Mutex::default(),
             count_keeper: Mutex::default(),
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -94,6 +94,9 @@
         request: &RoutedRequest,
         avoid: &[EndpointId],
     ) -> Result<SlotLease, Refusal> {
+        if let Some(wait) = self.quarantine(request) {
+            return Err(request.quarantined(wait));
+        }
         let now = self.clock.now();
         let config = self.config();
         let placement_request = PlacementRequest {
--- a/crates/relay/src/process/run.rs
+++ b/crates/relay/src/process/run.rs
@@ -108,6 +108,7 @@
     loop {
         node.clock.sleep(SWEEP_INTERVAL).await;
         node.drop_expired();
+        node.judge_crashes();
         node.pool.remove_expired(node.clock.now());
     }
 }
--- a/crates/relay/src/request/accept.rs
+++ b/crates/relay/src/request/accept.rs
@@ -6,6 +6,7 @@
     clock::Instant,
     h1::RequestHead,
     parking_lot::Mutex,
+    route::Suspect,
     std::time::Duration,
     types::{Reason, Refusal},
 };
@@ -55,6 +56,8 @@
     }
     let timeout = caller.timeout.unwrap_or(route.timeout);
     let tier = org.as_ref().and_then(|o| o.tier).unwrap_or(route.tier);
+    let parts = caller.prompt.iter().flat_map(|p| p.shared_parts());
+    let suspects = parts.map(|(id, _)| Suspect::Part(*id)).collect();
     let mut head = head;
     head.headers.strip_hop_by_hop();
     Ok(RoutedRequest {
@@ -64,6 +67,7 @@
         org,
         tier,
         urgency: config.urgency(tier, route),
+        suspects,
         head,
         body,
         version: config.doc.version,
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -13,7 +13,7 @@
 /// Timeout of connecting: enough for two round trips between zones and one lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time after which an endpoint that has been silent towards all requests of this VM is given up.
-pub(super) const DEAD_TIMEOUT: Duration = Duration::from_secs(3);
+const DEAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// Interval between two checks of whether an endpoint that has not responded yet is silent.
 const SILENCE_POLL: Duration = Duration::from_millis(400);
 /// Largest head of a response.
@@ -74,8 +74,13 @@
     last_event: Option<u64>,
 ) -> Result<PendingResponse, FailedAttempt> {
     let conn = connect(node, request, slot).await?;
-    if !node.still_accepts(slot) {
-        let cause = "endpoint closed to new requests";
+    let quarantined = node.quarantine(request).is_some();
+    if quarantined || !node.still_accepts(slot) {
+        let cause = if quarantined {
+            "its like crashed endpoints"
+        } else {
+            "endpoint closed to new requests"
+        };
         request.connect_failed(slot.endpoint(), cause);
         return Err(FailedAttempt {
             verdict: Verdict::NotRun,
@@ -86,8 +91,7 @@
     }
     request.start_send(slot.endpoint());
     let dead = async {
-        node.clock.sleep(DEAD_TIMEOUT).await;
-        until_silent(node, request, slot).await;
+        until_dead(node, request, slot).await;
         node.pool.remove_addr(slot.addr);
         Err("no answer from the endpoint")
     };
@@ -114,6 +118,20 @@
     }
 }
 
+/// Resolves when the endpoint has been silent towards all requests of this VM for so long that it is
+/// given up. At the first sign of that, the request is suspected to have crashed it.
+pub(super) async fn until_dead(node: &Arc<Node>, request: &RoutedRequest, slot: &SlotLease) {
+    let began = node.clock.now();
+    let start = slot.endpoint_start();
+    while !node.is_silent(&request.service, slot.endpoint()) && !node.has_restarted(&start) {
+        node.clock.sleep(SILENCE_POLL).await;
+    }
+    node.suspect_crash(request, slot);
+    let waited = node.clock.now().since(began);
+    node.clock.sleep(DEAD_TIMEOUT.saturating_sub(waited)).await;
+    until_silent(node, request, slot).await;
+}
+
 async fn connect(
     node: &Node,
     request: &RoutedRequest,
--- a/crates/relay/src/request/routed_request.rs
+++ b/crates/relay/src/request/routed_request.rs
@@ -8,7 +8,7 @@
     clock::Instant,
     h1::RequestHead,
     parking_lot::Mutex,
-    route::Placement,
+    route::{Placement, Suspect},
     std::{sync::Arc, time::Duration},
     types::{Attempts, EndpointId, Reason, Refusal, ServiceId, Tier, Urgency, Verdict, Version},
 };
@@ -61,6 +61,8 @@
     pub(crate) org: Option<Arc<Org>>,
     pub(crate) tier: Tier,
     pub(crate) urgency: Urgency,
+    /// What it may crash endpoints by.
+    pub(crate) suspects: Vec<Suspect>,
     /// Request head without hop-by-hop header fields.
     pub(crate) head: RequestHead,
     pub(crate) body: Vec<u8>,
@@ -110,6 +112,22 @@
         refusal
     }
 
+    /// The refusal of a request whose like has crashed endpoints.
+    pub(crate) fn quarantined(&self, wait: Duration) -> Refusal {
+        let refusal = match self.verdict() {
+            Verdict::NotRun => Refusal::not_run(Reason::Quarantined, "its like crashed endpoints"),
+            verdict => Refusal::with_verdict(
+                verdict,
+                Reason::EndpointFailed,
+                "its like crashed endpoints",
+            ),
+        };
+        if refusal.verdict == Verdict::NotRun {
+            return refusal.with_retry_after(wait);
+        }
+        refusal
+    }
+
     /// The refusal of a request that would miss its latency target.
     pub(crate) fn overloaded(&self, wait: Duration) -> Refusal {
         Refusal::not_run(Reason::Overloaded, "engines are overloaded").with_retry_after(wait)
--- a/crates/relay/src/request/slot_lease.rs
+++ b/crates/relay/src/request/slot_lease.rs
@@ -3,11 +3,14 @@
 use {
     crate::{endpoints::Endpoint, process::Node},
     clock::Instant,
-    route::{Placement, PlacementOutcome},
-    std::{net::SocketAddr, sync::Arc},
+    route::{EndpointStart, Placement, PlacementOutcome},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     types::ServiceId,
 };
 
+/// Time after the first event in which a request may still crash the endpoint that answers it.
+const TRIAL_TIME: Duration = Duration::from_millis(250);
+
 /// A leased slot of an endpoint, which is released when it is dropped.
 pub(crate) struct SlotLease {
     node: Arc<Node>,
@@ -15,6 +18,10 @@
     placement: Placement,
     outcome: PlacementOutcome,
     began: Instant,
+    /// When the first event or the whole response arrived.
+    answered: Option<Instant>,
+    /// Whether the request is known not to harm the endpoint.
+    harmless: bool,
     /// Address of the endpoint.
     pub(crate) addr: SocketAddr,
     /// Start time of the endpoint.
@@ -38,6 +45,8 @@
             placement,
             outcome: PlacementOutcome::Cancelled,
             began,
+            answered: None,
+            harmless: false,
             addr: target.addr,
             born: target.born,
             kv_source,
@@ -52,10 +61,20 @@
         &self.placement.id
     }
 
+    /// The start of the endpoint that the request was meant for.
+    pub(crate) fn endpoint_start(&self) -> EndpointStart {
+        EndpointStart {
+            id: self.placement.id.clone(),
+            born: self.born,
+            addr: self.addr,
+        }
+    }
+
     /// Records the first event of a stream or a complete buffered response.
     pub(crate) fn first_event(&mut self) {
         let now = self.node.clock.now();
         let took = now.since(self.began);
+        self.answered.get_or_insert(now);
         let mut placers = self.node.placers.lock();
         if let Some(placer) = placers.get_mut(&self.service) {
             placer.record_first_response(now, &mut self.placement, took);
@@ -71,6 +90,18 @@
         }
     }
 
+    /// Whether the endpoint has at most begun to answer, so that the request may crash it yet.
+    pub(crate) fn on_trial(&self) -> bool {
+        let now = self.node.clock.now();
+        let age = self.answered.map(|at| now.since(at));
+        age.is_none_or(|age| age < TRIAL_TIME)
+    }
+
+    /// Whether the response has just gone on long enough to show that the request is harmless.
+    pub(crate) fn passes_trial(&mut self) -> bool {
+        !self.on_trial() && !std::mem::replace(&mut self.harmless, true)
+    }
+
     /// Records how the attempt ended and releases the slot. Without this call the attempt counts as
     /// cancelled.
     pub(crate) fn finish(mut self, outcome: PlacementOutcome) {
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        attempt::{DEAD_TIMEOUT, PendingResponse, attempt, until_silent},
+        attempt::{PendingResponse, attempt, until_dead, until_silent},
         buffered::{may_retry, may_retry_failure},
         response::{Response, add_connection_header},
         routed_request::RoutedRequest,
@@ -239,13 +239,12 @@
                 let next = pending.reader.next(&mut pending.conn, &mut bytes);
                 let next = async { Some(next.await) };
                 let silent = async {
-                    let first_check = if may_resume {
-                        FIRST_SILENCE_CHECK
+                    if may_resume {
+                        node.clock.sleep(FIRST_SILENCE_CHECK).await;
+                        until_silent(&node, request, &slot).await;
                     } else {
-                        DEAD_TIMEOUT
-                    };
-                    node.clock.sleep(first_check).await;
-                    until_silent(&node, request, &slot).await;
+                        until_dead(&node, request, &slot).await;
+                    }
                     None
                 };
                 if !may_resume || !has_events {
@@ -285,6 +284,9 @@
             }
             if has_events {
                 slot.next_event();
+                if slot.passes_trial() {
+                    self.node.record_sound(request);
+                }
             } else {
                 has_events = true;
                 slot.first_event();
@@ -306,6 +308,7 @@
         match &outcome {
             SegmentOutcome::Complete => {
                 request.end_send(verdict, None);
+                self.node.record_sound(request);
                 pending.return_connection(self.node, &slot);
                 slot.finish(PlacementOutcome::Completed);
             }
--- /dev/null
+++ b/crates/route/src/crash/mod.rs
@@ -0,0 +1,16 @@
+//! What requests have done to endpoints: which prompt parts crash the endpoints that read them.
+//!
+//! Designed for these conditions: requests that crash endpoints come at any VM, no two alike, so that
+//! most VMs of a large fleet see one crash or none; requests that run beside them are cut as well;
+//! sound requests share all their parts but one; endpoints crash for other reasons, many at once;
+//! VMs join, restart and are cut off from the others.
+
+mod crash_news;
+mod crash_table;
+mod suspect;
+
+pub use {
+    crash_news::{CrashNews, CrashReport, QuarantineNotice, SoundNotice},
+    crash_table::{CrashChange, CrashTable, EndpointStart},
+    suspect::Suspect,
+};
--- /dev/null
+++ b/crates/route/src/crash/suspect.rs
@@ -0,0 +1,22 @@
+//! What a crash may be due to.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::fmt,
+    types::PromptPartId,
+};
+
+/// A property of requests that may crash the endpoints which run them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Suspect {
+    /// A prompt part that other requests may share.
+    Part(PromptPartId),
+}
+
+impl fmt::Display for Suspect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Part(id) => write!(f, "part {id}"),
+        }
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod adaptive;
 mod attempt_budget;
+mod crash;
 mod hedge;
 mod least_outstanding;
 mod notice;
@@ -16,6 +17,10 @@
 pub use {
     adaptive::Adaptive,
     attempt_budget::{AttemptBudget, RETRY_BURST, RETRY_RATIO},
+    crash::{
+        CrashChange, CrashNews, CrashReport, CrashTable, EndpointStart, QuarantineNotice,
+        SoundNotice, Suspect,
+    },
     hedge::{HEDGE_BURST, HEDGE_RATIO, Hedger},
     least_outstanding::LeastOutstanding,
     notice::{FleetRank, LimitNotice, Notice, NoticeTable, Restriction},
--- a/crates/route/src/placement/health.rs
+++ b/crates/route/src/placement/health.rs
@@ -75,6 +75,11 @@
             .is_some_and(|at| now.since(at.max(self.last_activity)) > SILENCE_TIMEOUT)
     }
 
+    /// Whether the endpoint showed activity within `time`.
+    pub(super) fn heard_within(&self, now: Instant, time: Duration) -> bool {
+        now.since(self.last_activity) < time
+    }
+
     /// Decays the failure share, so that an avoided endpoint is eventually tried again.
     pub(super) fn decay_failures(&mut self, factor: f64) {
         self.failure_share *= factor;
--- a/crates/route/src/placement/placer.rs
+++ b/crates/route/src/placement/placer.rs
@@ -92,6 +92,9 @@
 /// Weight of a new sample in the mean latency.
 const LATENCY_WEIGHT: f64 = 0.1;
 
+/// Time without activity of any endpoint after which this VM may be cut off from them.
+const CONTACT_TIME: Duration = Duration::from_secs(1);
+
 /// Chooses endpoints for the requests of one service.
 #[derive(Debug, Default)]
 pub struct Placer {
@@ -288,6 +291,19 @@
             .is_some_and(|e| e.health.is_silent(now))
     }
 
+    /// Whether this VM lately heard of other endpoints in the availability zone of this one, or of any
+    /// if there are none. Otherwise the VM may be cut off.
+    pub fn has_contact(&self, now: Instant, id: &EndpointId) -> bool {
+        let zone = self.endpoints.get(id).map(|e| &e.spec.zone);
+        let others = || self.endpoints.iter().filter(|(other, _)| *other != id);
+        let neighbours = || others().filter(|(_, e)| Some(&e.spec.zone) == zone);
+        let hears = |e: &TrackedEndpoint| e.health.heard_within(now, CONTACT_TIME);
+        if neighbours().next().is_some() {
+            return neighbours().any(|(_, e)| hears(e));
+        }
+        others().any(|(_, e)| hears(e))
+    }
+
     /// Sets the load of other VMs that is reported for an endpoint.
     pub fn set_peer_load(&mut self, reporter: &Reporter, id: &EndpointId, load: PeerLoad) {
         if let Some(entry) = self.endpoints.get_mut(id) {
--- a/crates/slo/src/targets.rs
+++ b/crates/slo/src/targets.rs
@@ -63,6 +63,7 @@
         | Reason::Forbidden
         | Reason::NotFound
         | Reason::OverLimit
-        | Reason::Conflict => false,
+        | Reason::Conflict
+        | Reason::Quarantined => false,
     }
 }
--- a/crates/types/src/outcome/refusal.rs
+++ b/crates/types/src/outcome/refusal.rs
@@ -31,6 +31,8 @@
     Overloaded,
     /// No endpoint can take the request.
     Unavailable,
+    /// Requests like this one have crashed the endpoints that ran them.
+    Quarantined,
     /// The endpoint failed, or its response was cut off.
     EndpointFailed,
     /// The endpoint did not answer in time.
@@ -53,7 +55,7 @@
             Self::Conflict => 409,
             Self::TooLarge => 413,
             Self::OverLimit => 429,
-            Self::Overloaded | Self::Unavailable | Self::Stopping => 503,
+            Self::Overloaded | Self::Unavailable | Self::Quarantined | Self::Stopping => 503,
             Self::EndpointFailed => 502,
             Self::EndpointTimeout => 504,
         }
@@ -69,7 +71,9 @@
             Self::Forbidden => "permission_error",
             Self::NotFound => "not_found_error",
             Self::OverLimit => "rate_limit_error",
-            Self::Overloaded | Self::Unavailable | Self::Stopping => "overloaded_error",
+            Self::Overloaded | Self::Unavailable | Self::Quarantined | Self::Stopping => {
+                "overloaded_error"
+            }
             Self::EndpointFailed | Self::EndpointTimeout => "api_error",
         }
     }
@@ -87,6 +91,7 @@
             Self::OverLimit => "over_limit",
             Self::Overloaded => "overloaded",
             Self::Unavailable => "unavailable",
+            Self::Quarantined => "quarantined",
             Self::EndpointFailed => "endpoint_failed",
             Self::EndpointTimeout => "endpoint_timeout",
             Self::Conflict => "conflict",
