Log a hash of requests that endpoints cut

Cause: the log line had no path and no body, so that copies of a request could not be told from others.

A SipHash-1-3 with fixed keys of method, target, organisation and body, in route::RequestHash, from the crate siphasher, so that VMs of all builds agree. No decision changes.

--- a/crates/relay/src/process/crashes.rs
+++ b/crates/relay/src/process/crashes.rs
@@ -60,7 +60,7 @@
     ) {
         log::info!(
             request:% = request.caller.id, endpoint:% = slot.endpoint(), born = slot.born, cause = cause,
-            events = request.progress.lock().events, suspects = join(&request.suspects).as_str();
+            events = request.progress.lock().events, hash:% = request.hash, suspects = join(&request.suspects).as_str();
             "request cut by its endpoint"
         );
         self.suspect_crash(request, slot);
--- a/crates/relay/src/request/accept.rs
+++ b/crates/relay/src/request/accept.rs
@@ -6,7 +6,7 @@
     clock::Instant,
     h1::RequestHead,
     parking_lot::Mutex,
-    route::Suspect,
+    route::{RequestHash, Suspect},
     std::time::Duration,
     types::{Reason, Refusal},
 };
@@ -58,6 +58,8 @@
     let tier = org.as_ref().and_then(|o| o.tier).unwrap_or(route.tier);
     let parts = caller.prompt.iter().flat_map(|p| p.shared_parts());
     let suspects = parts.map(|(id, _)| Suspect::Part(*id)).collect();
+    let org_id = org.as_ref().map(|o| &o.id);
+    let hash = RequestHash::of(&head.method, &head.target, org_id, &body);
     let mut head = head;
     head.headers.strip_hop_by_hop();
     Ok(RoutedRequest {
@@ -67,6 +69,7 @@
         org,
         tier,
         urgency: config.urgency(tier, route),
+        hash,
         suspects,
         head,
         body,
--- a/crates/route/src/crash/mod.rs
+++ b/crates/route/src/crash/mod.rs
@@ -7,10 +7,12 @@
 
 mod crash_news;
 mod crash_table;
+mod request_hash;
 mod suspect;
 
 pub use {
     crash_news::{CrashNews, CrashReport, QuarantineNotice, SoundNotice},
     crash_table::{CrashChange, CrashTable, EndpointStart},
+    request_hash::RequestHash,
     suspect::Suspect,
 };
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -19,7 +19,7 @@
     attempt_budget::{AttemptBudget, RETRY_BURST, RETRY_RATIO},
     crash::{
         CrashChange, CrashNews, CrashReport, CrashTable, EndpointStart, QuarantineNotice,
-        SoundNotice, Suspect,
+        RequestHash, SoundNotice, Suspect,
     },
     hedge::{HEDGE_BURST, HEDGE_RATIO, Hedger},
     least_outstanding::LeastOutstanding,
