Add failing tests: copies of a request crash one endpoint after the other

A plain service of four endpoints that a request ends, of which copies come at 8 and 44 VMs, among sound requests of which a third are copies of each other. Nothing remembers what a request without a prompt did. The checks of the tests before are the same, their requests are now a parameter.

--- a/crates/relay/tests/deadly_requests.rs
+++ b/crates/relay/tests/deadly_requests.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{CrashForm, CrashLog, CrashingEngine, Ports, Router, RouterSpec},
+    common::{CrashForm, CrashLog, CrashingEngine, Ports, Router, RouterSpec, SeenRequest},
     relay::{FeedChange, FeedKind, RouteKind},
     std::{
         net::IpAddr,
@@ -34,26 +34,38 @@
 const FIRST_PART: u64 = 1;
 const SHARED_PART: u64 = 2;
 const DEADLY_PART: u64 = 666;
+/// Begin of a request of which each copy crashes the endpoint that runs it.
+const DEADLY_LINE: &str = "GET /deadly ";
+/// Endpoints of a plain service.
+const PLAIN_ENDPOINTS: usize = 4;
 
 struct Fleet {
     routers: Vec<Router>,
     log: Arc<CrashLog>,
 }
 
-fn start_fleet(vms: u8, form: CrashForm) -> Fleet {
+/// Whether a request has the part that crashes engines.
+fn has_deadly_part(seen: &SeenRequest) -> bool {
+    let parts = seen.field("parts").unwrap_or_default();
+    parts.split(',').any(|p| p == DEADLY_PART.to_string())
+}
+
+/// Whether a request is a copy of the one that crashes endpoints.
+fn is_deadly_copy(seen: &SeenRequest) -> bool {
+    seen.head.starts_with(DEADLY_LINE)
+}
+
+fn start_fleet(
+    (vms, endpoints): (u8, usize),
+    kind: RouteKind,
+    form: CrashForm,
+    is_deadly: fn(&SeenRequest) -> bool,
+) -> Fleet {
     let ports = Ports::free();
-    let first = RouterSpec::new(RouteKind::Stream, Vec::new());
+    let first = RouterSpec::new(kind, Vec::new());
     let (feed, log) = (first.feed.clone(), Arc::<CrashLog>::default());
-    let deadly = format!("{DEADLY_PART}");
-    let engines: Vec<_> = (0..ENGINES)
-        .map(|at| {
-            let deadly = deadly.clone();
-            let is_deadly = move |seen: &common::SeenRequest| {
-                let parts = seen.field("parts").unwrap_or_default();
-                parts.split(',').any(|p| p == deadly)
-            };
-            CrashingEngine::start(&format!("e{at}"), form, is_deadly, (&log, &feed))
-        })
+    let engines: Vec<_> = (0..endpoints)
+        .map(|at| CrashingEngine::start(&format!("e{at}"), form, is_deadly, (&log, &feed)))
         .collect();
     for engine in &engines {
         feed.push(
@@ -63,7 +75,7 @@
     }
     let mut routers: Vec<Router> = Vec::new();
     for at in 0..vms {
-        let mut spec = RouterSpec::new(RouteKind::Stream, Vec::new());
+        let mut spec = RouterSpec::new(kind, Vec::new());
         spec.feed = feed.clone();
         if at > 0 {
             spec.config = None;
@@ -94,9 +106,38 @@
     served: AtomicUsize,
 }
 
+fn plain_request(line: &str) -> String {
+    format!("{line}HTTP/1.1\r\nHost: h\r\nid: q1\r\ntimeout-ms: 4000\r\nConnection: close\r\n\r\n")
+}
+
+/// The requests of a test, by their numbers.
+#[derive(Clone, Copy)]
+struct Requests {
+    sound: fn(u64) -> String,
+    deadly: fn(u64) -> String,
+}
+
+/// Prompts, no two alike. Every third sound one shares more than the first part with deadly ones.
+const PROMPTS: Requests = Requests {
+    sound: |own| {
+        let shared = if own % 3 == 0 { SHARED_PART } else { own };
+        prompt_request(&[FIRST_PART, shared, own + 100_000])
+    },
+    deadly: |own| prompt_request(&[FIRST_PART, SHARED_PART, DEADLY_PART, own]),
+};
+
+/// Copies of a deadly request among sound ones, of which every third one is the same, too.
+const COPIES: Requests = Requests {
+    sound: |own| match own % 3 {
+        0 => plain_request("GET /status "),
+        _ => plain_request(&format!("GET /status/{own} ")),
+    },
+    deadly: |_| plain_request(DEADLY_LINE),
+};
+
 impl Fleet {
-    /// Sends sound and deadly requests, no two alike, to all VMs for `time`.
-    fn run(&self, time: Duration, served: &Served) {
+    /// Sends sound and deadly requests to all VMs for `time`.
+    fn run(&self, requests: Requests, time: Duration, served: &Served) {
         let end = Instant::now() + time;
         let number = AtomicUsize::new(1_000);
         let next = || number.fetch_add(1, SeqCst) as u64;
@@ -106,14 +147,10 @@
                 scope.spawn(move || {
                     while Instant::now() < end {
                         thread::sleep(SOUND_PAUSE * self.routers.len() as u32);
-                        // Every third one shares more than the first part with deadly prompts.
-                        let own = next();
-                        let shared = if own % 3 == 0 { SHARED_PART } else { own };
-                        let request = prompt_request(&[FIRST_PART, shared, own + 100_000]);
-                        let response = router.exchange(request.as_bytes());
+                        let response = router.exchange((requests.sound)(next()).as_bytes());
                         served.sent.fetch_add(1, SeqCst);
-                        let whole =
-                            response.starts_with("HTTP/1.1 200") && response.ends_with("0\r\n\r\n");
+                        let whole = response.starts_with("HTTP/1.1 200")
+                            && (response.ends_with("0\r\n\r\n") || response.ends_with("ok"));
                         served.served.fetch_add(usize::from(whole), SeqCst);
                     }
                 });
@@ -121,8 +158,7 @@
                     let count = self.routers.len() as u32;
                     thread::sleep(DEADLY_PAUSE * at as u32);
                     while Instant::now() < end {
-                        let parts = [FIRST_PART, SHARED_PART, DEADLY_PART, next()];
-                        router.exchange(prompt_request(&parts).as_bytes());
+                        router.exchange((requests.deadly)(next()).as_bytes());
                         thread::sleep(DEADLY_PAUSE * count);
                     }
                 });
@@ -131,16 +167,15 @@
     }
 }
 
-/// Checks that few requests with a deadly part reach engines once five of them have crashed, and
-/// that requests which share other parts with them are served.
-fn check_deadly_part(vms: u8, form: CrashForm, start_time: Duration) {
-    let fleet = start_fleet(vms, form);
-    thread::sleep(start_time);
-    fleet.run(CONTACT_TIME * 2 + CONTACT_TIME / 2, &Served::default());
-    let fifth = fleet.log.crash(5);
+/// Checks that few deadly requests reach endpoints once `crashes` of these have crashed, and that
+/// other requests are served.
+fn check(fleet: &Fleet, requests: Requests, crashes: usize) {
+    let time = CONTACT_TIME * 2 + CONTACT_TIME / 2;
+    fleet.run(requests, time, &Served::default());
+    let last = fleet.log.crash(crashes);
     let served = Served::default();
-    fleet.run(CONTACT_TIME, &served);
-    if let Some(at) = fifth {
+    fleet.run(requests, CONTACT_TIME, &served);
+    if let Some(at) = last {
         let late = fleet.log.arrivals_since(at + CONTACT_TIME);
         assert!(late <= MAX_ARRIVALS, "{late} deadly requests");
     }
@@ -151,6 +186,19 @@
     );
 }
 
+fn check_deadly_part(vms: u8, form: CrashForm, start_time: Duration) {
+    let fleet = start_fleet((vms, ENGINES), RouteKind::Stream, form, has_deadly_part);
+    thread::sleep(start_time);
+    check(&fleet, PROMPTS, 5);
+}
+
+fn check_deadly_copies(vms: u8, form: CrashForm, start_time: Duration) {
+    let size = (vms, PLAIN_ENDPOINTS);
+    let fleet = start_fleet(size, RouteKind::Idempotent, form, is_deadly_copy);
+    thread::sleep(start_time);
+    check(&fleet, COPIES, 3);
+}
+
 /// Each request with the part crashed one engine more.
 #[test]
 fn prompt_part_does_not_crash_one_engine_after_the_other() {
@@ -174,3 +222,15 @@
 fn prompt_part_is_stopped_by_a_fleet_with_hubs() {
     check_deadly_part(LARGE, CrashForm::BrokenResponse, START_TIME);
 }
+
+/// Each copy of a request ended one endpoint of a plain service more, and its repeat another one.
+#[test]
+fn copies_of_a_request_do_not_crash_one_endpoint_after_the_other() {
+    check_deadly_copies(SMALL, CrashForm::Closed, Duration::ZERO);
+}
+
+/// As above, in a fleet whose VMs know only the hubs of their zone.
+#[test]
+fn copies_of_a_request_are_stopped_by_a_fleet_with_hubs() {
+    check_deadly_copies(LARGE, CrashForm::Closed, START_TIME);
+}
