Refuse copies of a request that crashes the endpoints which run it

Cause: the knowledge of what requests did to endpoints was of prompt parts only. Class: as for the parts, evidence kept by endpoint where the cause is in the request.

Change: the hash is a suspect like a prompt part, judged by the same evidence and told in the same datagram.

--- a/crates/relay/src/process/crashes.rs
+++ b/crates/relay/src/process/crashes.rs
@@ -60,7 +60,7 @@
     ) {
         log::info!(
             request:% = request.caller.id, endpoint:% = slot.endpoint(), born = slot.born, cause = cause,
-            events = request.progress.lock().events, hash:% = request.hash, suspects = join(&request.suspects).as_str();
+            events = request.progress.lock().events, suspects = join(&request.suspects).as_str();
             "request cut by its endpoint"
         );
         self.suspect_crash(request, slot);
@@ -241,7 +241,7 @@
     }
 }
 
-/// Suspects as text, the last one first: that is the deepest part of a prompt.
+/// Suspects as text, the last one first: the hash of the request, then the deepest part.
 fn join(suspects: &[Suspect]) -> CompactString {
     let mut text = CompactString::default();
     for suspect in suspects.iter().rev().take(MAX_SUSPECTS_LOGGED) {
--- a/crates/relay/src/request/accept.rs
+++ b/crates/relay/src/request/accept.rs
@@ -56,10 +56,11 @@
     }
     let timeout = caller.timeout.unwrap_or(route.timeout);
     let tier = org.as_ref().and_then(|o| o.tier).unwrap_or(route.tier);
-    let parts = caller.prompt.iter().flat_map(|p| p.shared_parts());
-    let suspects = parts.map(|(id, _)| Suspect::Part(*id)).collect();
     let org_id = org.as_ref().map(|o| &o.id);
     let hash = RequestHash::of(&head.method, &head.target, org_id, &body);
+    let parts = caller.prompt.iter().flat_map(|p| p.shared_parts());
+    let parts = parts.map(|(id, _)| Suspect::Part(*id));
+    let suspects = parts.chain([Suspect::Request(hash)]).collect();
     let mut head = head;
     head.headers.strip_hop_by_hop();
     Ok(RoutedRequest {
@@ -69,7 +70,6 @@
         org,
         tier,
         urgency: config.urgency(tier, route),
-        hash,
         suspects,
         head,
         body,
--- a/crates/relay/src/request/routed_request.rs
+++ b/crates/relay/src/request/routed_request.rs
@@ -8,7 +8,7 @@
     clock::Instant,
     h1::RequestHead,
     parking_lot::Mutex,
-    route::{Placement, RequestHash, Suspect},
+    route::{Placement, Suspect},
     std::{sync::Arc, time::Duration},
     types::{Attempts, EndpointId, Reason, Refusal, ServiceId, Tier, Urgency, Verdict, Version},
 };
@@ -61,8 +61,6 @@
     pub(crate) org: Option<Arc<Org>>,
     pub(crate) tier: Tier,
     pub(crate) urgency: Urgency,
-    /// What copies of it have in common.
-    pub(crate) hash: RequestHash,
     /// What it may crash endpoints by.
     pub(crate) suspects: Vec<Suspect>,
     /// Request head without hop-by-hop header fields.
--- a/crates/route/src/crash/crash_table.rs
+++ b/crates/route/src/crash/crash_table.rs
@@ -49,7 +49,7 @@
 const MAX_CRASHES: usize = 512;
 const MAX_REQUESTS: usize = 32;
 const MAX_SUSPECTS: usize = 16;
-const MAX_SOUND: usize = 4_096;
+const MAX_SOUND: usize = 8_192;
 const MAX_QUARANTINES: usize = 1_024;
 /// Bounds of what is told at a time.
 const MAX_QUARANTINES_TOLD: usize = 24;
--- a/crates/route/src/crash/mod.rs
+++ b/crates/route/src/crash/mod.rs
@@ -1,7 +1,8 @@
-//! What requests have done to endpoints: which prompt parts crash the endpoints that read them.
+//! What requests have done to endpoints: which prompt parts, and which requests, crash the endpoints
+//! that run them.
 //!
-//! Designed for these conditions: requests that crash endpoints come at any VM, no two alike, so that
-//! most VMs of a large fleet see one crash or none; requests that run beside them are cut as well;
+//! Designed for these conditions: requests that crash endpoints come at any VM, copies of one another
+//! or no two alike, so that most VMs of a large fleet see one crash or none; requests that run beside them are cut as well;
 //! sound requests share all their parts but one; endpoints crash for other reasons, many at once;
 //! VMs join, restart and are cut off from the others.
 
--- a/crates/route/src/crash/request_hash.rs
+++ b/crates/route/src/crash/request_hash.rs
@@ -8,7 +8,7 @@
 };
 
 /// Keys of the hash, the same on all VMs and in all releases.
-const KEYS: (u64, u64) = (0x6365_6c65_7279, 0x7374_6167_65);
+const KEYS: (u64, u64) = (0x6365_6c65_7279, 0x0073_7461_6765);
 
 /// SipHash-1-3 of a request's method, target, organisation and body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/route/tests/crash_table.rs
+++ b/crates/route/tests/crash_table.rs
@@ -3,7 +3,7 @@
 use {
     clock::Instant,
     fastrand::Rng,
-    route::{CrashChange, CrashNews, CrashTable, EndpointStart, Suspect},
+    route::{CrashChange, CrashNews, CrashTable, EndpointStart, RequestHash, Suspect},
     std::{collections::BTreeMap, time::Duration},
     types::PromptPartId,
 };
@@ -410,3 +410,29 @@
     let news = table.tell(at(20_000), true, true);
     assert!(news.reports.len() + news.quarantines.len() + news.sound.len() < 100);
 }
+
+/// Copies of a status request are in flight at each endpoint that a deadly request crashes.
+#[test]
+fn copies_of_a_sound_request_are_not_refused_although_they_are_cut_at_each_crash() {
+    let copy = |hash| Suspect::Request(RequestHash(hash));
+    let mut table = CrashTable::default();
+    table.record_sound(at(0), &[copy(1)]);
+    for endpoint in 0..4 {
+        let start = start_of(endpoint, 1);
+        assert!(table.record_cut(at(100), &start, &[copy(1)]));
+        assert!(!table.record_cut(at(100), &start, &[copy(666)]));
+        table.end_check(at(100), &start, true);
+    }
+    table.update(at(2_200));
+    assert!(table.refused(at(2_200), &[copy(666)]).is_some());
+    assert!(table.refused(at(2_200), &[copy(1)]).is_none());
+}
+
+/// A change of the hash would make VMs of two builds disagree.
+#[test]
+fn request_hash_has_the_same_value_in_all_builds() {
+    let org = "acme".parse().unwrap();
+    let hash = RequestHash::of("GET", "/a?b=1", Some(&org), b"body");
+    assert_eq!(hash, RequestHash(11_592_359_230_702_751_271));
+    assert_ne!(hash, RequestHash::of("GET", "/a?b=1", None, b"acmebody"));
+}
