Don't take a failure to open a connection by this VM itself for a crash

Found in reading: any error of the connection that checks an endpoint counted as a crash, also one of the VM itself, such as a lack of descriptors. Only a refused connection does now. A report too large for one datagram is shortened instead of never being told. Messages of refused requests reworded.

--- a/crates/relay/src/process/crashes.rs
+++ b/crates/relay/src/process/crashes.rs
@@ -1,5 +1,5 @@
 //! What requests do to endpoints: finds out whether an endpoint that cut a request has crashed, and
-//! refuses requests whose like crash endpoints.
+//! refuses requests of the kind that crashes endpoints.
 
 use {
     super::{
@@ -14,6 +14,7 @@
     route::{CrashChange, CrashNews, EndpointStart, Suspect},
     std::{
         collections::BTreeSet,
+        io,
         net::{SocketAddr, UdpSocket},
         sync::Arc,
         time::Duration,
@@ -35,7 +36,7 @@
 /// Most suspects that are logged for one request.
 const MAX_SUSPECTS_LOGGED: usize = 8;
 
-/// Why an endpoint counts as crashed.
+/// What an endpoint that cut a request showed afterwards.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Check {
     /// It accepts connections.
@@ -46,7 +47,7 @@
     Refused,
     /// It doesn't respond, while others near it do.
     Silent,
-    /// Neither it nor others near it respond: this VM may be cut off.
+    /// No connection could be opened, and this VM itself may be the reason.
     Unknown,
 }
 
@@ -91,14 +92,14 @@
         log_changes(&changes, "this VM");
     }
 
-    /// Time for which a request is refused because its like crash endpoints.
+    /// Time for which a request is refused because others like it crash endpoints.
     pub(crate) fn quarantine(&self, request: &RoutedRequest) -> Option<Duration> {
         let now = self.clock.now();
         let crashes = self.crashes.lock();
         let (suspects, wait) = crashes.refused(now, &request.suspects)?;
         log::info!(
             request:% = request.caller.id, suspects = join(suspects).as_str(), ends_ms = wait.as_millis() as u64;
-            "request refused, as its like crashed endpoints"
+            "request refused, as others like it crashed endpoints"
         );
         Some(wait)
     }
@@ -131,7 +132,11 @@
                 Check::Alive
             }
         }
-        Ok(Err(_)) => Check::Refused,
+        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Check::Refused,
+        Ok(Err(e)) => {
+            log::warn!(endpoint:% = start.id, error:% = e; "cannot check an endpoint that cut a request");
+            Check::Unknown
+        }
         Err(_) => {
             let placers = node.placers.lock();
             let placer = placers.get(&service);
@@ -196,8 +201,15 @@
     }
 }
 
-/// Removes a report, or else a notice; false if nothing is left to remove.
+/// Removes a report, or else a notice; false if nothing is left to remove. Of the last report half
+/// is kept.
 fn shorten(news: &mut CrashNews) -> bool {
+    if let [last] = news.reports.as_mut_slice()
+        && last.requests.len() > 1
+    {
+        last.requests.truncate(last.requests.len() / 2);
+        return true;
+    }
     news.reports.pop().is_some() || news.sound.pop().is_some() || news.quarantines.pop().is_some()
 }
 
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -4,7 +4,6 @@
 mod capacity_planner;
 mod count_store;
 mod crashes;
-
 mod duty_worker;
 mod endpoint_list;
 mod feed_reader;
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -77,7 +77,7 @@
     let quarantined = node.quarantine(request).is_some();
     if quarantined || !node.still_accepts(slot) {
         let cause = if quarantined {
-            "its like crashed endpoints"
+            "others like it crashed endpoints"
         } else {
             "endpoint closed to new requests"
         };
--- a/crates/relay/src/request/routed_request.rs
+++ b/crates/relay/src/request/routed_request.rs
@@ -112,20 +112,15 @@
         refusal
     }
 
-    /// The refusal of a request whose like has crashed endpoints.
+    /// The refusal of a request because others like it have crashed endpoints.
     pub(crate) fn quarantined(&self, wait: Duration) -> Refusal {
-        let refusal = match self.verdict() {
-            Verdict::NotRun => Refusal::not_run(Reason::Quarantined, "its like crashed endpoints"),
-            verdict => Refusal::with_verdict(
-                verdict,
-                Reason::EndpointFailed,
-                "its like crashed endpoints",
-            ),
-        };
-        if refusal.verdict == Verdict::NotRun {
-            return refusal.with_retry_after(wait);
+        const MESSAGE: &str = "others like it crashed endpoints";
+        match self.verdict() {
+            Verdict::NotRun => {
+                Refusal::not_run(Reason::Quarantined, MESSAGE).with_retry_after(wait)
+            }
+            verdict => Refusal::with_verdict(verdict, Reason::EndpointFailed, MESSAGE),
         }
-        refusal
     }
 
     /// The refusal of a request that would miss its latency target.
