--- a/crates/route/src/crash/crash_table.rs
+++ b/crates/route/src/crash/crash_table.rs
@@ -6,11 +6,14 @@
 //! that a quarantine explains accuse nobody else.
 
 use {
-    super::{CrashNews, CrashReport, QuarantineNotice, SoundNotice, Suspect},
+    super::{
+        CrashNews, CrashReport, Suspect, contains_all, quarantine_list::QuarantineList,
+        sound_memory::SoundMemory,
+    },
     clock::Instant,
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         time::Duration,
     },
@@ -30,31 +33,18 @@
 const SOUND_TIME: Duration = Duration::from_secs(5);
 /// Time for which a crash is remembered.
 const EVIDENCE_TIME: Duration = Duration::from_secs(600);
-/// Time for which a sound suspect is remembered.
-const SOUND_MEMORY: Duration = Duration::from_secs(60);
-/// Time for which a quarantine holds, and for which one crash is enough afterwards.
-const QUARANTINE_TIME: Duration = Duration::from_secs(600);
-/// Largest share of `QUARANTINE_TIME` by which VMs end a quarantine one after the other: the first one to
-/// send such a request learns for all whether it still crashes endpoints.
-const QUARANTINE_SPREAD: f64 = 0.5;
-/// Difference between the ages of crashes from which they are not the same one.
-const RENEWAL_GAP: Duration = Duration::from_secs(2);
 /// Time after a crash in which further requests that it cut are noticed.
 const CUT_SPAN: Duration = Duration::from_secs(5);
-/// Time for which news is told in each round, and interval at which quarantines are told afterwards, to
-/// VMs that have joined.
-const TELL_TIME: Duration = Duration::from_secs(3);
-const RETELL_INTERVAL: Duration = Duration::from_secs(1);
-/// Bounds of what is remembered.
+/// Time for which others are told of news in each round.
+pub(super) const TELL_TIME: Duration = Duration::from_secs(3);
 const MAX_CRASHES: usize = 512;
+/// Largest numbers of requests of one crash, and of suspects of one request.
 const MAX_REQUESTS: usize = 32;
 const MAX_SUSPECTS: usize = 16;
-const MAX_SOUND: usize = 8_192;
-const MAX_QUARANTINES: usize = 1_024;
-/// Bounds of what is told at a time.
-const MAX_QUARANTINES_TOLD: usize = 24;
-const MAX_SOUND_TOLD: usize = 24;
-const MAX_REPORTS_TOLD: usize = 24;
+/// Largest number of crashes that others are told of at a time.
+const MAX_TOLD: usize = 24;
+/// Largest number of quarantines that are imposed one after the other at a time.
+const MAX_ROUNDS: usize = 64;
 
 /// One start of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -97,51 +87,21 @@
     requests: Vec<Vec<Suspect>>,
 }
 
-/// The latest harmless response to a suspect.
-#[derive(Debug, Clone, Copy)]
-struct Sound {
-    at: Instant,
-    own: bool,
-    /// Until when others are told, and when they last were.
-    tell_until: Instant,
-    told: Instant,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Quarantine {
-    /// The last crash.
-    at: Instant,
-    /// When this VM reached it or was told.
-    since: Instant,
-    until: Instant,
-    told: Instant,
-    /// Whether its end was noticed.
-    ended: bool,
-}
-
-impl Quarantine {
-    fn holds(&self, now: Instant) -> bool {
-        now < self.until
-    }
-}
-
 /// Crashes, suspects and quarantines.
 #[derive(Debug, Default)]
 pub struct CrashTable {
     pending: BTreeMap<EndpointStart, PendingCut>,
     crashes: BTreeMap<EndpointStart, Crash>,
-    sound: HashMap<Suspect, Sound>,
-    /// Quarantines on suspects in order, which hold for requests with all of them.
-    quarantines: BTreeMap<Vec<Suspect>, Quarantine>,
-    /// This VM's part of the spread of the ends of quarantines, from 0 to 1.
-    spread: f64,
+    sound: SoundMemory,
+    quarantines: QuarantineList,
 }
 
 impl CrashTable {
-    /// An empty table; `spread`, from 0 to 1, differs between VMs.
+    /// An empty table; `spread`, from 0 to 1, decides how long this VM's quarantines hold and differs
+    /// between VMs.
     pub fn new(spread: f64) -> Self {
         Self {
-            spread,
+            quarantines: QuarantineList::new(spread),
             ..Self::default()
         }
     }
@@ -219,61 +179,19 @@
     pub fn record_sound(&mut self, now: Instant, suspects: &[Suspect]) -> Vec<CrashChange> {
         let mut changes = Vec::new();
         for suspect in suspects {
-            let sound = self.sound.entry(*suspect).or_insert(Sound {
-                at: now,
-                own: true,
-                tell_until: Instant::default(),
-                told: Instant::default(),
-            });
-            sound.at = now;
-            sound.own = true;
-            if self.acquit(*suspect, now) {
+            self.sound.record(now, *suspect);
+            if self.quarantines.acquit(*suspect, now) {
+                // Others have the quarantine as well.
+                self.sound.tell_later(now, *suspect);
                 changes.push(CrashChange::Acquitted(*suspect));
-                if let Some(sound) = self.sound.get_mut(suspect) {
-                    sound.tell_until = now + TELL_TIME;
-                }
             }
         }
-        if self.sound.len() > MAX_SOUND {
-            self.forget_older_half();
-        }
         changes
     }
 
-    /// Takes a suspect out of the quarantines on crashes before `at`; returns whether there were any.
-    fn acquit(&mut self, suspect: Suspect, at: Instant) -> bool {
-        let concerned = self.quarantines.iter();
-        let concerned = concerned.filter(|(group, v)| v.at < at && group.contains(&suspect));
-        let concerned: Vec<_> = concerned.map(|(group, _)| group.clone()).collect();
-        for group in &concerned {
-            let Some(quarantine) = self.quarantines.remove(group) else {
-                continue;
-            };
-            let rest: Vec<_> = group.iter().copied().filter(|s| *s != suspect).collect();
-            if !rest.is_empty() {
-                self.quarantines.entry(rest).or_insert(Quarantine {
-                    told: Instant::default(),
-                    ..quarantine
-                });
-            }
-        }
-        !concerned.is_empty()
-    }
-
-    fn forget_older_half(&mut self) {
-        let mut times: Vec<_> = self.sound.values().map(|s| s.at).collect();
-        let middle = times.len() / 2;
-        let (_, median, _) = times.select_nth_unstable(middle);
-        let median = *median;
-        self.sound.retain(|_, s| s.at > median);
-    }
-
     /// The suspects for which a request is refused, and for how long.
     pub fn refused(&self, now: Instant, suspects: &[Suspect]) -> Option<(&[Suspect], Duration)> {
-        let mut quarantines = self.quarantines.iter();
-        let (group, quarantine) =
-            quarantines.find(|(group, v)| v.holds(now) && contains_all(suspects, group))?;
-        Some((group, quarantine.until.since(now)))
+        self.quarantines.find(now, suspects)
     }
 
     /// Applies what another VM told.
@@ -297,18 +215,11 @@
     }
 
     fn learn_sound(&mut self, now: Instant, suspect: Suspect, at: Instant) -> Option<CrashChange> {
-        let known = self.sound.get(&suspect).map(|s| s.at);
-        if known.is_some_and(|known| known >= at) {
+        if !self.sound.learn(now, suspect, at) {
             return None;
         }
-        let sound = Sound {
-            at,
-            own: false,
-            tell_until: now + TELL_TIME,
-            told: Instant::default(),
-        };
-        self.sound.insert(suspect, sound);
-        self.acquit(suspect, at)
+        self.quarantines
+            .acquit(suspect, at)
             .then_some(CrashChange::Acquitted(suspect))
     }
 
@@ -318,41 +229,15 @@
         suspects: &[Suspect],
         at: Instant,
     ) -> Option<CrashChange> {
-        if suspects.is_empty() || now.since(at) >= QUARANTINE_TIME {
-            return None;
-        }
-        let mut is_refuted = false;
+        let mut acquitted = false;
         for suspect in suspects {
-            if let Some(sound) = self.sound.get_mut(suspect).filter(|s| s.at > at) {
-                sound.tell_until = now + TELL_TIME;
-                is_refuted = true;
-            }
+            acquitted |= self.sound.acquits(now, *suspect, at);
         }
-        let known = self.quarantines.get(suspects);
-        if is_refuted || known.is_some_and(|v| at < v.at + RENEWAL_GAP) {
+        if acquitted || suspects.is_empty() {
             return None;
         }
-        let held = known.is_some_and(|v| v.holds(now));
-        self.impose(now, suspects.to_vec(), at);
-        (!held).then(|| CrashChange::Told(suspects.to_vec()))
-    }
-
-    fn impose(&mut self, now: Instant, suspects: Vec<Suspect>, at: Instant) {
-        let time = QUARANTINE_TIME.mul_f64(1.0 + QUARANTINE_SPREAD * self.spread);
-        let quarantine = Quarantine {
-            at,
-            since: now,
-            until: at + time,
-            told: Instant::default(),
-            ended: false,
-        };
-        self.quarantines.insert(suspects, quarantine);
-        if self.quarantines.len() > MAX_QUARANTINES {
-            let oldest = self.quarantines.iter().min_by_key(|(_, v)| v.at);
-            if let Some(suspects) = oldest.map(|(suspects, _)| suspects.clone()) {
-                self.quarantines.remove(&suspects);
-            }
-        }
+        let imposed = self.quarantines.learn(now, suspects, at);
+        imposed.then(|| CrashChange::Told(suspects.to_vec()))
     }
 
     /// Drops suspects from the crashes that they are acquitted of, and crashes that are explained.
@@ -364,23 +249,13 @@
             ..
         } = self;
         crashes.retain(|_, crash| {
-            let explained = quarantines.iter().any(|(group, quarantine)| {
-                let mut requests = crash.requests.iter();
-                quarantine.holds(now) && requests.any(|r| contains_all(r, group))
-            });
+            let mut requests = crash.requests.iter();
+            let explained = requests.any(|r| quarantines.find(now, r).is_some());
             if explained || now.since(crash.at) >= EVIDENCE_TIME {
                 return false;
             }
             for request in &mut crash.requests {
-                request.retain(|suspect| {
-                    let Some(sound) = sound.get_mut(suspect).filter(|s| s.at > crash.at) else {
-                        return true;
-                    };
-                    if sound.own {
-                        sound.tell_until = now + TELL_TIME;
-                    }
-                    false
-                });
+                request.retain(|suspect| !sound.acquits(now, *suspect, crash.at));
             }
             crash.requests.retain(|r| !r.is_empty());
             !crash.requests.is_empty()
@@ -390,17 +265,18 @@
     /// Imposes the quarantines that the known crashes allow.
     fn judge(&mut self, now: Instant) -> Vec<CrashChange> {
         let mut changes = Vec::new();
-        loop {
+        for _ in 0..MAX_ROUNDS {
             self.prune(now);
             let convicted = self.likeliest_causes(now);
             if convicted.is_empty() {
-                return changes;
+                break;
             }
             for (suspects, crashes, at) in convicted {
-                self.impose(now, suspects.clone(), at);
+                self.quarantines.impose(now, suspects.clone(), at);
                 changes.push(CrashChange::Convicted(suspects, crashes));
             }
         }
+        changes
     }
 
     /// The suspects with enough crashes that are in most of them, those together that were always in
@@ -441,18 +317,14 @@
     fn is_enough(&self, now: Instant, suspect: Suspect, starts: &BTreeSet<&EndpointStart>) -> bool {
         let crashes = || starts.iter().map(|start| self.crashes[*start].at);
         let addresses: BTreeSet<_> = starts.iter().map(|start| start.addr).collect();
-        if let Some(quarantine) = self.quarantines.get([suspect].as_slice()) {
-            return crashes().any(|at| at > quarantine.at);
+        if let Some(last) = self.quarantines.last_crash(suspect) {
+            return crashes().any(|at| at > last);
         }
-        let sound = self.sound.get(&suspect);
-        if sound.is_some_and(|s| now.since(s.at) < SOUND_TIME) {
+        let sound = self.sound.last(suspect);
+        if sound.is_some_and(|at| now.since(at) < SOUND_TIME) {
             return false;
         }
-        if self
-            .quarantines
-            .keys()
-            .any(|group| group.contains(&suspect))
-        {
+        if self.quarantines.is_member(suspect) {
             return addresses.len() >= MIN_CRASHES_ALONE;
         }
         let first = crashes().min();
@@ -467,85 +339,39 @@
     /// not told for longest.
     pub fn tell(&mut self, now: Instant, relays: bool, repeats: bool) -> CrashNews {
         self.prune(now);
-        let age_ms = |at: Instant| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
-        let mut quarantines: Vec<_> = self
-            .quarantines
-            .iter_mut()
-            .filter(|(_, v)| {
-                let is_new = now.since(v.since) < TELL_TIME;
-                let is_due = repeats && now.since(v.told) >= RETELL_INTERVAL;
-                v.holds(now) && now.since(v.at) < QUARANTINE_TIME && (is_new || is_due)
-            })
-            .collect();
-        quarantines.sort_by_key(|(_, v)| v.told);
-        let quarantines = quarantines.into_iter().take(MAX_QUARANTINES_TOLD);
-        let quarantines = quarantines.map(|(suspects, quarantine)| {
-            quarantine.told = now;
-            QuarantineNotice {
-                suspects: suspects.clone(),
-                age_ms: age_ms(quarantine.at),
-            }
-        });
-        let quarantines = quarantines.collect();
-        let sound = self.sound.iter_mut();
-        let mut sound: Vec<_> = sound
-            .filter(|(_, s)| (s.own || relays) && now < s.tell_until)
-            .collect();
-        sound.sort_by_key(|(_, s)| s.told);
-        let sound = sound.into_iter().take(MAX_SOUND_TOLD);
-        let sound = sound.map(|(suspect, sound)| {
-            sound.told = now;
-            SoundNotice {
-                suspect: *suspect,
-                age_ms: age_ms(sound.at),
-            }
-        });
-        let sound = sound.collect();
         let mut crashes: Vec<_> = self
             .crashes
             .iter_mut()
             .filter(|(_, c)| (c.own || relays) && now.since(c.changed) < TELL_TIME)
             .collect();
         crashes.sort_by_key(|(_, c)| c.told);
-        let reports = crashes.into_iter().take(MAX_REPORTS_TOLD);
-        let reports = reports.map(|(start, crash)| {
+        crashes.truncate(MAX_TOLD);
+        let reports = crashes.into_iter().map(|(start, crash)| {
             crash.told = now;
             CrashReport {
                 start: start.clone(),
-                age_ms: age_ms(crash.at),
+                age_ms: super::age_ms(now, crash.at),
                 requests: crash.requests.clone(),
             }
         });
         CrashNews {
             reports: reports.collect(),
-            quarantines,
-            sound,
+            quarantines: self.quarantines.tell(now, repeats),
+            sound: self.sound.tell(now, relays),
         }
     }
 
-    /// Imposes the quarantines that the known crashes allow, and drops what is out of date. Quarantines that
-    /// have ended are kept for as long again, so that the next crash renews them.
+    /// Imposes the quarantines that the known crashes allow, and drops what is out of date.
     pub fn update(&mut self, now: Instant) -> Vec<CrashChange> {
-        self.sound.retain(|_, s| now.since(s.at) < SOUND_MEMORY);
+        self.sound.expire(now);
         self.pending.retain(|_, p| now.since(p.at) < EVIDENCE_TIME);
-        let mut changes = Vec::new();
-        self.quarantines
-            .retain(|_, v| now < v.until + QUARANTINE_TIME);
-        for (suspects, quarantine) in &mut self.quarantines {
-            if !quarantine.ended && !quarantine.holds(now) {
-                quarantine.ended = true;
-                changes.push(CrashChange::Expired(suspects.clone()));
-            }
-        }
+        let ended = self.quarantines.expire(now).into_iter();
+        let mut changes: Vec<_> = ended.map(CrashChange::Expired).collect();
         changes.extend(self.judge(now));
         changes
     }
 }
 
-fn contains_all(suspects: &[Suspect], group: &[Suspect]) -> bool {
-    group.iter().all(|s| suspects.contains(s))
-}
-
 /// Adds a request unless it is known already or there are too many; returns whether it was added.
 fn add_request(requests: &mut Vec<Vec<Suspect>>, request: Vec<Suspect>) -> bool {
     if requests.len() >= MAX_REQUESTS || requests.contains(&request) {
--- a/crates/route/src/crash/mod.rs
+++ b/crates/route/src/crash/mod.rs
@@ -8,7 +8,9 @@
 
 mod crash_news;
 mod crash_table;
+mod quarantine_list;
 mod request_hash;
+mod sound_memory;
 mod suspect;
 
 pub use {
@@ -17,3 +19,15 @@
     request_hash::RequestHash,
     suspect::Suspect,
 };
+
+use clock::Instant;
+
+/// Whether `group` is a part of `suspects`.
+fn contains_all(suspects: &[Suspect], group: &[Suspect]) -> bool {
+    group.iter().all(|s| suspects.contains(s))
+}
+
+/// Milliseconds since `at`.
+fn age_ms(now: Instant, at: Instant) -> u64 {
+    u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)
+}
