--- a/crates/relay/tests/deadly_requests.rs
+++ b/crates/relay/tests/deadly_requests.rs
@@ -3,7 +3,10 @@
 mod common;
 
 use {
-    common::{CrashForm, CrashLog, CrashingEngine, Ports, Router, RouterSpec, SeenRequest},
+    common::{
+        CrashForm, CrashLog, CrashingEngine, FakeEndpoint, Ports, Router, RouterSpec, Script,
+        SeenRequest, endpoint, response_head,
+    },
     relay::{FeedChange, FeedKind, RouteKind},
     std::{
         net::IpAddr,
@@ -234,3 +237,29 @@
 fn copies_of_a_request_are_stopped_by_a_fleet_with_hubs() {
     check_deadly_copies(LARGE, CrashForm::Closed, START_TIME);
 }
+
+/// Endpoints that broke off responses but went on running would have made suspects of prompt parts.
+#[test]
+fn endpoints_that_break_off_responses_without_crashing_convict_nothing() {
+    let breaking = || {
+        FakeEndpoint::start(|_, _| {
+            let head = response_head("q1", "Transfer-Encoding: chunked\r\n");
+            Script::SendAndReset(format!("{head}c\r\nid: 1\ndata: x").into_bytes())
+        })
+    };
+    let servers: Vec<_> = (0..6).map(|_| breaking()).collect();
+    let listed = servers.iter().enumerate();
+    let listed = listed.map(|(at, s)| endpoint(&format!("e{at}"), s.addr));
+    let router = Router::with(RouteKind::Stream, listed.collect());
+    let request = prompt_request(&[FIRST_PART, DEADLY_PART, 1]);
+    let end = Instant::now() + CONTACT_TIME * 2;
+    let mut sent = 0;
+    while Instant::now() < end {
+        let response = router.exchange(request.as_bytes());
+        assert!(!response.contains("quarantined"), "{response}");
+        sent += 1;
+        thread::sleep(DEADLY_PAUSE);
+    }
+    let arrived: usize = servers.iter().map(FakeEndpoint::count).sum();
+    assert_eq!(arrived, sent);
+}
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -231,3 +231,28 @@
     assert_eq!(placer.in_flight(now), 0);
     assert_eq!(placer.own_loads(now).count(), 0);
 }
+
+/// A VM that is cut off from all endpoints of a zone would have taken their silence for crashes.
+#[test]
+fn silence_of_all_endpoints_of_a_zone_is_no_contact() {
+    let local = zone("a");
+    let mut placer = Placer::new(None);
+    for (name, zone) in [("e0", "a"), ("e1", "a"), ("e2", "b")] {
+        placer.upsert_endpoint(start(), spec(name, zone, false));
+    }
+    let hear = |placer: &mut Placer, at, name: &str| {
+        let others: Vec<_> = ["e0", "e1", "e2"].map(id).into();
+        let avoid: Vec<_> = others.into_iter().filter(|e| *e != id(name)).collect();
+        let mut wanted = request(&local, None, 400);
+        wanted.avoid = &avoid;
+        let placement = placer.place(at, &wanted).unwrap();
+        complete(placer, at, placement, Duration::from_millis(10));
+    };
+    let later = start() + Duration::from_secs(5);
+    hear(&mut placer, later, "e2");
+    assert!(!placer.has_contact(later, &id("e0")));
+    // The only endpoint of its zone is judged by those of other zones.
+    hear(&mut placer, later, "e1");
+    assert!(placer.has_contact(later, &id("e0")));
+    assert!(placer.has_contact(later, &id("e2")));
+}
