Log how long an endpoint was silent that cut a request, and stalls of the VM itself

Change: `request cut by its endpoint` has `heard_ms`; `this process could not run for a time` is logged when a timer is late by 300 ms; a metric counts callers' connections that end between requests by reason. No decision changes.

--- a/crates/relay/src/connection/session.rs
+++ b/crates/relay/src/connection/session.rs
@@ -43,6 +43,9 @@
         };
         let first = timeout(&*node.clock, limits.idle, readable.or(closing)).await;
         if first != Ok(true) {
+            let reason = if first.is_err() { "idle" } else { "ended" };
+            metrics::counter!("celerystage_caller_connections_closed_total", "reason" => reason)
+                .increment(1);
             return Disposition::Close;
         }
     }
--- a/crates/relay/src/process/crashes.rs
+++ b/crates/relay/src/process/crashes.rs
@@ -59,9 +59,12 @@
         slot: &SlotLease,
         cause: &'static str,
     ) {
+        let heard_ms = self
+            .silent_for(slot)
+            .map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
         log::info!(
             request:% = request.caller.id, endpoint:% = slot.endpoint(), born = slot.born, cause = cause,
-            events = request.progress.lock().events, suspects = join(&request.suspects).as_str();
+            heard_ms = heard_ms, events = request.progress.lock().events, suspects = join(&request.suspects).as_str();
             "request cut by its endpoint"
         );
         self.suspect_crash(request, slot);
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -156,6 +156,13 @@
         placer.is_some_and(|p| p.is_silent(self.clock.now(), id))
     }
 
+    /// Time since the endpoint of a lease last sent anything to this VM, in response to any request.
+    pub(crate) fn silent_for(&self, slot: &SlotLease) -> Option<Duration> {
+        let placers = self.placers.lock();
+        let placer = placers.get(slot.service())?;
+        placer.silent_for(self.clock.now(), slot.endpoint())
+    }
+
     /// The refusal of a request whose last attempt failed with `cause`. The more of all requests the
     /// endpoints refuse, the later the caller may come back: it would only be refused again.
     pub(crate) fn failure_refusal(&self, request: &RoutedRequest, cause: &'static str) -> Refusal {
--- a/crates/relay/src/process/run.rs
+++ b/crates/relay/src/process/run.rs
@@ -22,6 +22,9 @@
 /// Interval between two sweeps of lapsed endpoints and idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time by which a timer is late from which the process counts as stalled.
+const MIN_STALL: Duration = Duration::from_millis(300);
+
 /// What a platform adapter provides.
 pub struct Adapter {
     /// Settings of the VM.
@@ -105,8 +108,15 @@
 }
 
 async fn sweep(node: Arc<Node>) {
+    let mut due = node.clock.now() + SWEEP_INTERVAL;
     loop {
         node.clock.sleep(SWEEP_INTERVAL).await;
+        let now = node.clock.now();
+        let late = now.since(due);
+        if late >= MIN_STALL {
+            log::warn!(stalled_ms = late.as_millis() as u64; "this process could not run for a time");
+        }
+        due = now + SWEEP_INTERVAL;
         node.drop_expired();
         node.judge_crashes();
         node.pool.remove_expired(node.clock.now());
--- a/crates/route/src/placement/health.rs
+++ b/crates/route/src/placement/health.rs
@@ -75,6 +75,12 @@
             .is_some_and(|at| now.since(at.max(self.last_activity)) > SILENCE_TIMEOUT)
     }
 
+    /// Time since the endpoint last showed activity; `None` if it never did.
+    pub(super) fn silent_for(&self, now: Instant) -> Option<Duration> {
+        let heard = self.last_activity != Instant::default();
+        heard.then(|| now.since(self.last_activity))
+    }
+
     /// Whether the endpoint showed activity within `time`.
     pub(super) fn heard_within(&self, now: Instant, time: Duration) -> bool {
         now.since(self.last_activity) < time
--- a/crates/route/src/placement/placer.rs
+++ b/crates/route/src/placement/placer.rs
@@ -291,6 +291,11 @@
             .is_some_and(|e| e.health.is_silent(now))
     }
 
+    /// Time since the endpoint last sent anything to this VM; `None` if it never did.
+    pub fn silent_for(&self, now: Instant, id: &EndpointId) -> Option<Duration> {
+        self.endpoints.get(id)?.health.silent_for(now)
+    }
+
     /// Whether this VM lately heard of other endpoints in the availability zone of this one, or of any
     /// if there are none. Otherwise the VM may be cut off.
     pub fn has_contact(&self, now: Instant, id: &EndpointId) -> bool {
