--- a/crates/relay/tests/common/endpoint.rs
+++ b/crates/relay/tests/common/endpoint.rs
@@ -17,6 +17,8 @@
     SendAndClose(Vec<u8>),
     /// Sends these bytes, then resets the connection.
     SendAndReset(Vec<u8>),
+    /// Sends these bytes after a pause, then keeps the connection.
+    Pause(Duration, Vec<u8>),
     /// Sends nothing until the peer closes.
     Hang,
 }
@@ -108,6 +110,12 @@
                 let _ = rustix::net::sockopt::set_socket_linger(&socket, Some(Duration::ZERO));
                 return;
             }
+            Script::Pause(pause, bytes) => {
+                thread::sleep(pause);
+                if socket.write_all(&bytes).is_err() {
+                    return;
+                }
+            }
             Script::Hang => {
                 let mut byte = [0];
                 let _ = socket.read(&mut byte);
