Tests: test processes that run at the same time listen on different ports

Cause: all test processes looked for free ports from 12000 on, and close the one that they find until the router listens. Two processes at the same time, such as two of `cargo test` in two work trees, gave their routers the same ports: `Address already in use` in follower_drops_a_leaving_endpoint_in_time_when_its_reader_hangs and in two others.

Change: each process begins at another port, by its process id.

--- a/crates/relay/tests/common/router.rs
+++ b/crates/relay/tests/common/router.rs
@@ -12,7 +12,7 @@
         io::{Read, Write},
         net::{IpAddr, SocketAddr, TcpListener, TcpStream},
         sync::{
-            Arc,
+            Arc, LazyLock,
             atomic::{AtomicU16, Ordering::SeqCst},
         },
         thread::{self, JoinHandle},
@@ -27,8 +27,14 @@
 
 /// The port after the last one that was given out. Ports are below the range of which the system
 /// gives ports to sockets that ask for any, so that none is taken before the router listens.
-static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
-const FIRST_PORT: u16 = 12_000;
+/// Each test process begins at another port, as several may run at the same time.
+static NEXT_PORT: LazyLock<AtomicU16> = LazyLock::new(|| {
+    let block = std::process::id() % PORT_BLOCKS;
+    AtomicU16::new(FIRST_PORT + BLOCK_PORTS * block as u16)
+});
+const FIRST_PORT: u16 = 10_000;
+const PORT_BLOCKS: u32 = 88;
+const BLOCK_PORTS: u16 = 250;
 
 /// An address that nothing listens on.
 pub(crate) fn free_addr() -> SocketAddr {
