Keep requests at silent endpoints until they can go on elsewhere

Callers saw: streams closed without their end, and 502, while their endpoint was sound. An endpoint that is silent for 1.2 s is silent towards all its requests, so a VM took all of them from it at once. Only then it looked for another endpoint and for a retry in the budget, of which there are some ten in ten seconds, and closed what found none.

Cause: a request was given up before it was known where it goes on, on evidence (1.2 s without bytes) that a pause of a sound endpoint gives as well.

Change: a slot at another endpoint that responds, and a retry, are reserved first; without them the request waits on. What counts is decided in route::Silence: an endpoint that accepts a new connection is taken for one that pauses, until 1.6 s (callers leave after two); one that does not has ended; one that sends to other requests meanwhile has lost this one. A stream that may not go on elsewhere is closed only if its endpoint has been silent for three seconds and accepts no connection. Admission no longer refuses a request that is being sent already.

--- a/crates/relay/src/process/crashes.rs
+++ b/crates/relay/src/process/crashes.rs
@@ -8,9 +8,7 @@
     },
     crate::request::{RoutedRequest, SlotLease},
     async_io::Async,
-    clock::timeout,
     compact_str::{CompactString, ToCompactString},
-    h1::Conn,
     route::{CrashChange, CrashNews, EndpointStart, Suspect},
     std::{
         collections::BTreeSet,
@@ -123,12 +121,10 @@
 
 async fn check_endpoint(node: Arc<Node>, start: EndpointStart, service: ServiceId) {
     node.clock.sleep(CHECK_DELAY).await;
-    let opening = Conn::connect(start.addr);
-    let opened = timeout(&*node.clock, CHECK_TIMEOUT, opening).await;
+    let opened = node.open_spare(start.addr, CHECK_TIMEOUT).await;
     let now = node.clock.now();
     let check = match opened {
-        Ok(Ok(conn)) => {
-            node.pool.put_unused(now, start.addr, conn);
+        Ok(Ok(())) => {
             if restarts(&node, &start).await {
                 Check::Restarted
             } else {
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -9,6 +9,7 @@
 mod feed_reader;
 mod gossip;
 mod lifecycle;
+mod liveness;
 mod node;
 mod notices;
 mod other_zone;
@@ -23,6 +24,7 @@
 pub(crate) use {
     feed_reader::Freshness,
     lifecycle::{ConnectionGuard, Lifecycle},
+    liveness::ConnectionChecks,
     node::Node,
     wall_clock::WallClock,
 };
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -5,7 +5,7 @@
 //! No lock is held across an await.
 
 use {
-    super::{Freshness, Lifecycle, WallClock, gossip::SentLoads},
+    super::{ConnectionChecks, Freshness, Lifecycle, WallClock, gossip::SentLoads},
     crate::{
         adapter::{HeaderCodec, NodeSettings},
         configuration::{CallerLimits, Config},
@@ -51,6 +51,8 @@
     pub(crate) sent_loads: Mutex<SentLoads>,
     /// What requests have done to endpoints. Not locked together with anything else.
     pub(crate) crashes: Mutex<CrashTable>,
+    /// Checks of silent endpoints. Not locked together with anything else.
+    pub(crate) connection_checks: Mutex<ConnectionChecks>,
     /// Sequence number of the next gossip message.
     pub(crate) gossip_seq: AtomicU64,
     pub(crate) window_counter: Mutex<WindowCounter>,
@@ -95,6 +97,7 @@
             )),
             sent_loads: Mutex::default(),
             crashes: Mutex::new(CrashTable::new(fastrand::f64())),
+            connection_checks: Mutex::default(),
             gossip_seq: AtomicU64::new(1),
             window_counter: Mutex::default(),
             count_keeper: Mutex::default(),
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -149,6 +149,25 @@
         ))
     }
 
+    /// Reserves a slot of another endpoint for a request whose endpoint is silent, and takes a retry;
+    /// `None` if there is no retry left or no other endpoint that responds.
+    pub(crate) fn acquire_other(
+        self: &Arc<Self>,
+        request: &RoutedRequest,
+        avoid: &[EndpointId],
+    ) -> Option<SlotLease> {
+        let now = self.clock.now();
+        if !self.with_budget(&request.service, |b| b.has_retry(now)) {
+            return None;
+        }
+        let slot = self.acquire_slot(request, avoid).ok()?;
+        if self.is_silent(&request.service, slot.endpoint()) || !self.take_retry(request) {
+            slot.finish(PlacementOutcome::Unsent);
+            return None;
+        }
+        Some(slot)
+    }
+
     /// Whether an endpoint has been silent for long towards all requests of this VM.
     pub(crate) fn is_silent(&self, service: &ServiceId, id: &EndpointId) -> bool {
         let placers = self.placers.lock();
@@ -226,7 +245,7 @@
     placer: &Placer,
     placement: &Placement,
 ) -> Result<(), Duration> {
-    if request.sends() > 0 || request.caller.prompt.is_none() {
+    if request.was_sent() || request.caller.prompt.is_none() {
         return Ok(());
     }
     let classes = config
--- a/crates/relay/src/request/mod.rs
+++ b/crates/relay/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod buffered;
 mod response;
 mod routed_request;
+mod silence_watch;
 mod slot_lease;
 mod stream;
 
--- a/crates/relay/src/request/routed_request.rs
+++ b/crates/relay/src/request/routed_request.rs
@@ -95,6 +95,11 @@
         self.progress.lock().sends.count()
     }
 
+    /// Whether it was sent to an endpoint, or is being sent.
+    pub(crate) fn was_sent(&self) -> bool {
+        self.progress.lock().sends() > 0
+    }
+
     /// Records the forecast for the chosen endpoint.
     pub(crate) fn record_forecast(&self, placement: &Placement) {
         let mut progress = self.progress.lock();
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -2,10 +2,11 @@
 
 use {
     super::{
-        attempt::{PendingResponse, attempt, until_dead, until_silent},
+        attempt::{PendingResponse, attempt},
         buffered::{may_retry, may_retry_failure},
         response::{Response, add_connection_header},
         routed_request::RoutedRequest,
+        silence_watch::{Relocation, SilenceWatch},
         slot_lease::SlotLease,
     },
     crate::{configuration::RouteKind, process::Node},
@@ -19,14 +20,6 @@
 
 /// Timeout of a write to the caller.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Gap between events, in multiples of the route's pause target, after which a resumable stream
-/// moves to another endpoint. Callers leave after eight such pauses or two seconds.
-const MAX_GAP_PAUSES: u32 = 4;
-/// Shortest gap after which a stream moves to another endpoint: a burst of long prompts causes gaps
-/// of about this length.
-const MIN_GAP_LIMIT: Duration = Duration::from_millis(1_200);
-/// Time after which it is checked whether an endpoint is silent to a stream that may move.
-const FIRST_SILENCE_CHECK: Duration = Duration::from_millis(400);
 /// Most bytes of events that the caller already has: more than a resumed stream repeats.
 const MAX_REPEATED_BYTES: usize = 1024 * 1024;
 
@@ -70,6 +63,18 @@
     CallerLeft,
     TimedOut,
     Broken(&'static str, PlacementOutcome),
+    /// The endpoint went silent, and the stream goes on at another one.
+    Relocated(Box<Relocation>),
+}
+
+/// What a request to an endpoint has come to.
+enum Waited<T> {
+    /// The endpoint sent something.
+    Arrived(T),
+    /// The endpoint is silent, and the request goes on at another one.
+    Relocated(Box<Relocation>),
+    /// The endpoint has ended without a word.
+    Ended,
 }
 
 /// Sends the request to an endpoint and forwards its events. After a failure another endpoint is
@@ -90,54 +95,54 @@
         repeated_bytes: 0,
     };
     let mut avoid: Vec<EndpointId> = Vec::new();
+    let mut next: Option<SlotLease> = None;
     loop {
-        let slot = match node.acquire_slot(request, &avoid) {
-            Ok(slot) => slot,
-            Err(refusal) => return stream.fail(refusal),
+        let slot = match next.take() {
+            Some(slot) => slot,
+            None => match next_slot(node, request, &avoid) {
+                Ok(slot) => slot,
+                Err(refusal) => return stream.fail(refusal),
+            },
         };
-        if request.sends() > 0 && !node.take_retry(request) {
-            return stream.fail(request.unavailable("retry budget is spent"));
-        }
         avoid.push(slot.endpoint().clone());
         let last_event = stream.last_event;
-        let may_resume =
-            request.route.kind == RouteKind::Resumable && may_retry_after_send(request);
         let sending = async {
-            let work = async { Some(attempt(node, request, &slot, last_event).await) };
-            if !may_resume {
+            let work = async { Waited::Arrived(attempt(node, request, &slot, last_event).await) };
+            if !may_relocate(request) {
                 return work.await;
             }
-            // A long wait of one request is no reason to move: it would have to queue again
-            // elsewhere.
-            let silent = async {
-                node.clock.sleep(FIRST_SILENCE_CHECK).await;
-                until_silent(node, request, &slot).await;
-                None
+            let watch = SilenceWatch {
+                node,
+                request,
+                slot: &slot,
+                avoid: &avoid,
+                begun: false,
+                since: node.clock.now(),
             };
+            let silent = async { Waited::Relocated(watch.until_relocated().await) };
             work.or(silent).await
         };
         match stream.watch(sending).await {
             WatchOutcome::CallerLeft => return StreamOutcome::CallerLeft,
             WatchOutcome::TimedOut => return stream.fail(request.timed_out()),
-            WatchOutcome::Done(None) => {
-                node.note_cut(request, &slot, "no answer from the endpoint");
-                request.end_send(Verdict::MayHaveRun, Some("no answer from the endpoint"));
-                slot.finish(PlacementOutcome::Unreachable);
-                if !may_retry(request, Verdict::MayHaveRun) {
-                    return stream.fail(request.unavailable("no answer from the endpoint"));
-                }
+            WatchOutcome::Done(Waited::Ended) => {
+                return stream.fail(request.unavailable("no answer from the endpoint"));
             }
-            WatchOutcome::Done(Some(Err(failure))) => {
+            WatchOutcome::Done(Waited::Relocated(relocation)) => {
+                leave(node, request, slot, &relocation);
+                next = Some(relocation.slot);
+            }
+            WatchOutcome::Done(Waited::Arrived(Err(failure))) => {
                 slot.finish(failure.outcome);
                 if !may_retry_failure(request, &failure, avoid.len()) {
                     return stream.fail(node.failure_refusal(request, failure.cause));
                 }
             }
-            WatchOutcome::Done(Some(Ok(pending))) => {
+            WatchOutcome::Done(Waited::Arrived(Ok(pending))) => {
                 if !(200..300).contains(&pending.head.status) {
                     return stream.forward_response(request, slot, pending).await;
                 }
-                match stream.forward_events(request, slot, pending).await {
+                match stream.forward_events(request, slot, pending, &avoid).await {
                     SegmentOutcome::Complete => return stream.write_end().await,
                     SegmentOutcome::CallerLeft => return StreamOutcome::CallerLeft,
                     SegmentOutcome::TimedOut => return stream.fail(request.timed_out()),
@@ -147,21 +152,36 @@
                         return stream.fail(request.unavailable(cause));
                     }
                     SegmentOutcome::Broken(..) => {}
+                    SegmentOutcome::Relocated(relocation) => next = Some(relocation.slot),
                 }
             }
         }
     }
 }
 
-/// Whether the route allows another attempt after the one in progress.
-fn may_retry_after_send(request: &RoutedRequest) -> bool {
-    request.sends() + 1 < request.route.attempts
+/// The slot for the next attempt, and a retry if it is not the first one.
+fn next_slot(
+    node: &Arc<Node>,
+    request: &RoutedRequest,
+    avoid: &[EndpointId],
+) -> Result<SlotLease, Refusal> {
+    let slot = node.acquire_slot(request, avoid)?;
+    if request.sends() > 0 && !node.take_retry(request) {
+        return Err(request.unavailable("retry budget is spent"));
+    }
+    Ok(slot)
 }
 
-/// Longest gap between events before a resumable stream moves to another endpoint.
-fn gap_limit(request: &RoutedRequest) -> Duration {
-    let pause = request.route.pause.unwrap_or_default();
-    (pause * MAX_GAP_PAUSES).max(MIN_GAP_LIMIT)
+/// Whether the request may go on at another endpoint while the one in progress is silent.
+fn may_relocate(request: &RoutedRequest) -> bool {
+    request.route.kind == RouteKind::Resumable && request.sends() + 1 < request.route.attempts
+}
+
+/// Ends the attempt at a silent endpoint.
+fn leave(node: &Arc<Node>, request: &RoutedRequest, slot: SlotLease, relocation: &Relocation) {
+    node.note_cut(request, &slot, relocation.cause);
+    request.end_send(Verdict::MayHaveRun, Some(relocation.cause));
+    slot.finish(relocation.outcome);
 }
 
 impl CallerStream<'_> {
@@ -226,6 +246,7 @@
         request: &RoutedRequest,
         mut slot: SlotLease,
         mut pending: PendingResponse,
+        avoid: &[EndpointId],
     ) -> SegmentOutcome {
         let mut splitter = EventSplitter::default();
         let mut bytes = Vec::new();
@@ -233,45 +254,50 @@
         let outcome = loop {
             bytes.clear();
             let node = self.node.clone();
-            let may_resume =
-                may_retry_after_send(request) && request.route.kind == RouteKind::Resumable;
+            let watch = SilenceWatch {
+                node: &node,
+                request,
+                slot: &slot,
+                avoid,
+                begun: has_events,
+                since: node.clock.now(),
+            };
             let reading = async {
                 let next = pending.reader.next(&mut pending.conn, &mut bytes);
-                let next = async { Some(next.await) };
+                let next = async { Waited::Arrived(next.await) };
                 let silent = async {
-                    if may_resume {
-                        node.clock.sleep(FIRST_SILENCE_CHECK).await;
-                        until_silent(&node, request, &slot).await;
-                    } else {
-                        until_dead(&node, request, &slot).await;
+                    if may_relocate(request) {
+                        return Waited::Relocated(watch.until_relocated().await);
                     }
-                    None
+                    watch.until_ended().await;
+                    Waited::Ended
                 };
-                if !may_resume || !has_events {
-                    return next.or(silent).await;
-                }
-                let timed = timeout(&*node.clock, gap_limit(request), next).await;
-                timed.ok().flatten()
+                next.or(silent).await
             };
             match self.watch(reading).await {
                 WatchOutcome::CallerLeft => break SegmentOutcome::CallerLeft,
                 WatchOutcome::TimedOut => break SegmentOutcome::TimedOut,
-                WatchOutcome::Done(None) => {
+                WatchOutcome::Done(Waited::Relocated(relocation)) => {
+                    break SegmentOutcome::Relocated(relocation);
+                }
+                WatchOutcome::Done(Waited::Ended) => {
                     break SegmentOutcome::Broken(
-                        "stream went silent",
+                        "endpoint went silent",
                         PlacementOutcome::Unreachable,
                     );
                 }
-                WatchOutcome::Done(Some(Err(_))) => {
+                WatchOutcome::Done(Waited::Arrived(Err(_))) => {
                     break SegmentOutcome::Broken("stream cut", PlacementOutcome::Failed);
                 }
-                WatchOutcome::Done(Some(Ok(false))) if splitter.is_empty() && has_events => {
+                WatchOutcome::Done(Waited::Arrived(Ok(false)))
+                    if splitter.is_empty() && has_events =>
+                {
                     break SegmentOutcome::Complete;
                 }
-                WatchOutcome::Done(Some(Ok(false))) => {
+                WatchOutcome::Done(Waited::Arrived(Ok(false))) => {
                     break SegmentOutcome::Broken("stream cut", PlacementOutcome::Failed);
                 }
-                WatchOutcome::Done(Some(Ok(true))) => {}
+                WatchOutcome::Done(Waited::Arrived(Ok(true))) => {}
             }
             let Ok(events) = splitter.push(&bytes) else {
                 break SegmentOutcome::Broken(
@@ -320,6 +346,10 @@
                 request.end_send(verdict, Some(cause));
                 slot.finish(*placement_outcome);
             }
+            SegmentOutcome::Relocated(relocation) => {
+                drop(pending);
+                leave(self.node, request, slot, relocation);
+            }
             SegmentOutcome::CallerLeft | SegmentOutcome::TimedOut => {}
         }
         outcome
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,6 +11,7 @@
 mod placement;
 mod prompt;
 mod round_robin;
+mod silence;
 mod sliding_budget;
 mod table;
 
@@ -31,5 +32,6 @@
     },
     prompt::Prompt,
     round_robin::RoundRobin,
+    silence::{Silence, SilenceAction},
     sliding_budget::SlidingRetryBudget,
 };
--- a/crates/route/src/sliding_budget.rs
+++ b/crates/route/src/sliding_budget.rs
@@ -74,13 +74,18 @@
         self.current(now).requests += 1;
     }
 
-    /// Takes one retry out of the budget; `false` if there is none left.
-    pub fn try_withdraw(&mut self, now: Instant) -> bool {
+    /// Whether there is a retry left.
+    pub fn has_retry(&mut self, now: Instant) -> bool {
         self.current(now);
         let requests: u32 = self.buckets.iter().skip(1).map(|b| b.requests).sum();
         let retries: u32 = self.buckets.iter().map(|b| b.retries).sum();
         let allowed = SPENDABLE_SHARE * (self.ratio * f64::from(requests) + self.reserve);
-        if f64::from(retries) + 1.0 > allowed {
+        f64::from(retries) + 1.0 <= allowed
+    }
+
+    /// Takes one retry out of the budget; `false` if there is none left.
+    pub fn try_withdraw(&mut self, now: Instant) -> bool {
+        if !self.has_retry(now) {
             return false;
         }
         self.current(now).retries += 1;
