Don't count endpoints as crashed that go on after a silence

An endpoint that was silent for two seconds counts as crashed if it accepts no new connection while its neighbours respond, and what it had been asked is accused for ten minutes, also if it goes on. Endpoints that pause in turn would thus get sound requests refused.

Change: a response, or further events, on a request that was sent before the supposed crash withdraws it on this VM. A response to a later request says nothing, as the endpoint may have restarted meanwhile; a second test holds that.

Other VMs that were told of the crash keep it until they see the endpoint go on themselves.

--- a/crates/relay/src/process/crashes.rs
+++ b/crates/relay/src/process/crashes.rs
@@ -87,12 +87,19 @@
     }
 
     /// Records that an endpoint answered a request without harm.
-    pub(crate) fn record_sound(&self, request: &RoutedRequest) {
+    pub(crate) fn record_sound(&self, request: &RoutedRequest, slot: &SlotLease) {
         let now = self.clock.now();
+        self.record_alive(slot);
         let changes = self.crashes.lock().record_sound(now, &request.suspects);
         log_changes(&changes, "this VM");
     }
 
+    /// Records that an endpoint went on with a request after a silence, so that it has not crashed.
+    pub(crate) fn record_alive(&self, slot: &SlotLease) {
+        let start = slot.endpoint_start();
+        self.crashes.lock().record_alive(&start, slot.began);
+    }
+
     /// Time for which a request is refused because others like it crash endpoints.
     pub(crate) fn quarantine(&self, request: &RoutedRequest) -> Option<Duration> {
         let now = self.clock.now();
--- a/crates/relay/src/request/buffered.rs
+++ b/crates/relay/src/request/buffered.rs
@@ -88,7 +88,7 @@
         return Err("answer cut short");
     };
     request.end_send(Verdict::Ran, None);
-    node.record_sound(request);
+    node.record_sound(request, &slot);
     slot.first_event();
     let failed = head.status >= MIN_FAILURE_STATUS;
     slot.finish(if failed {
--- a/crates/relay/src/request/silence_watch.rs
+++ b/crates/relay/src/request/silence_watch.rs
@@ -44,6 +44,11 @@
 }
 
 impl SilenceWatch<'_> {
+    /// Whether the silence has lasted so long that it was looked at.
+    pub(super) fn is_long(&self) -> bool {
+        self.node.clock.now().since(self.since) >= FIRST_LOOK
+    }
+
     /// Resolves when the request may leave its endpoint and there is another one for it. Until then it
     /// waits, as the endpoint may go on.
     pub(super) async fn until_relocated(&self) -> Box<Relocation> {
--- a/crates/relay/src/request/slot_lease.rs
+++ b/crates/relay/src/request/slot_lease.rs
@@ -17,7 +17,8 @@
     service: ServiceId,
     placement: Placement,
     outcome: PlacementOutcome,
-    began: Instant,
+    /// When the slot was leased.
+    pub(crate) began: Instant,
     /// When the first event or the whole response arrived.
     answered: Option<Instant>,
     /// Whether the request is known not to harm the endpoint.
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -299,6 +299,9 @@
                 }
                 WatchOutcome::Done(Waited::Arrived(Ok(true))) => {}
             }
+            if watch.is_long() {
+                self.node.record_alive(&slot);
+            }
             let Ok(events) = splitter.push(&bytes) else {
                 break SegmentOutcome::Broken(
                     "event over the size limit",
@@ -311,7 +314,7 @@
             if has_events {
                 slot.next_event();
                 if slot.passes_trial() {
-                    self.node.record_sound(request);
+                    self.node.record_sound(request, &slot);
                 }
             } else {
                 has_events = true;
@@ -334,7 +337,7 @@
         match &outcome {
             SegmentOutcome::Complete => {
                 request.end_send(verdict, None);
-                self.node.record_sound(request);
+                self.node.record_sound(request, &slot);
                 pending.return_connection(self.node, &slot);
                 slot.finish(PlacementOutcome::Completed);
             }
--- a/crates/route/src/crash/crash_table.rs
+++ b/crates/route/src/crash/crash_table.rs
@@ -175,6 +175,17 @@
         }
     }
 
+    /// Records that an endpoint went on with a request that had been sent to it at `sent`: it has not
+    /// crashed since.
+    pub fn record_alive(&mut self, start: &EndpointStart, sent: Instant) {
+        if self.crashes.get(start).is_some_and(|c| sent < c.at) {
+            self.crashes.remove(start);
+        }
+        if self.pending.get(start).is_some_and(|p| sent < p.at) {
+            self.pending.remove(start);
+        }
+    }
+
     /// Records that an endpoint answered a request without harm.
     pub fn record_sound(&mut self, now: Instant, suspects: &[Suspect]) -> Vec<CrashChange> {
         let mut changes = Vec::new();
--- a/crates/route/tests/crash_table.rs
+++ b/crates/route/tests/crash_table.rs
@@ -145,3 +145,29 @@
     assert_eq!(hash, RequestHash(11_592_359_230_702_751_271));
     assert_ne!(hash, RequestHash::of("GET", "/a?b=1", None, b"acmebody"));
 }
+
+/// Endpoints that were silent and went on counted as crashed, and what was asked of them as the cause.
+#[test]
+fn endpoint_that_goes_on_after_a_silence_has_not_crashed() {
+    let mut table = CrashTable::default();
+    for endpoint in 0..4 {
+        crash(&mut table, at(1_000), endpoint, &[1]);
+    }
+    for endpoint in 0..4 {
+        table.record_alive(&start_of(endpoint, 1), at(500));
+    }
+    table.update(at(4_000));
+    assert!(!is_refused(&table, at(4_000), 1));
+}
+
+/// A response to a request that was sent after the crash says nothing: the endpoint has restarted.
+#[test]
+fn endpoint_that_answers_a_later_request_may_have_crashed_before() {
+    let mut table = CrashTable::default();
+    for endpoint in 0..4 {
+        crash(&mut table, at(1_000), endpoint, &[1]);
+        table.record_alive(&start_of(endpoint, 1), at(1_500));
+    }
+    table.update(at(4_000));
+    assert!(is_refused(&table, at(4_000), 1));
+}
