Leave a silent endpoint only with evidence, and only with a connection to the next one

Right after a pause, streams that had not yet gone on were taken for lost when the first of them did; a request that had left its endpoint could find the other one unreachable and, with the budget spent, was closed; a failed check of this VM's own counted as the endpoint's; and a request that worked for three seconds at an endpoint with nothing else to do was given up.

Change: an endpoint must have been sending to others for 0.3 s before a stream counts as lost; the next endpoint must not be silent itself, and the connection to it is open before the old one is left; a check counts as refused only if the connection is refused, or isn't accepted while other endpoints nearby respond; requests that may not move are given up after three seconds of silence and two such checks. A request without events waits for 0.8 of its caller's patience. Backoffs no longer double for each of many requests that leave at once, a placement that sends nothing is released as unsent, and hubs' repeats don't renew a crash that was withdrawn.

--- a/crates/relay/src/process/crashes.rs
+++ b/crates/relay/src/process/crashes.rs
@@ -57,9 +57,9 @@
         slot: &SlotLease,
         cause: &'static str,
     ) {
-        let heard_ms = self
-            .silent_for(slot)
-            .map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        let heard_ms = self.activity(slot).map_or(-1, |a| {
+            i64::try_from(a.last.as_millis()).unwrap_or(i64::MAX)
+        });
         log::info!(
             request:% = request.caller.id, endpoint:% = slot.endpoint(), born = slot.born, cause = cause,
             heard_ms = heard_ms, events = request.progress.lock().events, suspects = join(&request.suspects).as_str();
@@ -96,8 +96,8 @@
 
     /// Records that an endpoint went on with a request after a silence, so that it has not crashed.
     pub(crate) fn record_alive(&self, slot: &SlotLease) {
-        let start = slot.endpoint_start();
-        self.crashes.lock().record_alive(&start, slot.began);
+        let (now, start) = (self.clock.now(), slot.endpoint_start());
+        self.crashes.lock().record_alive(now, &start, slot.began);
     }
 
     /// Time for which a request is refused because others like it crash endpoints.
@@ -129,7 +129,6 @@
 async fn check_endpoint(node: Arc<Node>, start: EndpointStart, service: ServiceId) {
     node.clock.sleep(CHECK_DELAY).await;
     let opened = node.open_spare(start.addr, CHECK_TIMEOUT).await;
-    let now = node.clock.now();
     let check = match opened {
         Ok(Ok(())) => {
             if restarts(&node, &start).await {
@@ -143,15 +142,8 @@
             log::warn!(endpoint:% = start.id, error:% = e; "cannot check an endpoint that cut a request");
             Check::Unknown
         }
-        Err(_) => {
-            let placers = node.placers.lock();
-            let placer = placers.get(&service);
-            if placer.is_some_and(|p| p.has_contact(now, &start.id)) {
-                Check::Silent
-            } else {
-                Check::Unknown
-            }
-        }
+        Err(_) if node.has_contact_near(&service, &start.id) => Check::Silent,
+        Err(_) => Check::Unknown,
     };
     let crashed = matches!(check, Check::Restarted | Check::Refused | Check::Silent);
     log::info!(
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -10,8 +10,8 @@
     admit::{Forecast, QueueForecast},
     clock::Instant,
     route::{
-        EndpointSpec, EngineProfile, FleetRank, Placement, PlacementOutcome, PlacementRequest,
-        Placer, SlidingRetryBudget,
+        Activity, EndpointSpec, EngineProfile, FleetRank, Placement, PlacementOutcome,
+        PlacementRequest, Placer, SlidingRetryBudget,
     },
     std::{sync::Arc, time::Duration},
     types::{EndpointId, Reason, Refusal, ServiceId, Verdict},
@@ -149,19 +149,24 @@
         ))
     }
 
-    /// Reserves a slot of another endpoint for a request whose endpoint is silent, and takes a retry;
-    /// `None` if there is no retry left or no other endpoint that responds.
+    /// Reserves a slot of another endpoint for a request whose endpoint is silent; `None` if there is no
+    /// retry left in the budget or no other endpoint that responds.
     pub(crate) fn acquire_other(
         self: &Arc<Self>,
         request: &RoutedRequest,
         avoid: &[EndpointId],
     ) -> Option<SlotLease> {
         let now = self.clock.now();
-        if !self.with_budget(&request.service, |b| b.has_retry(now)) {
+        let has_other = {
+            let placers = self.placers.lock();
+            let placer = placers.get(&request.service);
+            placer.is_some_and(|p| p.has_other(now, avoid))
+        };
+        if !has_other || !self.with_budget(&request.service, |b| b.has_retry(now)) {
             return None;
         }
         let slot = self.acquire_slot(request, avoid).ok()?;
-        if self.is_silent(&request.service, slot.endpoint()) || !self.take_retry(request) {
+        if self.is_silent(&request.service, slot.endpoint()) {
             slot.finish(PlacementOutcome::Unsent);
             return None;
         }
@@ -175,11 +180,19 @@
         placer.is_some_and(|p| p.is_silent(self.clock.now(), id))
     }
 
-    /// Time since the endpoint of a lease last sent anything to this VM, in response to any request.
-    pub(crate) fn silent_for(&self, slot: &SlotLease) -> Option<Duration> {
+    /// When the endpoint of a lease sent anything to this VM, in response to any request; `None` if it
+    /// never did.
+    pub(crate) fn activity(&self, slot: &SlotLease) -> Option<Activity> {
         let placers = self.placers.lock();
         let placer = placers.get(slot.service())?;
-        placer.silent_for(self.clock.now(), slot.endpoint())
+        placer.activity(self.clock.now(), slot.endpoint())
+    }
+
+    /// Whether this VM lately heard of other endpoints near this one.
+    pub(super) fn has_contact_near(&self, service: &ServiceId, id: &EndpointId) -> bool {
+        let placers = self.placers.lock();
+        let placer = placers.get(service);
+        placer.is_some_and(|p| p.has_contact(self.clock.now(), id))
     }
 
     /// The refusal of a request whose last attempt failed with `cause`. The more of all requests the
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -5,7 +5,7 @@
     crate::{adapter::ForwardHeaders, process::Node},
     clock::timeout,
     futures_lite::FutureExt,
-    h1::{BodyError, BodyReader, Conn, Framing, ResponseHead, response_framing},
+    h1::{BodyError, BodyReader, Conn, Framing, PooledConn, ResponseHead, response_framing},
     std::{sync::Arc, time::Duration},
     types::{Bytes, Verdict},
 };
@@ -14,6 +14,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time after which an endpoint that has been silent towards all requests of this VM is given up.
 const DEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time of silence after which it is checked whether the endpoint accepts connections.
+const CHECK_TIME: Duration = Duration::from_secs(1);
+/// Checks in a row in which an endpoint that is given up accepted none: a packet may be lost.
+const MIN_REFUSED_CHECKS: u32 = 2;
 /// Interval between two checks of whether an endpoint that has not responded yet is silent.
 const SILENCE_POLL: Duration = Duration::from_millis(400);
 /// Largest head of a response.
@@ -66,14 +70,18 @@
 }
 
 /// Sends the request and reads the head of the response; `last_event` is the event after which a
-/// stream resumes.
+/// stream resumes. `opened` is a connection to the endpoint, if there is one already.
 pub(super) async fn attempt(
     node: &Arc<Node>,
     request: &RoutedRequest,
     slot: &SlotLease,
     last_event: Option<u64>,
+    opened: Option<PooledConn>,
 ) -> Result<PendingResponse, FailedAttempt> {
-    let conn = connect(node, request, slot).await?;
+    let PooledConn { conn, .. } = match opened {
+        Some(opened) => opened,
+        None => connect(node, request, slot).await?,
+    };
     let quarantined = node.quarantine(request).is_some();
     if quarantined || !node.still_accepts(slot) {
         let cause = if quarantined {
@@ -111,50 +119,63 @@
     }
 }
 
-/// Resolves when the endpoint has been silent for long towards all requests of this VM.
-pub(super) async fn until_silent(node: &Node, request: &RoutedRequest, slot: &SlotLease) {
-    while !node.is_silent(&request.service, slot.endpoint()) {
-        node.clock.sleep(SILENCE_POLL).await;
-    }
-}
-
-/// Resolves when the endpoint has been silent towards all requests of this VM for so long that it is
-/// given up. At the first sign of that, the request is suspected to have crashed it.
+/// Resolves when the endpoint is given up: it has restarted, or has been silent towards all requests of
+/// this VM for long and accepts no connections. At the first sign of that, the request is suspected to
+/// have crashed it.
 pub(super) async fn until_dead(node: &Arc<Node>, request: &RoutedRequest, slot: &SlotLease) {
     let began = node.clock.now();
     let start = slot.endpoint_start();
-    while !node.is_silent(&request.service, slot.endpoint()) && !node.has_restarted(&start) {
+    let mut suspected = false;
+    loop {
+        let restarted = node.has_restarted(&start);
+        let silent = node.is_silent(&request.service, slot.endpoint());
+        if (restarted || silent) && !std::mem::replace(&mut suspected, true) {
+            node.suspect_crash(request, slot);
+        }
+        if restarted {
+            return;
+        }
+        let waited = node.clock.now().since(began);
+        let quiet = node.activity(slot).map_or(waited, |a| a.last.min(waited));
+        if quiet >= CHECK_TIME {
+            if quiet >= DEAD_TIMEOUT && node.refused_checks(slot.addr) >= MIN_REFUSED_CHECKS {
+                return;
+            }
+            node.check_connections(slot);
+        }
         node.clock.sleep(SILENCE_POLL).await;
     }
-    node.suspect_crash(request, slot);
-    let waited = node.clock.now().since(began);
-    node.clock.sleep(DEAD_TIMEOUT.saturating_sub(waited)).await;
-    until_silent(node, request, slot).await;
 }
 
-async fn connect(
-    node: &Node,
-    request: &RoutedRequest,
-    slot: &SlotLease,
-) -> Result<Conn, FailedAttempt> {
+/// Opens a connection to the endpoint of a slot, or takes an idle one.
+pub(super) async fn open(node: &Node, slot: &SlotLease) -> Result<PooledConn, &'static str> {
     let opening = node.pool.take_or_connect(node.clock.now(), slot.addr);
-    let cause = match timeout(&*node.clock, CONNECT_TIMEOUT, opening).await {
+    match timeout(&*node.clock, CONNECT_TIMEOUT, opening).await {
         Ok(Ok(pooled)) => {
             let kind = if pooled.reused { "reused" } else { "new" };
             metrics::counter!("celerystage_endpoint_connections_total", "kind" => kind)
                 .increment(1);
-            return Ok(pooled.conn);
+            Ok(pooled)
+        }
+        Ok(Err(_)) => Err("connection refused"),
+        Err(_) => Err("connection timed out"),
+    }
+}
+
+async fn connect(
+    node: &Node,
+    request: &RoutedRequest,
+    slot: &SlotLease,
+) -> Result<PooledConn, FailedAttempt> {
+    open(node, slot).await.map_err(|cause| {
+        request.connect_failed(slot.endpoint(), cause);
+        node.pool.remove_addr(slot.addr);
+        FailedAttempt {
+            verdict: Verdict::NotRun,
+            cause,
+            outcome: route::PlacementOutcome::Unreachable,
+            sent: false,
         }
-        Ok(Err(_)) => "connection refused",
-        Err(_) => "connection timed out",
-    };
-    request.connect_failed(slot.endpoint(), cause);
-    node.pool.remove_addr(slot.addr);
-    Err(FailedAttempt {
-        verdict: Verdict::NotRun,
-        cause,
-        outcome: route::PlacementOutcome::Unreachable,
-        sent: false,
     })
 }
 
--- a/crates/relay/src/request/buffered.rs
+++ b/crates/relay/src/request/buffered.rs
@@ -28,12 +28,13 @@
             Err(refusal) => return last_failure.unwrap_or_else(|| Response::refusal(refusal)),
         };
         if request.sends() > 0 && !node.take_retry(request) {
+            slot.finish(PlacementOutcome::Unsent);
             return last_failure.unwrap_or_else(|| {
                 Response::refusal(request.unavailable("retry budget is spent"))
             });
         }
         avoid.push(slot.endpoint().clone());
-        match attempt(node, request, &slot, None).await {
+        match attempt(node, request, &slot, None, None).await {
             Ok(pending) => match read_response(node, request, slot, pending).await {
                 Ok(response) if response.head.status < MIN_FAILURE_STATUS => return response,
                 Ok(response) if !may_retry(request, Verdict::Ran) => return response,
--- a/crates/relay/src/request/silence_watch.rs
+++ b/crates/relay/src/request/silence_watch.rs
@@ -1,9 +1,14 @@
 //! Watches a request whose endpoint is silent.
 
 use {
-    super::{attempt::until_dead, routed_request::RoutedRequest, slot_lease::SlotLease},
+    super::{
+        attempt::{open, until_dead},
+        routed_request::RoutedRequest,
+        slot_lease::SlotLease,
+    },
     crate::process::Node,
     clock::Instant,
+    h1::PooledConn,
     route::{PlacementOutcome, Silence, SilenceAction},
     std::{sync::Arc, time::Duration},
     types::EndpointId,
@@ -16,14 +21,19 @@
 /// Shortest gap between events that is taken for silence: a burst of long prompts causes gaps of about
 /// this length.
 const MIN_GAP_LIMIT: Duration = Duration::from_millis(1_200);
-/// Gap between events that is taken for silence, in multiples of the route's pause target. Callers
-/// leave after eight such pauses or two seconds.
+/// Gap between events that is taken for silence, in multiples of the route's pause target.
 const MAX_GAP_PAUSES: u32 = 4;
+/// How long callers wait for the next event: the longest of this time and multiples of the route's
+/// latency and pause targets.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE_TARGETS: u32 = 4;
+const PATIENCE_PAUSES: u32 = 8;
 
 /// Where a request goes on that is taken from a silent endpoint.
 pub(super) struct Relocation {
-    /// A slot of the other endpoint.
+    /// A slot of the other endpoint, and a connection to it.
     pub(super) slot: SlotLease,
+    pub(super) opened: PooledConn,
     /// Why it is taken from the silent one.
     pub(super) cause: &'static str,
     /// What that says of the silent one.
@@ -54,44 +64,51 @@
     pub(super) async fn until_relocated(&self) -> Box<Relocation> {
         self.node.clock.sleep(FIRST_LOOK).await;
         loop {
-            if let Some(relocation) = self.relocate() {
+            if let Some(relocation) = self.relocate().await {
                 return Box::new(relocation);
             }
             self.node.clock.sleep(LOOK_INTERVAL).await;
         }
     }
 
-    /// Resolves when the endpoint has ended: it has been silent for long, and accepts no connections.
+    /// Resolves when the endpoint has ended.
     pub(super) async fn until_ended(&self) {
         until_dead(self.node, self.request, self.slot).await;
-        while self.node.accepts_connections(self.slot.addr) != Some(false)
-            && !self.node.has_restarted(&self.slot.endpoint_start())
-        {
-            self.node.check_connections(self.slot.addr);
-            self.node.clock.sleep(LOOK_INTERVAL).await;
-        }
     }
 
-    fn relocate(&self) -> Option<Relocation> {
+    async fn relocate(&self) -> Option<Relocation> {
         let silence = self.silence();
         let action = silence.action();
         let (cause, outcome) = match action {
             SilenceAction::Wait => return None,
             SilenceAction::Check => {
-                self.node.check_connections(self.slot.addr);
+                self.node.check_connections(self.slot);
                 return None;
             }
             SilenceAction::Lost => ("stream lost by its endpoint", PlacementOutcome::Failed),
             SilenceAction::Dead => ("endpoint went silent", PlacementOutcome::Unreachable),
         };
         let slot = self.node.acquire_other(self.request, self.avoid)?;
+        let opened = match open(self.node, &slot).await {
+            Ok(opened) => opened,
+            Err(failure) => {
+                log::info!(request:% = self.request.caller.id, other:% = slot.endpoint(), cause = failure; "no connection for a request at a silent endpoint");
+                slot.finish(PlacementOutcome::Unreachable);
+                return None;
+            }
+        };
+        if !self.node.take_retry(self.request) {
+            slot.finish(PlacementOutcome::Unsent);
+            return None;
+        }
         log::info!(
             request:% = self.request.caller.id, endpoint:% = self.slot.endpoint(), other:% = slot.endpoint(),
-            silent_ms = silence.request.as_millis() as u64, accepts = silence.accepts, action:? = action;
+            silent_ms = silence.request.as_millis() as u64, accepts:? = silence.accepts, action:? = action;
             "request leaves a silent endpoint"
         );
         Some(Relocation {
             slot,
+            opened,
             cause,
             outcome,
         })
@@ -106,10 +123,13 @@
         };
         Silence {
             request: self.node.clock.now().since(self.since),
-            endpoint: self.node.silent_for(self.slot),
+            activity: self.node.activity(self.slot),
             accepts: self.node.accepts_connections(self.slot.addr),
             begun: self.begun,
             limit,
+            patience: MIN_PATIENCE
+                .max(self.request.route.target * PATIENCE_TARGETS)
+                .max(pause * PATIENCE_PAUSES),
         }
     }
 }
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -12,7 +12,7 @@
     crate::{configuration::RouteKind, process::Node},
     clock::{Instant, timeout},
     futures_lite::FutureExt,
-    h1::{Conn, Event, EventSplitter, ResponseHead},
+    h1::{Conn, Event, EventSplitter, PooledConn, ResponseHead},
     route::PlacementOutcome,
     std::{future::Future, sync::Arc, time::Duration},
     types::{EndpointId, Reason, Refusal, Verdict},
@@ -95,19 +95,20 @@
         repeated_bytes: 0,
     };
     let mut avoid: Vec<EndpointId> = Vec::new();
-    let mut next: Option<SlotLease> = None;
+    let mut next: Option<(SlotLease, PooledConn)> = None;
     loop {
-        let slot = match next.take() {
-            Some(slot) => slot,
+        let (slot, opened) = match next.take() {
+            Some((slot, opened)) => (slot, Some(opened)),
             None => match next_slot(node, request, &avoid) {
-                Ok(slot) => slot,
+                Ok(slot) => (slot, None),
                 Err(refusal) => return stream.fail(refusal),
             },
         };
         avoid.push(slot.endpoint().clone());
         let last_event = stream.last_event;
         let sending = async {
-            let work = async { Waited::Arrived(attempt(node, request, &slot, last_event).await) };
+            let work =
+                async { Waited::Arrived(attempt(node, request, &slot, last_event, opened).await) };
             if !may_relocate(request) {
                 return work.await;
             }
@@ -130,7 +131,7 @@
             }
             WatchOutcome::Done(Waited::Relocated(relocation)) => {
                 leave(node, request, slot, &relocation);
-                next = Some(relocation.slot);
+                next = Some((relocation.slot, relocation.opened));
             }
             WatchOutcome::Done(Waited::Arrived(Err(failure))) => {
                 slot.finish(failure.outcome);
@@ -152,7 +153,9 @@
                         return stream.fail(request.unavailable(cause));
                     }
                     SegmentOutcome::Broken(..) => {}
-                    SegmentOutcome::Relocated(relocation) => next = Some(relocation.slot),
+                    SegmentOutcome::Relocated(relocation) => {
+                        next = Some((relocation.slot, relocation.opened));
+                    }
                 }
             }
         }
@@ -167,6 +170,7 @@
 ) -> Result<SlotLease, Refusal> {
     let slot = node.acquire_slot(request, avoid)?;
     if request.sends() > 0 && !node.take_retry(request) {
+        slot.finish(PlacementOutcome::Unsent);
         return Err(request.unavailable("retry budget is spent"));
     }
     Ok(slot)
--- a/crates/relay/tests/silent_endpoints.rs
+++ b/crates/relay/tests/silent_endpoints.rs
@@ -13,6 +13,8 @@
 /// How long the endpoints are silent.
 const SILENCE: Duration = Duration::from_millis(1_400);
 const EVENTS: u64 = 6;
+/// Longer than an endpoint may be silent that accepts no connections.
+const LONG_WORK: Duration = Duration::from_millis(5_500);
 
 fn chunk(id: u64) -> Vec<u8> {
     let event = format!("id: {id}\ndata: e{id}\n\n");
@@ -89,6 +91,11 @@
     let endpoints = vec![large("e1", &first), large("e2", &second)];
     let router = Router::with(RouteKind::Resumable, endpoints);
     assert_whole(&stream_all(&router));
+    assert_eq!(
+        first.count() + second.count(),
+        CALLERS,
+        "streams were moved"
+    );
 }
 
 /// The same for streams that have not begun: callers got a failure.
@@ -107,3 +114,18 @@
     let router = Router::with(RouteKind::Resumable, vec![large("e1", &server)]);
     assert_whole(&stream_all(&router));
 }
+
+/// Requests that took longer than three seconds at an idle endpoint got a failure.
+#[test]
+fn long_request_is_not_given_up_while_its_endpoint_accepts_connections() {
+    let server = FakeEndpoint::start(|_, seen| {
+        let id = seen.field("id").unwrap_or_default();
+        let response = response_head(&id, "Content-Length: 2\r\n") + "ok";
+        Script::Pause(LONG_WORK, response.into_bytes())
+    });
+    let router = Router::with(RouteKind::Once, vec![endpoint("e1", server.addr)]);
+    let request = "POST /a HTTP/1.1\r\nHost: h\r\nid: q\r\ntimeout-ms: 8000\r\nConnection: close\r\n\
+         Content-Length: 0\r\n\r\n";
+    let response = router.exchange(request.as_bytes());
+    assert!(response.ends_with("ok"), "{response}");
+}
--- a/crates/route/src/crash/crash_table.rs
+++ b/crates/route/src/crash/crash_table.rs
@@ -92,6 +92,9 @@
 pub struct CrashTable {
     pending: BTreeMap<EndpointStart, PendingCut>,
     crashes: BTreeMap<EndpointStart, Crash>,
+    /// Endpoints that went on after they seemed to have crashed, and when. Others may go on telling of
+    /// the crash.
+    alive: BTreeMap<EndpointStart, Instant>,
     sound: SoundMemory,
     quarantines: QuarantineList,
 }
@@ -153,6 +156,9 @@
         (at, requests): (Instant, Vec<Vec<Suspect>>),
         own: bool,
     ) {
+        if self.alive.get(start).is_some_and(|alive| at <= *alive) {
+            return;
+        }
         let crash = self.crashes.entry(start.clone()).or_insert_with(|| Crash {
             at,
             requests: Vec::new(),
@@ -177,13 +183,18 @@
 
     /// Records that an endpoint went on with a request that had been sent to it at `sent`: it has not
     /// crashed since.
-    pub fn record_alive(&mut self, start: &EndpointStart, sent: Instant) {
-        if self.crashes.get(start).is_some_and(|c| sent < c.at) {
+    pub fn record_alive(&mut self, now: Instant, start: &EndpointStart, sent: Instant) {
+        let crashed = self.crashes.get(start).is_some_and(|c| sent < c.at);
+        if crashed {
             self.crashes.remove(start);
         }
-        if self.pending.get(start).is_some_and(|p| sent < p.at) {
+        let suspected = self.pending.get(start).is_some_and(|p| sent < p.at);
+        if suspected {
             self.pending.remove(start);
         }
+        if (crashed || suspected) && self.alive.len() < MAX_CRASHES {
+            self.alive.insert(start.clone(), now);
+        }
     }
 
     /// Records that an endpoint answered a request without harm.
@@ -376,6 +387,8 @@
     pub fn update(&mut self, now: Instant) -> Vec<CrashChange> {
         self.sound.expire(now);
         self.pending.retain(|_, p| now.since(p.at) < EVIDENCE_TIME);
+        self.alive
+            .retain(|_, at| now.since(*at) < TELL_TIME.saturating_mul(2));
         let ended = self.quarantines.expire(now).into_iter();
         let mut changes: Vec<_> = ended.map(CrashChange::Expired).collect();
         changes.extend(self.judge(now));
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -32,6 +32,6 @@
     },
     prompt::Prompt,
     round_robin::RoundRobin,
-    silence::{Silence, SilenceAction},
+    silence::{Activity, Silence, SilenceAction},
     sliding_budget::SlidingRetryBudget,
 };
--- a/crates/route/src/placement/health.rs
+++ b/crates/route/src/placement/health.rs
@@ -1,6 +1,6 @@
 //! Health of an endpoint, derived from its responses.
 
-use {clock::Instant, std::time::Duration};
+use {crate::Activity, clock::Instant, std::time::Duration};
 
 /// Weight of a new response in the failure share.
 const SAMPLE_WEIGHT: f64 = 0.15;
@@ -13,6 +13,9 @@
 /// silent.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Shortest time without activity that counts as a silence which activity ends.
+const MIN_SILENCE: Duration = Duration::from_millis(600);
+
 /// Failure share, backoff and activity of one endpoint.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Health {
@@ -21,6 +24,8 @@
     retry_at: Option<Instant>,
     /// When the endpoint last sent anything.
     last_activity: Instant,
+    /// When it sent something after its last silence.
+    awake_since: Instant,
     /// When the oldest request was sent that has seen no activity since.
     waiting_since: Option<Instant>,
 }
@@ -33,6 +38,9 @@
 
     /// Records activity of the endpoint; this ends a backoff.
     pub(super) fn record_activity(&mut self, now: Instant) {
+        if now.since(self.last_activity) >= MIN_SILENCE {
+            self.awake_since = now;
+        }
         self.last_activity = now;
         self.waiting_since = None;
         self.backoff = Duration::ZERO;
@@ -50,8 +58,12 @@
         self.failure_share += SAMPLE_WEIGHT * (failed - self.failure_share);
     }
 
-    /// Starts or doubles the backoff after a failed connection or a silent endpoint.
+    /// Starts or doubles the backoff after a failed connection or a silent endpoint. Many requests may
+    /// leave it at the same time.
     pub(super) fn back_off(&mut self, now: Instant) {
+        if self.is_backing_off(now) {
+            return;
+        }
         self.backoff = (self.backoff * 2).clamp(MIN_BACKOFF, MAX_BACKOFF);
         self.retry_at = Some(now + self.backoff);
     }
@@ -63,22 +75,28 @@
 
     /// Whether the endpoint should get requests, given the usual failure share of its peers.
     pub(super) fn is_healthy(&self, now: Instant, usual_failures: f64) -> bool {
-        let backing_off = self.retry_at.is_some_and(|until| now < until);
-        !backing_off
+        !self.is_backing_off(now)
             && !self.is_silent(now)
             && self.failure_share < usual_failures + MAX_EXCESS_FAILURES
     }
 
+    fn is_backing_off(&self, now: Instant) -> bool {
+        self.retry_at.is_some_and(|until| now < until)
+    }
+
     /// Whether requests wait for a response and there was no activity for longer than the timeout.
     pub(super) fn is_silent(&self, now: Instant) -> bool {
         self.waiting_since
             .is_some_and(|at| now.since(at.max(self.last_activity)) > SILENCE_TIMEOUT)
     }
 
-    /// Time since the endpoint last showed activity; `None` if it never did.
-    pub(super) fn silent_for(&self, now: Instant) -> Option<Duration> {
+    /// When the endpoint showed activity; `None` if it never did.
+    pub(super) fn activity(&self, now: Instant) -> Option<Activity> {
         let heard = self.last_activity != Instant::default();
-        heard.then(|| now.since(self.last_activity))
+        heard.then(|| Activity {
+            last: now.since(self.last_activity),
+            awake: now.since(self.awake_since),
+        })
     }
 
     /// Whether the endpoint showed activity within `time`.
--- a/crates/route/src/placement/placer.rs
+++ b/crates/route/src/placement/placer.rs
@@ -12,7 +12,7 @@
         rate_meter::RateMeter,
         tracked_endpoint::TrackedEndpoint,
     },
-    crate::{FleetRank, Prompt},
+    crate::{Activity, FleetRank, Prompt},
     clock::Instant,
     std::{collections::BTreeMap, time::Duration},
     types::{EndpointId, PromptPartId, Urgency, ZoneId},
@@ -95,6 +95,9 @@
 /// Time without activity of any endpoint after which this VM may be cut off from them.
 const CONTACT_TIME: Duration = Duration::from_secs(1);
 
+/// Silence of an endpoint with requests from which it is no place for those of another silent one.
+const MAX_OTHER_SILENCE: Duration = Duration::from_millis(700);
+
 /// Chooses endpoints for the requests of one service.
 #[derive(Debug, Default)]
 pub struct Placer {
@@ -291,9 +294,20 @@
             .is_some_and(|e| e.health.is_silent(now))
     }
 
-    /// Time since the endpoint last sent anything to this VM; `None` if it never did.
-    pub fn silent_for(&self, now: Instant, id: &EndpointId) -> Option<Duration> {
-        self.endpoints.get(id)?.health.silent_for(now)
+    /// When the endpoint sent anything to this VM; `None` if it never did.
+    pub fn activity(&self, now: Instant, id: &EndpointId) -> Option<Activity> {
+        self.endpoints.get(id)?.health.activity(now)
+    }
+
+    /// Whether there is an endpoint beside `avoid` that takes a request and isn't known to be silent.
+    pub fn has_other(&self, now: Instant, avoid: &[EndpointId]) -> bool {
+        let others = self.endpoints.iter().filter(|(id, _)| !avoid.contains(id));
+        let mut open = others.filter(|(_, e)| e.accepts(now));
+        open.any(|(_, e)| {
+            let busy = e.own_load.in_flight > 0;
+            let active = e.health.heard_within(now, MAX_OTHER_SILENCE);
+            !e.health.is_silent(now) && (active || !busy)
+        })
     }
 
     /// Whether this VM lately heard of other endpoints in the availability zone of this one, or of any
--- a/crates/route/tests/crash_table.rs
+++ b/crates/route/tests/crash_table.rs
@@ -154,7 +154,7 @@
         crash(&mut table, at(1_000), endpoint, &[1]);
     }
     for endpoint in 0..4 {
-        table.record_alive(&start_of(endpoint, 1), at(500));
+        table.record_alive(at(3_000), &start_of(endpoint, 1), at(500));
     }
     table.update(at(4_000));
     assert!(!is_refused(&table, at(4_000), 1));
@@ -166,8 +166,24 @@
     let mut table = CrashTable::default();
     for endpoint in 0..4 {
         crash(&mut table, at(1_000), endpoint, &[1]);
-        table.record_alive(&start_of(endpoint, 1), at(1_500));
+        table.record_alive(at(3_000), &start_of(endpoint, 1), at(1_500));
     }
     table.update(at(4_000));
     assert!(is_refused(&table, at(4_000), 1));
 }
+
+/// Hubs repeated the crash of an endpoint that had gone on meanwhile.
+#[test]
+fn crash_that_others_still_tell_of_is_not_believed_once_the_endpoint_goes_on() {
+    let (mut table, mut other) = (CrashTable::default(), CrashTable::default());
+    for endpoint in 0..4 {
+        crash(&mut table, at(1_000), endpoint, &[1]);
+    }
+    other.learn(at(1_100), &table.tell(at(1_100), false, false));
+    for endpoint in 0..4 {
+        table.record_alive(at(2_000), &start_of(endpoint, 1), at(500));
+    }
+    table.learn(at(2_100), &other.tell(at(2_100), true, false));
+    table.update(at(4_000));
+    assert!(!is_refused(&table, at(4_000), 1));
+}
--- a/crates/route/tests/silence.rs
+++ b/crates/route/tests/silence.rs
@@ -1,7 +1,7 @@
 //! What is done about requests whose endpoint is silent.
 
 use {
-    route::{Silence, SilenceAction},
+    route::{Activity, Silence, SilenceAction},
     std::time::Duration,
 };
 
@@ -10,10 +10,14 @@
 fn after(request_ms: u64, endpoint_ms: u64, accepts: Option<bool>) -> Silence {
     Silence {
         request: Duration::from_millis(request_ms),
-        endpoint: Some(Duration::from_millis(endpoint_ms)),
+        activity: Some(Activity {
+            last: Duration::from_millis(endpoint_ms),
+            awake: Duration::from_secs(10),
+        }),
         accepts,
         begun: true,
         limit: LIMIT,
+        patience: Duration::from_secs(2),
     }
 }
 
@@ -76,3 +80,34 @@
     };
     assert_eq!(first.action(), SilenceAction::Wait);
 }
+
+/// The other streams of an endpoint that paused were taken from it when the first one went on.
+#[test]
+fn streams_stay_while_an_endpoint_goes_on_with_them_one_after_the_other() {
+    for awake_ms in [0, 100, 290] {
+        let silence = Silence {
+            activity: Some(Activity {
+                last: Duration::ZERO,
+                awake: Duration::from_millis(awake_ms),
+            }),
+            ..after(1_300, 0, Some(true))
+        };
+        assert_eq!(silence.action(), SilenceAction::Wait, "{awake_ms} ms");
+    }
+}
+
+/// A request that was alone at an engine with a long prompt was taken from it.
+#[test]
+fn request_without_events_waits_as_long_as_its_caller() {
+    let alone = Silence {
+        begun: false,
+        patience: Duration::from_secs(10),
+        ..after(5_000, 60_000, Some(true))
+    };
+    assert_eq!(alone.action(), SilenceAction::Wait);
+    let late = Silence {
+        request: Duration::from_secs(8),
+        ..alone
+    };
+    assert_eq!(late.action(), SilenceAction::Dead);
+}
