Log the release that serves a stream, and which attempt a caller takes up

Endpoints of several releases serve side by side, and logs did not tell which release a request went to, nor which earlier attempt a caller names when it takes a stream up again.

No decision changes.

--- a/crates/relay/src/adapter/header_codec.rs
+++ b/crates/relay/src/adapter/header_codec.rs
@@ -36,6 +36,8 @@
     pub prompt: Option<Prompt>,
     /// Last event that the caller received of an earlier stream that broke.
     pub last_event: Option<u64>,
+    /// The attempt that brought the first event of the stream that the caller takes up again.
+    pub resumes: Option<AttemptId>,
 }
 
 /// Header fields that the router sets on a request to an endpoint, beside the caller's own.
--- a/crates/relay/src/endpoints/endpoint.rs
+++ b/crates/relay/src/endpoints/endpoint.rs
@@ -3,7 +3,7 @@
 use {
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
-    types::{EndpointId, ServiceId, ZoneId},
+    types::{EndpointId, Release, ServiceId, ZoneId},
 };
 
 /// An endpoint as the platform lists it.
@@ -27,4 +27,7 @@
     pub cold: Duration,
     /// Start time in milliseconds since the Unix epoch; distinguishes restarts under the same id.
     pub born: u64,
+    /// Release of its software; `None` if a VM told of the endpoint that doesn't know releases.
+    #[serde(default)]
+    pub release: Option<Release>,
 }
--- a/crates/relay/src/endpoints/registry.rs
+++ b/crates/relay/src/endpoints/registry.rs
@@ -249,6 +249,6 @@
 }
 
 fn differs(a: &Endpoint, b: &Endpoint) -> bool {
-    (&a.service, a.addr, a.slots, a.leaving, a.born)
-        != (&b.service, b.addr, b.slots, b.leaving, b.born)
+    (&a.service, a.addr, a.slots, a.leaving, a.born, &a.release)
+        != (&b.service, b.addr, b.slots, b.leaving, b.born, &b.release)
 }
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -97,7 +97,7 @@
             sent: false,
         });
     }
-    request.start_send(slot.endpoint());
+    request.start_send(slot.endpoint(), slot.release.as_ref());
     let dead = async {
         until_dead(node, request, slot).await;
         node.pool.remove_addr(slot.addr);
--- a/crates/relay/src/request/routed_request.rs
+++ b/crates/relay/src/request/routed_request.rs
@@ -10,7 +10,9 @@
     parking_lot::Mutex,
     route::{Placement, Suspect},
     std::{sync::Arc, time::Duration},
-    types::{Attempts, EndpointId, Reason, Refusal, ServiceId, Tier, Urgency, Verdict, Version},
+    types::{
+        Attempts, EndpointId, Reason, Refusal, Release, ServiceId, Tier, Urgency, Verdict, Version,
+    },
 };
 
 /// State of a request's attempts.
@@ -22,6 +24,8 @@
     pub(crate) in_flight: bool,
     /// The last endpoint that was chosen.
     pub(crate) endpoint: Option<EndpointId>,
+    /// Release of the last endpoint that the request was sent to.
+    pub(crate) release: Option<Release>,
     /// The last failure.
     pub(crate) cause: Option<&'static str>,
     /// Time to the first event of a stream.
@@ -134,10 +138,11 @@
     }
 
     /// Records the start of a send.
-    pub(crate) fn start_send(&self, endpoint: &EndpointId) {
+    pub(crate) fn start_send(&self, endpoint: &EndpointId, release: Option<&Release>) {
         let mut progress = self.progress.lock();
         progress.in_flight = true;
         progress.endpoint = Some(endpoint.clone());
+        progress.release = release.cloned();
     }
 
     /// Records the end of a send.
--- a/crates/relay/src/request/slot_lease.rs
+++ b/crates/relay/src/request/slot_lease.rs
@@ -5,7 +5,7 @@
     clock::Instant,
     route::{EndpointStart, Placement, PlacementOutcome},
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    types::ServiceId,
+    types::{Release, ServiceId},
 };
 
 /// Time after the first event in which a request may still crash the endpoint that answers it.
@@ -27,6 +27,8 @@
     pub(crate) addr: SocketAddr,
     /// Start time of the endpoint.
     pub(crate) born: u64,
+    /// Release of its software.
+    pub(crate) release: Option<Release>,
     /// Address of an engine that probably has prompt parts cached that this endpoint lacks.
     pub(crate) kv_source: Option<SocketAddr>,
 }
@@ -50,6 +52,7 @@
             harmless: false,
             addr: target.addr,
             born: target.born,
+            release: target.release.clone(),
             kv_source,
         }
     }
--- a/crates/relay/tests/common/fakes.rs
+++ b/crates/relay/tests/common/fakes.rs
@@ -45,6 +45,7 @@
             key: headers.get("key").map(Into::into),
             prompt,
             last_event: number("last-event"),
+            resumes: headers.get("resumes").and_then(|v| v.parse().ok()),
         })
     }
 
--- a/crates/relay/tests/common/router.rs
+++ b/crates/relay/tests/common/router.rs
@@ -101,6 +101,7 @@
         cheap: false,
         cold: Duration::ZERO,
         born: 1,
+        release: Some("r1".parse().unwrap()),
     }
 }
 
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -21,6 +21,7 @@
         cheap: false,
         cold: Duration::ZERO,
         born: 1,
+        release: None,
     }
 }
 
--- a/crates/types/src/id/mod.rs
+++ b/crates/types/src/id/mod.rs
@@ -12,7 +12,7 @@
     prompt_part::PromptPartId,
     request::RequestId,
     text::{
-        AttemptId, ClassId, EndpointId, ModelId, OperatorId, OrgId, ParseIdError, RouteId,
+        AttemptId, ClassId, EndpointId, ModelId, OperatorId, OrgId, ParseIdError, Release, RouteId,
         ServiceId, VmId, ZoneId,
     },
 };
--- a/crates/types/src/id/text.rs
+++ b/crates/types/src/id/text.rs
@@ -127,4 +127,6 @@
     ServiceId,
     /// One attempt at a request, by the id that the caller chose.
     AttemptId,
+    /// A release of the software that an endpoint runs.
+    Release,
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,7 +7,7 @@
 pub use {
     id::{
         AttemptId, ClassId, EndpointId, Epoch, Incarnation, KeyDigest, ModelId, OperatorId, OrgId,
-        ParseIdError, PromptPartId, RequestId, RouteId, ServiceId, Version, VmId, ZoneId,
+        ParseIdError, PromptPartId, Release, RequestId, RouteId, ServiceId, Version, VmId, ZoneId,
     },
     outcome::{Attempts, Reason, Refusal, Verdict},
     quantity::{Bytes, ParseQuantityError, PerSecond, Tier, Tokens, Urgency},
