Add failing tests: streams go on at endpoints of another release

Neither the router within a response nor a VM that a caller comes back to knows which release began a stream. The tests also ask that at least half of the streams go on while two endpoints of their release serve, and that refusals say "not run" within a second.

Router::kill ends a router abruptly; FakeEndpoint::close_connections is for restarts.

--- a/crates/relay/tests/common/endpoint.rs
+++ b/crates/relay/tests/common/endpoint.rs
@@ -2,8 +2,8 @@
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex, Weak},
     thread,
     time::Duration,
 };
@@ -46,6 +46,7 @@
     pub(crate) seen: Arc<Mutex<Vec<SeenRequest>>>,
     pub(crate) closed: Arc<Mutex<usize>>,
     pub(crate) connections: Arc<Mutex<usize>>,
+    sockets: Arc<Mutex<Vec<Weak<TcpStream>>>>,
 }
 
 impl FakeEndpoint {
@@ -58,16 +59,20 @@
             seen: Arc::default(),
             closed: Arc::default(),
             connections: Arc::default(),
+            sockets: Arc::default(),
         };
         let (seen, closed) = (endpoint.seen.clone(), endpoint.closed.clone());
-        let connections = endpoint.connections.clone();
+        let (connections, sockets) = (endpoint.connections.clone(), endpoint.sockets.clone());
         let respond: Responder = Arc::new(respond);
         thread::spawn(move || {
             for socket in listener.incoming().flatten() {
                 *connections.lock().unwrap() += 1;
+                let socket = Arc::new(socket);
+                sockets.lock().unwrap().push(Arc::downgrade(&socket));
                 let (seen, respond, closed) = (seen.clone(), respond.clone(), closed.clone());
                 thread::spawn(move || {
-                    serve(socket, &seen, &respond);
+                    serve(&socket, &seen, &respond);
+                    drop(socket);
                     *closed.lock().unwrap() += 1;
                 });
             }
@@ -75,6 +80,20 @@
         endpoint
     }
 
+    /// Closes all connections, as a restart does.
+    pub(crate) fn close_connections(&self) {
+        for socket in self
+            .sockets
+            .lock()
+            .unwrap()
+            .drain(..)
+            .filter_map(|s| s.upgrade())
+        {
+            // Fails for connections that their peers have closed.
+            let _ = socket.shutdown(Shutdown::Both);
+        }
+    }
+
     pub(crate) fn count(&self) -> usize {
         self.seen.lock().unwrap().len()
     }
@@ -84,7 +103,7 @@
     }
 }
 
-fn serve(mut socket: TcpStream, seen: &Mutex<Vec<SeenRequest>>, respond: &Responder) {
+fn serve(mut socket: &TcpStream, seen: &Mutex<Vec<SeenRequest>>, respond: &Responder) {
     while let Some(request) = read_request(&mut socket) {
         let number = {
             let mut seen = seen.lock().unwrap();
@@ -107,7 +126,7 @@
             Script::SendAndReset(bytes) => {
                 let _ = socket.write_all(&bytes);
                 thread::sleep(Duration::from_millis(50));
-                let _ = rustix::net::sockopt::set_socket_linger(&socket, Some(Duration::ZERO));
+                let _ = rustix::net::sockopt::set_socket_linger(socket, Some(Duration::ZERO));
                 return;
             }
             Script::Pause(pause, bytes) => {
@@ -125,7 +144,7 @@
     }
 }
 
-pub(super) fn read_request(socket: &mut TcpStream) -> Option<SeenRequest> {
+pub(super) fn read_request(socket: &mut impl Read) -> Option<SeenRequest> {
     let mut bytes = Vec::new();
     let mut buf = [0; 4096];
     let end = loop {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -5,11 +5,16 @@
 mod crashing;
 mod endpoint;
 mod fakes;
+mod releases;
 mod router;
 
 pub(crate) use {
     crashing::{CrashForm, CrashLog, CrashingEngine},
     endpoint::{FakeEndpoint, Script, SeenRequest},
     fakes::{FakeDutyApi, FakeFeed, FakeLog},
+    releases::{
+        ALL_EVENTS, FIRST_EVENTS, Fleet, ReleaseLog, ReleasedEndpoint, StreamRequest,
+        StreamResponse,
+    },
     router::{Ports, Router, RouterSpec, config_change, endpoint, free_addr, response_head, route},
 };
--- a/crates/relay/tests/common/router.rs
+++ b/crates/relay/tests/common/router.rs
@@ -4,6 +4,7 @@
     super::fakes::{FakeDutyApi, FakeFeed, FakeHeaderCodec, FakeLog},
     clock::SystemClock,
     daemon::{AdminPages, Readiness},
+    futures_lite::FutureExt,
     relay::{
         Adapter, CallerLimits, Config, ConfigDoc, Endpoint, EngineSpec, FeedChange, FeedKind,
         NodeProcess, NodeSettings, Org, PlatformBounds, Route, RouteKind, Service, run_node,
@@ -154,6 +155,7 @@
     pub(crate) feed: Arc<FakeFeed>,
     pub(crate) duty_api: Arc<FakeDutyApi>,
     pub(crate) stop: StopSignal,
+    killed: StopSignal,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -176,7 +178,7 @@
         let mut settings = settings(spec.name, spec.seeds, (spec.ip, spec.ports));
         settings.bounds.endpoint_drain = spec.drain;
         let duty_api: Arc<FakeDutyApi> = Arc::default();
-        let stop = StopSignal::default();
+        let (stop, killed) = (StopSignal::default(), StopSignal::default());
         let router = Self {
             front: settings.front,
             ready: settings.ready,
@@ -184,6 +186,7 @@
             feed: feed.clone(),
             duty_api: duty_api.clone(),
             stop: stop.clone(),
+            killed: killed.clone(),
             thread: None,
         };
         let adapter = Adapter {
@@ -202,7 +205,11 @@
         };
         let thread = thread::spawn(move || {
             let ex = process.ex.clone();
-            async_io::block_on(ex.run(run_node(process, adapter))).unwrap();
+            let kill = async {
+                killed.wait().await;
+                Ok(())
+            };
+            async_io::block_on(ex.run(run_node(process, adapter).or(kill))).unwrap();
         });
         Self {
             thread: Some(thread),
@@ -249,6 +256,13 @@
         String::from_utf8_lossy(&response).into_owned()
     }
 
+    /// Ends the router abruptly: none of its tasks runs any more. Its sockets stay open, like those
+    /// of a VM that has lost power.
+    pub(crate) fn kill(self) {
+        self.killed.trigger();
+        self.join();
+    }
+
     /// Waits until a stopped router has ended.
     pub(crate) fn join(mut self) {
         if let Some(thread) = self.thread.take() {
