Origins: which release began a stream, known to the VMs

Cause: endpoints of one service run several releases side by side, and no VM could tell which release had begun the stream of a caller that comes back.

Change: a crate without I/O. ReleaseHistory tells the sole release of a window and whether a release is settled. Origins decides what a VM infers, tells, relays, asks and answers.

--- /dev/null
+++ b/crates/origins/src/origins.rs
@@ -0,0 +1,377 @@
+//! What one VM knows of the releases that streams began at, and what it tells others of them.
+
+use {
+    super::{
+        Known, Origin, OriginAsk, OriginNews, OriginRecord, OriginTable, ReleaseHistory, StreamKey,
+        relay_queue::RelayQueue,
+    },
+    clock::Instant,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+    types::{EndpointId, Release, ServiceId},
+};
+
+/// Most origins told at a time: about as many as a datagram holds.
+const MAX_TOLD: usize = 48;
+/// Shortest interval of news.
+const TELL_INTERVAL: Duration = Duration::from_millis(25);
+/// Interval of news for each VM that it is sent to, so that a VM sends 200 datagrams a second at most.
+const SEND_INTERVAL: Duration = Duration::from_millis(5);
+/// Interval at which streams are told again: a hub hears of those of all its zone.
+const RETELL_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which a hub tells those of other zones, and most origins at a time.
+const RELAY_INTERVAL: Duration = Duration::from_millis(50);
+const MAX_RELAYED: usize = 8 * MAX_TOLD;
+/// Time for which a hub waits for what other hubs know.
+const ASK_TIME: Duration = Duration::from_millis(500);
+const MAX_WAITING: usize = 4_096;
+/// Largest number of VMs that wait for the origin of one stream.
+const MAX_ASKERS: usize = 8;
+/// Most asks in one datagram that are passed on or answered.
+const MAX_ASKS: usize = 64;
+
+/// What is known of the stream that a caller takes up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Lookup {
+    /// It began at this release.
+    Release(Release),
+    /// Other VMs may know. If none says so in time, it is unknown.
+    Ask,
+    /// Nobody can know it.
+    Unknown,
+}
+
+/// What has to be sent after news has arrived.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Reaction {
+    /// Answers, to the VMs that asked.
+    pub answers: Vec<(SocketAddr, OriginNews)>,
+    /// Questions to the hubs of other zones; empty unless this VM is a hub.
+    pub forwarded: OriginNews,
+}
+
+/// VMs that wait for the origin of a stream.
+#[derive(Debug)]
+struct Waiting {
+    until: Instant,
+    askers: BTreeSet<SocketAddr>,
+}
+
+/// Origins of streams, releases of services, and what others have to be told.
+#[derive(Debug, Default)]
+pub struct Origins {
+    table: OriginTable,
+    history: ReleaseHistory,
+    /// The services that had a sole release when it was last looked at.
+    soles: BTreeMap<ServiceId, Release>,
+    relays: RelayQueue,
+    waiting: BTreeMap<StreamKey, Waiting>,
+    next_tell: Instant,
+    next_retell: Instant,
+    next_relay: Instant,
+}
+
+impl Origins {
+    /// Sets the time for which a service's releases matter; see [`ReleaseHistory::set_window`].
+    pub fn set_window(&mut self, now: Instant, service: &ServiceId, window: Duration) {
+        self.history.set_window(now, service, window);
+        self.update_soles(now);
+    }
+
+    /// Notes that the whole list, as it was at `read` or later, hasn't changed. To be called at each
+    /// read, more often than every [`crate::MAX_LIST_AGE`].
+    pub fn confirm_list(&mut self, now: Instant, read: Instant) {
+        self.history.confirm(now, read);
+        self.update_soles(now);
+    }
+
+    /// Applies the whole list as it was at `read` or later: service and release of each endpoint.
+    pub fn replace_list<'a>(
+        &mut self,
+        now: Instant,
+        read: Instant,
+        endpoints: impl IntoIterator<Item = (&'a ServiceId, Option<&'a Release>)>,
+    ) {
+        self.history.replace(now, read, endpoints);
+        self.update_soles(now);
+    }
+
+    /// Has others told again of the own streams of services that no longer have a sole release: VMs
+    /// that could infer it before can't any more.
+    fn update_soles(&mut self, now: Instant) {
+        let services = self.history.services();
+        let soles: BTreeMap<_, _> = services
+            .filter_map(|s| Some((s.clone(), self.history.sole(now, s)?)))
+            .collect();
+        let lost: BTreeSet<_> = self
+            .soles
+            .iter()
+            .filter(|(service, release)| soles.get(*service) != Some(*release))
+            .map(|(service, _)| service)
+            .collect();
+        if !lost.is_empty() {
+            self.table.mark_untold(now, |s| lost.contains(s));
+        }
+        self.soles = soles;
+    }
+
+    /// Has others told again of the own streams: there are other hubs.
+    pub fn hubs_changed(&mut self, now: Instant) {
+        let Self { table, soles, .. } = self;
+        table.mark_untold(now, |s| !soles.contains_key(s));
+    }
+
+    /// The release that all streams of a service began at which may be resumed; `None` unless the
+    /// list is current.
+    pub fn sole(&self, now: Instant, service: &ServiceId) -> Option<Release> {
+        let is_current = self.history.is_current(now);
+        is_current
+            .then(|| self.history.sole(now, service))
+            .flatten()
+    }
+
+    /// Whether new streams may begin at a release; see [`ReleaseHistory::is_settled`].
+    pub fn is_settled(&self, now: Instant, service: &ServiceId, release: &Release) -> bool {
+        self.history.is_settled(now, service, release)
+    }
+
+    /// Records that a stream brought its first event to a caller, or that it goes on: `key` is that of
+    /// its first attempt. `unproven` is its endpoint if that may have restarted unnoticed.
+    pub fn began(
+        &mut self,
+        now: Instant,
+        key: StreamKey,
+        origin: &Origin,
+        until: Instant,
+        unproven: Option<&EndpointId>,
+    ) {
+        self.table.record(now, key, origin, until, unproven);
+        self.relays.push(now, key);
+    }
+
+    /// Makes the origins unknown of own streams that began since then at an endpoint which has
+    /// restarted with another release. Returns their number.
+    pub fn endpoint_restarted(
+        &mut self,
+        now: Instant,
+        endpoint: &EndpointId,
+        since: Instant,
+    ) -> usize {
+        let forgotten = self.table.forget_begun(now, endpoint, since);
+        for key in &forgotten {
+            self.relays.push(now, *key);
+        }
+        forgotten.len()
+    }
+
+    /// The release that a stream began at.
+    pub fn look_up(&self, now: Instant, key: &StreamKey, service: &ServiceId) -> Lookup {
+        match self.table.find(now, key) {
+            Some(Known::Release(release)) => Lookup::Release(release),
+            Some(Known::Unknown) => Lookup::Unknown,
+            None => {
+                let sole = self.sole(now, service);
+                sole.map_or(Lookup::Ask, Lookup::Release)
+            }
+        }
+    }
+
+    /// The question for the origin of a stream, to all VMs of a small fleet or to the hubs.
+    pub fn ask(key: StreamKey, service: &ServiceId) -> OriginNews {
+        let service = service.clone();
+        OriginNews {
+            asks: vec![OriginAsk { key, service }],
+            relay: true,
+            ..OriginNews::default()
+        }
+    }
+
+    /// Whether there may be news to take now.
+    pub fn has_news(&self, now: Instant) -> bool {
+        now >= self.next_tell && self.table.has_untold(now >= self.next_retell)
+    }
+
+    /// When there may be news to take; `None` if there is nothing to tell.
+    pub fn news_due(&self) -> Option<Instant> {
+        if self.table.has_untold(false) {
+            Some(self.next_tell)
+        } else {
+            let is_retold = self.table.has_untold(true);
+            is_retold.then_some(self.next_tell.max(self.next_retell))
+        }
+    }
+
+    /// Takes the news that has to be sent to so many VMs now: all live ones in a small fleet, the hubs
+    /// of the zone (other than this VM) in a large one.
+    pub fn take_news(&mut self, now: Instant, targets: usize) -> OriginNews {
+        if !self.has_news(now) {
+            return OriginNews::default();
+        }
+        self.update_soles(now);
+        let again = now >= self.next_retell;
+        let soles = &self.soles;
+        let origins = self.table.take_untold(now, MAX_TOLD, again, |origin| {
+            origin.release.is_some() && soles.get(&origin.service) == origin.release.as_ref()
+        });
+        if !origins.is_empty() {
+            let sends = u32::try_from(targets).unwrap_or(u32::MAX);
+            self.next_tell = now + TELL_INTERVAL.max(SEND_INTERVAL.saturating_mul(sends));
+            if again {
+                self.next_retell = now + RETELL_INTERVAL;
+            }
+        }
+        OriginNews {
+            origins,
+            relay: true,
+            ..OriginNews::default()
+        }
+    }
+
+    /// Takes the news that a first hub has to send to the hubs of other zones now. To be called on
+    /// each VM, so that a second hub can take over and others don't keep it.
+    pub fn take_relayed(&mut self, now: Instant, is_first_hub: bool) -> OriginNews {
+        if !is_first_hub {
+            self.relays.expire(now);
+            return OriginNews::default();
+        }
+        if now < self.next_relay || self.relays.is_empty() {
+            return OriginNews::default();
+        }
+        self.next_relay = now + RELAY_INTERVAL;
+        let mut origins = Vec::new();
+        while origins.len() < MAX_RELAYED {
+            let Some(key) = self.relays.pop() else {
+                break;
+            };
+            let record = self.table.tell(now, &key);
+            origins.extend(record.filter(|r| !self.is_needless(r)));
+        }
+        OriginNews {
+            origins,
+            ..OriginNews::default()
+        }
+    }
+
+    fn is_needless(&self, record: &OriginRecord) -> bool {
+        record.release.is_some() && self.soles.get(&record.service) == record.release.as_ref()
+    }
+
+    /// Applies news of another VM.
+    pub fn learn(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        news: &OriginNews,
+        is_hub: bool,
+    ) -> Reaction {
+        let mut reaction = Reaction::default();
+        let mut has_new_release = false;
+        for record in &news.origins {
+            let is_news = self.table.learn(now, record);
+            if is_news && news.relay && is_hub {
+                self.relays.push(now, record.key);
+            }
+            if let Some(release) = &record.release {
+                has_new_release |= self.history.hear(now, &record.service, release);
+            }
+            self.answer_waiting(now, &record.key, &mut reaction);
+        }
+        if has_new_release {
+            self.update_soles(now);
+        }
+        self.answer(now, from, news, is_hub, &mut reaction);
+        reaction
+    }
+
+    /// Tells those that wait for the origin of a stream.
+    fn answer_waiting(&mut self, now: Instant, key: &StreamKey, reaction: &mut Reaction) {
+        let Some(waiting) = self.waiting.remove(key).filter(|w| now < w.until) else {
+            return;
+        };
+        let Some(record) = self.table.tell(now, key) else {
+            return;
+        };
+        let news = OriginNews {
+            origins: vec![record],
+            ..OriginNews::default()
+        };
+        let askers = waiting.askers.into_iter();
+        reaction
+            .answers
+            .extend(askers.map(|addr| (addr, news.clone())));
+    }
+
+    fn answer(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        news: &OriginNews,
+        is_hub: bool,
+        reaction: &mut Reaction,
+    ) {
+        let mut answer = OriginNews::default();
+        for ask in news.asks.iter().take(MAX_ASKS) {
+            if let Some(record) = self.known(now, ask) {
+                answer.origins.push(record);
+            } else if is_hub && news.relay {
+                self.wait(now, ask.key, from);
+                reaction.forwarded.asks.push(ask.clone());
+            }
+        }
+        if !answer.is_empty() {
+            reaction.answers.push((from, answer));
+        }
+    }
+
+    /// What this VM knows of a stream, or can infer.
+    fn known(&self, now: Instant, ask: &OriginAsk) -> Option<OriginRecord> {
+        if let Some(record) = self.table.tell(now, &ask.key) {
+            return Some(record);
+        }
+        let release = self.sole(now, &ask.service)?;
+        let window = self.history.window(now, &ask.service).as_millis();
+        Some(OriginRecord {
+            key: ask.key,
+            service: ask.service.clone(),
+            release: Some(release),
+            ends_ms: u32::try_from(window).unwrap_or(u32::MAX),
+        })
+    }
+
+    fn wait(&mut self, now: Instant, key: StreamKey, asker: SocketAddr) {
+        if self.waiting.len() >= MAX_WAITING {
+            self.waiting.retain(|_, w| now < w.until);
+        }
+        if self.waiting.len() >= MAX_WAITING {
+            return;
+        }
+        let waiting = self.waiting.entry(key).or_insert_with(|| Waiting {
+            until: now,
+            askers: BTreeSet::new(),
+        });
+        waiting.until = now + ASK_TIME;
+        if waiting.askers.len() < MAX_ASKERS {
+            waiting.askers.insert(asker);
+        }
+    }
+
+    /// Drops what is out of date. To be called about every second.
+    pub fn expire(&mut self, now: Instant) {
+        self.table.expire(now);
+        self.waiting.retain(|_, w| now < w.until);
+        self.update_soles(now);
+    }
+
+    /// Number of streams known.
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Whether no stream is known.
+    pub fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/origins/src/release_history.rs
@@ -0,0 +1,209 @@
+//! Which releases of each service were listed when, as this VM observed it.
+
+use {
+    clock::Instant,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+    types::{Release, ServiceId},
+};
+
+/// Age from which a list is out of date. No two VMs with current lists differ by more.
+pub const MAX_LIST_AGE: Duration = Duration::from_secs(1);
+/// Time for which a release is listed before it is used beside another one: all VMs with current
+/// lists know of it by then, with a margin as long.
+pub const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Shortest window: a settled release that is gone for a moment stays in it.
+const MIN_WINDOW: Duration = SETTLE_TIME.saturating_mul(2);
+/// Time for which releases that are no longer listed are remembered; longest window.
+const HISTORY_TIME: Duration = Duration::from_secs(3_600);
+/// Largest number of releases of one service that are remembered.
+const MAX_RELEASES: usize = 64;
+
+/// When a release was listed. `None` as the end: it still is.
+#[derive(Debug, Clone, Copy)]
+struct Listing {
+    since: Instant,
+    ended: Option<Instant>,
+}
+
+/// The listings of one service, by release; that of endpoints whose release isn't known is under
+/// `None`.
+#[derive(Debug, Clone, Default)]
+struct Service {
+    listings: BTreeMap<Option<Release>, Listing>,
+    /// Since when all releases are remembered, if later than the start of the observation.
+    complete_since: Instant,
+    window: Duration,
+    /// A longer window that was set before, and until when it counts.
+    old_window: Option<(Duration, Instant)>,
+}
+
+impl Service {
+    fn list(&mut self, now: Instant, listed: &BTreeSet<Option<&Release>>) {
+        for (release, listing) in &mut self.listings {
+            if listing.ended.is_none() && !listed.contains(&release.as_ref()) {
+                listing.ended = Some(now);
+            }
+        }
+        for release in listed {
+            self.note(now, *release, None);
+        }
+        let is_recent = |l: &Listing| l.ended.is_none_or(|at| now.since(at) < HISTORY_TIME);
+        self.listings.retain(|_, l| is_recent(l));
+        while self.listings.len() > MAX_RELEASES {
+            let ended = self.listings.iter().filter(|(_, l)| l.ended.is_some());
+            let oldest = ended.min_by_key(|(_, l)| l.ended);
+            let Some(release) = oldest.map(|(release, _)| release.clone()) else {
+                break;
+            };
+            self.listings.remove(&release);
+            self.complete_since = now;
+        }
+    }
+
+    fn note(&mut self, now: Instant, release: Option<&Release>, ended: Option<Instant>) {
+        let new = Listing { since: now, ended };
+        let listing = self.listings.entry(release.cloned()).or_insert(new);
+        let Some(last) = listing.ended else {
+            return;
+        };
+        // All VMs still remember a settled release that was gone for a moment.
+        let was_settled = last.since(listing.since) >= SETTLE_TIME;
+        if !was_settled || now.since(last) >= SETTLE_TIME {
+            listing.since = now;
+        }
+        listing.ended = ended;
+    }
+
+    fn window(&self, now: Instant) -> Duration {
+        let old = self.old_window.filter(|(_, until)| now < *until);
+        let window = self
+            .window
+            .max(old.map_or(Duration::ZERO, |(span, _)| span));
+        if window.is_zero() {
+            window
+        } else {
+            window.max(MIN_WINDOW)
+        }
+    }
+}
+
+/// The releases of all services that were listed lately.
+#[derive(Debug, Clone, Default)]
+pub struct ReleaseHistory {
+    services: BTreeMap<ServiceId, Service>,
+    /// Since when each change of the list is seen.
+    since: Option<Instant>,
+    last_read: Instant,
+}
+
+impl ReleaseHistory {
+    /// Sets the time for which the releases of a service matter: no stream is resumed that began
+    /// earlier. Without it no release is the sole one. A shorter one counts when the longer one is over.
+    pub fn set_window(&mut self, now: Instant, service: &ServiceId, window: Duration) {
+        let entry = self.services.entry(service.clone()).or_default();
+        let before = entry.window(now);
+        if window < entry.window {
+            entry.old_window = Some((before, now + before));
+        }
+        entry.window = window;
+    }
+
+    /// Notes that the whole list was read, changed or not, as it was at `read` or later. If it couldn't be followed for a while,
+    /// releases that came and went meanwhile are unknown, and the observation starts anew.
+    pub fn confirm(&mut self, now: Instant, read: Instant) {
+        if self.since.is_none() || read.since(self.last_read) > MAX_LIST_AGE {
+            self.since = Some(now);
+        }
+        self.last_read = self.last_read.max(read);
+    }
+
+    /// Applies the whole list as it was at `read` or later: the service and the release of each endpoint.
+    pub fn replace<'a>(
+        &mut self,
+        now: Instant,
+        read: Instant,
+        endpoints: impl IntoIterator<Item = (&'a ServiceId, Option<&'a Release>)>,
+    ) {
+        self.confirm(now, read);
+        let mut listed: BTreeMap<&ServiceId, BTreeSet<Option<&Release>>> = BTreeMap::new();
+        for (service, release) in endpoints {
+            listed.entry(service).or_default().insert(release);
+            if !self.services.contains_key(service) {
+                self.services.insert(service.clone(), Service::default());
+            }
+        }
+        let nothing = BTreeSet::new();
+        for (id, service) in &mut self.services {
+            service.list(now, listed.get(id).unwrap_or(&nothing));
+        }
+    }
+
+    /// Notes that another VM uses a release, which this VM's list may not show yet; returns
+    /// whether it is new.
+    pub fn hear(&mut self, now: Instant, service: &ServiceId, release: &Release) -> bool {
+        let Some(service) = self.services.get_mut(service) else {
+            return false;
+        };
+        let window = service.window(now);
+        let known = service.listings.get(&Some(release.clone()));
+        let is_recent = |l: &Listing| l.ended.is_none_or(|at| now.since(at) < window);
+        if known.is_some_and(is_recent) {
+            return false;
+        }
+        service.note(now, Some(release), Some(now));
+        true
+    }
+
+    /// Whether the list is current.
+    pub fn is_current(&self, now: Instant) -> bool {
+        self.since.is_some() && now.since(self.last_read) <= MAX_LIST_AGE
+    }
+
+    /// The services that were listed or have a window.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        self.services.keys()
+    }
+
+    /// The window of a service.
+    pub fn window(&self, now: Instant, service: &ServiceId) -> Duration {
+        self.services
+            .get(service)
+            .map_or(Duration::ZERO, |s| s.window(now))
+    }
+
+    /// The release that all streams began at which may be resumed, if it was the only one listed
+    /// for the whole window of its service. Only to be used while the list is current.
+    pub fn sole(&self, now: Instant, service: &ServiceId) -> Option<Release> {
+        let service = self.services.get(service)?;
+        let window = service.window(now);
+        let observed = now.since(self.since?.max(service.complete_since));
+        if window.is_zero() || window > HISTORY_TIME || observed < window {
+            return None;
+        }
+        let mut recent = service
+            .listings
+            .iter()
+            .filter(|(_, l)| l.ended.is_none_or(|at| now.since(at) < window));
+        let (release, _) = recent.next()?;
+        recent.next().is_none().then(|| release.clone()).flatten()
+    }
+
+    /// Whether new streams may begin at a release: all VMs with current lists know of it, or there is
+    /// and lately was no other one that they could take for the sole one.
+    pub fn is_settled(&self, now: Instant, service: &ServiceId, release: &Release) -> bool {
+        let Some(service) = self.services.get(service) else {
+            return false;
+        };
+        let is_other = |other: &Option<Release>, listing: &Listing| {
+            other.as_ref() != Some(release)
+                && listing.ended.is_none_or(|at| now.since(at) < SETTLE_TIME)
+        };
+        let own = service.listings.get(&Some(release.clone()));
+        let known_for = own.map_or(Duration::ZERO, |l| now.since(l.since));
+        let mut listings = service.listings.iter();
+        known_for >= SETTLE_TIME || !listings.any(|(other, l)| is_other(other, l))
+    }
+}
