Origins: simulated fleets of 8, 60 and 300 VMs; what they showed

Change: origin_fleet.rs runs the crate's code on fleets with lost, late and repeated datagrams, VMs killed, restarted and cut off, a hub and a zone lost, a second release, a rollback and a release that goes. Own streams are relayed when they are told. - A VM that had just seen a second release could no longer infer the first one, before the others had told theirs.

--- a/crates/origins/src/origin_table.rs
+++ b/crates/origins/src/origin_table.rs
@@ -263,13 +263,8 @@
     }
 
     /// Makes the origins unknown of own streams that began since then at an endpoint which wasn't
-    /// proven: it has restarted with another release. Returns them.
-    pub fn forget_begun(
-        &mut self,
-        now: Instant,
-        endpoint: &EndpointId,
-        since: Instant,
-    ) -> Vec<StreamKey> {
+    /// proven: it has restarted with another release. Returns their number.
+    pub fn forget_begun(&mut self, now: Instant, endpoint: &EndpointId, since: Instant) -> usize {
         let is_doubtful = |own: &Own| own.unproven.as_ref() == Some(endpoint) && own.began >= since;
         let entries = self.entries.iter();
         let doubtful: Vec<_> = entries
@@ -285,7 +280,7 @@
             self.merge(now, *key, &unknown, *until);
             self.queue(*key);
         }
-        doubtful.into_iter().map(|(key, ..)| key).collect()
+        doubtful.len()
     }
 
     /// Drops streams that can no longer be resumed.
--- a/crates/origins/src/origins.rs
+++ b/crates/origins/src/origins.rs
@@ -65,8 +65,8 @@
 pub struct Origins {
     table: OriginTable,
     history: ReleaseHistory,
-    /// The services that had a sole release when it was last looked at.
-    soles: BTreeMap<ServiceId, Release>,
+    /// The services that had only one release when it was last looked at.
+    only: BTreeMap<ServiceId, Release>,
     relays: RelayQueue,
     waiting: BTreeMap<StreamKey, Waiting>,
     next_tell: Instant,
@@ -78,14 +78,14 @@
     /// Sets the time for which a service's releases matter; see [`ReleaseHistory::set_window`].
     pub fn set_window(&mut self, now: Instant, service: &ServiceId, window: Duration) {
         self.history.set_window(now, service, window);
-        self.update_soles(now);
+        self.update_only(now);
     }
 
     /// Notes that the whole list, as it was at `read` or later, hasn't changed. To be called at each
     /// read, more often than every [`crate::MAX_LIST_AGE`].
     pub fn confirm_list(&mut self, now: Instant, read: Instant) {
         self.history.confirm(now, read);
-        self.update_soles(now);
+        self.update_only(now);
     }
 
     /// Applies the whole list as it was at `read` or later: service and release of each endpoint.
@@ -96,32 +96,32 @@
         endpoints: impl IntoIterator<Item = (&'a ServiceId, Option<&'a Release>)>,
     ) {
         self.history.replace(now, read, endpoints);
-        self.update_soles(now);
+        self.update_only(now);
     }
 
-    /// Has others told again of the own streams of services that no longer have a sole release: VMs
-    /// that could infer it before can't any more.
-    fn update_soles(&mut self, now: Instant) {
+    /// Has others told again of the own streams of services that no longer have only one release:
+    /// VMs that can infer it now soon can't any more.
+    fn update_only(&mut self, now: Instant) {
         let services = self.history.services();
-        let soles: BTreeMap<_, _> = services
-            .filter_map(|s| Some((s.clone(), self.history.sole(now, s)?)))
+        let only: BTreeMap<_, _> = services
+            .filter_map(|s| Some((s.clone(), self.history.only(now, s)?)))
             .collect();
         let lost: BTreeSet<_> = self
-            .soles
+            .only
             .iter()
-            .filter(|(service, release)| soles.get(*service) != Some(*release))
+            .filter(|(service, release)| only.get(*service) != Some(*release))
             .map(|(service, _)| service)
             .collect();
         if !lost.is_empty() {
             self.table.mark_untold(now, |s| lost.contains(s));
         }
-        self.soles = soles;
+        self.only = only;
     }
 
     /// Has others told again of the own streams: there are other hubs.
     pub fn hubs_changed(&mut self, now: Instant) {
-        let Self { table, soles, .. } = self;
-        table.mark_untold(now, |s| !soles.contains_key(s));
+        let Self { table, only, .. } = self;
+        table.mark_untold(now, |s| !only.contains_key(s));
     }
 
     /// The release that all streams of a service began at which may be resumed; `None` unless the
@@ -149,7 +149,6 @@
         unproven: Option<&EndpointId>,
     ) {
         self.table.record(now, key, origin, until, unproven);
-        self.relays.push(now, key);
     }
 
     /// Makes the origins unknown of own streams that began since then at an endpoint which has
@@ -160,11 +159,7 @@
         endpoint: &EndpointId,
         since: Instant,
     ) -> usize {
-        let forgotten = self.table.forget_begun(now, endpoint, since);
-        for key in &forgotten {
-            self.relays.push(now, *key);
-        }
-        forgotten.len()
+        self.table.forget_begun(now, endpoint, since)
     }
 
     /// The release that a stream began at.
@@ -205,17 +200,21 @@
     }
 
     /// Takes the news that has to be sent to so many VMs now: all live ones in a small fleet, the hubs
-    /// of the zone (other than this VM) in a large one.
+    /// of the zone other than this VM in a large one. A hub relays it too, so that it is to be taken
+    /// even if there is no other one.
     pub fn take_news(&mut self, now: Instant, targets: usize) -> OriginNews {
         if !self.has_news(now) {
             return OriginNews::default();
         }
-        self.update_soles(now);
+        self.update_only(now);
         let again = now >= self.next_retell;
-        let soles = &self.soles;
+        let only = &self.only;
         let origins = self.table.take_untold(now, MAX_TOLD, again, |origin| {
-            origin.release.is_some() && soles.get(&origin.service) == origin.release.as_ref()
+            origin.release.is_some() && only.get(&origin.service) == origin.release.as_ref()
         });
+        for record in &origins {
+            self.relays.push(now, record.key);
+        }
         if !origins.is_empty() {
             let sends = u32::try_from(targets).unwrap_or(u32::MAX);
             self.next_tell = now + TELL_INTERVAL.max(SEND_INTERVAL.saturating_mul(sends));
@@ -246,8 +245,7 @@
             let Some(key) = self.relays.pop() else {
                 break;
             };
-            let record = self.table.tell(now, &key);
-            origins.extend(record.filter(|r| !self.is_needless(r)));
+            origins.extend(self.table.tell(now, &key));
         }
         OriginNews {
             origins,
@@ -255,10 +253,6 @@
         }
     }
 
-    fn is_needless(&self, record: &OriginRecord) -> bool {
-        record.release.is_some() && self.soles.get(&record.service) == record.release.as_ref()
-    }
-
     /// Applies news of another VM.
     pub fn learn(
         &mut self,
@@ -280,7 +274,7 @@
             self.answer_waiting(now, &record.key, &mut reaction);
         }
         if has_new_release {
-            self.update_soles(now);
+            self.update_only(now);
         }
         self.answer(now, from, news, is_hub, &mut reaction);
         reaction
@@ -362,7 +356,7 @@
     pub fn expire(&mut self, now: Instant) {
         self.table.expire(now);
         self.waiting.retain(|_, w| now < w.until);
-        self.update_soles(now);
+        self.update_only(now);
     }
 
     /// Number of streams known.
--- /dev/null
+++ b/crates/origins/tests/origin_sim/callers.rs
@@ -0,0 +1,261 @@
+//! Streams, and callers who come back when theirs broke.
+
+use {
+    super::Fleet,
+    crate::origin_common::{key, origin, release, service},
+    clock::Instant,
+    origins::{Lookup, Origins},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// Time that a VM waits for what others know.
+const ASK_TIME: Duration = Duration::from_millis(250);
+/// Shortest and longest time until a caller comes back, in milliseconds.
+const RETURN_MS: (u64, u64) = (50, 1_000);
+/// Share of streams whose connection breaks while its VM is up, of those that break again, and of
+/// callers who come back in another zone.
+const BREAKS: f64 = 0.03;
+const BREAKS_AGAIN: f64 = 0.5;
+const OTHER_ZONE: f64 = 0.2;
+/// Age up to which a stream has only just begun when its VM is killed.
+const NEW_AGE: Duration = Duration::from_millis(500);
+const MAX_RETURNS: u8 = 2;
+
+/// A stream.
+#[derive(Debug)]
+struct Stream {
+    release: u64,
+    vm: usize,
+    began: Instant,
+    ends: Instant,
+    returns: u8,
+    /// Whether the VM that served was cut off.
+    tainted: bool,
+    /// Whether its VM was killed when it had just begun.
+    killed_new: bool,
+}
+
+/// What became of returns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Outcome {
+    Right,
+    Wrong,
+    Unknown,
+}
+
+/// Returns by what became of them: all, of streams whose VM was killed when they had just begun, and
+/// those that a cut VM took part in.
+#[derive(Debug, Default)]
+pub(crate) struct Tally {
+    pub(crate) all: BTreeMap<Outcome, usize>,
+    pub(crate) killed_new: BTreeMap<Outcome, usize>,
+    pub(crate) second: BTreeMap<Outcome, usize>,
+    pub(crate) cut: BTreeMap<Outcome, usize>,
+    pub(crate) begun: usize,
+    pub(crate) not_settled: usize,
+}
+
+impl Tally {
+    pub(crate) fn wrong(&self) -> usize {
+        let all = [&self.all, &self.cut];
+        all.iter().filter_map(|t| t.get(&Outcome::Wrong)).sum()
+    }
+
+    /// Number of returns, and share of them whose origin was known.
+    pub(crate) fn share(counts: &BTreeMap<Outcome, usize>) -> (usize, f64) {
+        let all: usize = counts.values().sum();
+        let right = counts.get(&Outcome::Right).copied().unwrap_or(0);
+        (all, right as f64 / all.max(1) as f64)
+    }
+}
+
+/// A VM that waits for what others know.
+#[derive(Debug)]
+struct Asking {
+    stream: usize,
+    vm: usize,
+    until: Instant,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Callers {
+    streams: Vec<Stream>,
+    returning: BTreeSet<(Instant, usize)>,
+    asking: Vec<Asking>,
+    tally: Tally,
+}
+
+impl Fleet {
+    /// Takes the counts since the last call.
+    pub(crate) fn take_tally(&mut self) -> Tally {
+        std::mem::take(&mut self.callers.tally)
+    }
+
+    /// A stream begins at some VM.
+    pub(crate) fn begin(&mut self) {
+        let now = self.now;
+        let vm = self.rng.usize(..self.vms.len());
+        let is_cut = self.is_cut(vm);
+        let listed: Vec<_> = self.vms[vm].listed.iter().copied().collect();
+        let Some(origins) = &mut self.vms[vm].origins else {
+            return;
+        };
+        if listed.is_empty() {
+            return;
+        }
+        let is_settled = |r: &u64| origins.is_settled(now, &service(), &release(*r));
+        let usable: Vec<_> = listed.into_iter().filter(is_settled).collect();
+        if usable.is_empty() {
+            self.callers.tally.not_settled += 1;
+            return;
+        }
+        let number = usable[self.rng.usize(..usable.len())];
+        let stream = self.callers.streams.len();
+        let until = now + self.life;
+        origins.began(now, key(stream as u64), &origin(number), until, None);
+        self.callers.tally.begun += 1;
+        self.callers.streams.push(Stream {
+            release: number,
+            vm,
+            began: now,
+            ends: until,
+            returns: 0,
+            tainted: is_cut,
+            killed_new: false,
+        });
+        if self.rng.f64() < BREAKS {
+            let after = self.rng.u64(..self.life.as_millis() as u64 / 2);
+            let back = now + Duration::from_millis(after + RETURN_MS.0);
+            self.callers.returning.insert((back, stream));
+        }
+    }
+
+    /// The callers of a killed VM come back later.
+    pub(super) fn break_streams_of(&mut self, vm: usize) {
+        let now = self.now;
+        let streams = self.callers.streams.iter_mut().enumerate();
+        for (at, stream) in streams.filter(|(_, s)| s.vm == vm && s.ends > now) {
+            stream.killed_new = stream.returns == 0 && now.since(stream.began) < NEW_AGE;
+            let pause = self.rng.u64(RETURN_MS.0..RETURN_MS.1);
+            let back = now + Duration::from_millis(pause);
+            self.callers.returning.insert((back, at));
+        }
+    }
+
+    pub(super) fn taint_streams_of(&mut self, vm: usize) {
+        let streams = self.callers.streams.iter_mut();
+        streams
+            .filter(|s| s.vm == vm)
+            .for_each(|s| s.tainted = true);
+    }
+
+    /// Callers come back, and VMs that asked for an origin hear of it or give up.
+    pub(super) fn serve_returning(&mut self) {
+        let now = self.now;
+        while let Some(first) = self.callers.returning.first().copied()
+            && first.0 <= now
+        {
+            self.callers.returning.remove(&first);
+            self.come_back(first.1);
+        }
+        for asking in std::mem::take(&mut self.callers.asking) {
+            let Some(origins) = &self.vms[asking.vm].origins else {
+                // Its VM was killed: the caller tries another one.
+                let back = now + Duration::from_millis(RETURN_MS.0);
+                self.callers.returning.insert((back, asking.stream));
+                continue;
+            };
+            let lookup = origins.look_up(now, &key(asking.stream as u64), &service());
+            match lookup {
+                Lookup::Ask if now < asking.until => self.callers.asking.push(asking),
+                Lookup::Ask => self.resolve(asking.stream, asking.vm, &Lookup::Unknown),
+                _ => self.resolve(asking.stream, asking.vm, &lookup),
+            }
+        }
+    }
+
+    fn come_back(&mut self, stream: usize) {
+        let now = self.now;
+        let Stream {
+            vm: last,
+            ends,
+            returns,
+            ..
+        } = self.callers.streams[stream];
+        if ends <= now || returns >= MAX_RETURNS {
+            return;
+        }
+        let away = self.rng.f64() < OTHER_ZONE;
+        let zone = self.vms[last].zone;
+        let up = (0..self.vms.len()).filter(|vm| *vm != last && self.vms[*vm].origins.is_some());
+        let (own, others): (Vec<_>, Vec<_>) = up.partition(|vm| self.vms[*vm].zone == zone);
+        let vms = if away && !others.is_empty() || own.is_empty() {
+            others
+        } else {
+            own
+        };
+        let vm = vms[self.rng.usize(..vms.len())];
+        let Some(origins) = &self.vms[vm].origins else {
+            return;
+        };
+        let key = key(stream as u64);
+        let lookup = origins.look_up(now, &key, &service());
+        if lookup != Lookup::Ask {
+            self.resolve(stream, vm, &lookup);
+            return;
+        }
+        let targets = self.targets(vm);
+        self.send_all(vm, &targets, &Origins::ask(key, &service()));
+        self.callers.asking.push(Asking {
+            stream,
+            vm,
+            until: now + ASK_TIME,
+        });
+    }
+
+    /// A VM serves a caller, or refuses.
+    fn resolve(&mut self, at: usize, vm: usize, lookup: &Lookup) {
+        let now = self.now;
+        let is_cut = self.is_cut(vm);
+        let stream = &mut self.callers.streams[at];
+        stream.tainted |= is_cut;
+        stream.returns += 1;
+        let outcome = match lookup {
+            Lookup::Release(known) if *known == release(stream.release) => Outcome::Right,
+            Lookup::Release(_) => Outcome::Wrong,
+            _ => Outcome::Unknown,
+        };
+        let tally = &mut self.callers.tally;
+        let counts = if stream.tainted {
+            &mut tally.cut
+        } else {
+            &mut tally.all
+        };
+        *counts.entry(outcome).or_default() += 1;
+        if !stream.tainted && stream.killed_new && stream.returns == 1 {
+            *tally.killed_new.entry(outcome).or_default() += 1;
+        }
+        if !stream.tainted && stream.returns == 2 {
+            *tally.second.entry(outcome).or_default() += 1;
+        }
+        let is_joined = outcome == Outcome::Right && self.vms[vm].listed.contains(&stream.release);
+        if !is_joined {
+            stream.ends = now;
+            return;
+        }
+        stream.vm = vm;
+        stream.ends = now + self.life;
+        let origin = origin(stream.release);
+        if let Some(origins) = &mut self.vms[vm].origins {
+            origins.began(now, key(at as u64), &origin, stream.ends, None);
+        }
+        if self.rng.f64() < BREAKS_AGAIN {
+            let pause = self.rng.u64(RETURN_MS.0..2 * RETURN_MS.1);
+            let back = now + Duration::from_millis(pause);
+            self.callers.returning.insert((back, at));
+        }
+    }
+}
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -198,10 +198,20 @@
     assert!(hub.take_relayed(at(120_100), true).is_empty());
     hub.learn(at(120_200), vm_addr(OTHER), &told(&[(3, 1)], false), true);
     assert!(hub.take_relayed(at(120_300), true).is_empty());
+    // Its own ones too.
     begin(&mut hub, 120_400, 4, 1);
+    assert_eq!(hub.take_news(at(120_400), 0).origins.len(), 1);
     assert_eq!(hub.take_relayed(at(120_400), true).origins.len(), 1);
 }
 
+/// The hub's list didn't show the second release yet, and it dropped what members told because of it.
+#[test]
+fn hub_relays_what_members_tell_whatever_its_own_list_shows() {
+    let mut hub = observer(&[1]);
+    hub.learn(at(120_000), vm_addr(MEMBER), &told(&[(1, 1)], true), true);
+    assert_eq!(hub.take_relayed(at(120_000), true).origins.len(), 1);
+}
+
 /// What a first hub had taken shortly before it was killed reached no other zone.
 #[test]
 fn second_hub_relays_the_last_seconds_when_it_takes_over() {
