Origins: all VMs hear of unknown origins; endpoints of unknown release

Cause: members of a large fleet infer from a sole release without asking, but only hubs were told that an origin is unknown. And each stream of a service whose releases aren't known would have been told three times.

Change: hubs tell of unknown origins, and of conflicts that they see, three times: all VMs of their zone, and the hubs of the others (Origins::take_doubts). Streams that begin at endpoints of unknown release aren't told once all VMs know of such endpoints, as none of them infers a release then; if nothing else was listed for a window, look_up says unknown at once. is_settled takes an Option<&Release>, so that endpoints of unknown release settle as well.

--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -6,6 +6,7 @@
 //! endpoints are out of date. A release that cannot be known is unknown, never guessed. While one
 //! release serves, VMs tell each other nothing.
 
+mod doubt_queue;
 mod origin_news;
 mod origin_table;
 mod origins;
@@ -16,7 +17,7 @@
 pub use {
     origin_news::{MAX_DATAGRAM_BYTES, OriginAsk, OriginNews, OriginRecord},
     origin_table::{Known, Origin, OriginTable},
-    origins::{Lookup, Origins, Reaction},
+    origins::{Doubts, Lookup, Origins, Reaction},
     release_history::{MAX_LIST_AGE, ReleaseHistory, SETTLE_TIME},
     stream_key::StreamKey,
 };
--- a/crates/origins/src/origin_table.rs
+++ b/crates/origins/src/origin_table.rs
@@ -208,6 +208,13 @@
         self.untold.push_back(key);
     }
 
+    /// Keeps others from being told of a stream for now.
+    pub(crate) fn withhold(&mut self, key: &StreamKey) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.tells = 0;
+        }
+    }
+
     /// Has others told again of all own streams of the services, those first that end last.
     pub fn mark_untold(&mut self, now: Instant, services: impl Fn(&ServiceId) -> bool) {
         let mut keys = Vec::new();
--- a/crates/origins/src/origins.rs
+++ b/crates/origins/src/origins.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Known, Origin, OriginAsk, OriginNews, OriginRecord, OriginTable, ReleaseHistory, StreamKey,
-        relay_queue::RelayQueue,
+        doubt_queue::DoubtQueue, relay_queue::RelayQueue,
     },
     clock::Instant,
     std::{
@@ -53,6 +53,15 @@
     pub forwarded: OriginNews,
 }
 
+/// Streams of unknown origin that a hub tells of, so that no VM infers a release for them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Doubts {
+    /// For all other VMs of the hub's zone.
+    pub near: OriginNews,
+    /// For the hubs of all other zones.
+    pub far: OriginNews,
+}
+
 /// VMs that wait for the origin of a stream.
 #[derive(Debug)]
 struct Waiting {
@@ -68,6 +77,7 @@
     /// The services that had only one release when it was last looked at.
     only: BTreeMap<ServiceId, Release>,
     relays: RelayQueue,
+    doubts: DoubtQueue,
     waiting: BTreeMap<StreamKey, Waiting>,
     next_tell: Instant,
     next_retell: Instant,
@@ -134,7 +144,7 @@
     }
 
     /// Whether new streams may begin at a release; see [`ReleaseHistory::is_settled`].
-    pub fn is_settled(&self, now: Instant, service: &ServiceId, release: &Release) -> bool {
+    pub fn is_settled(&self, now: Instant, service: &ServiceId, release: Option<&Release>) -> bool {
         self.history.is_settled(now, service, release)
     }
 
@@ -148,7 +158,14 @@
         until: Instant,
         unproven: Option<&EndpointId>,
     ) {
+        // Nobody infers a release while endpoints of unknown release are listed.
+        let is_expected = origin.release.is_none()
+            && self.table.find(now, &key).is_none()
+            && self.history.has_unknown(now, &origin.service);
         self.table.record(now, key, origin, until, unproven);
+        if is_expected {
+            self.table.withhold(&key);
+        }
     }
 
     /// Makes the origins unknown of own streams that began since then at an endpoint which has
@@ -167,6 +184,7 @@
         match self.table.find(now, key) {
             Some(Known::Release(release)) => Lookup::Release(release),
             Some(Known::Unknown) => Lookup::Unknown,
+            None if self.history.is_nothing_known(now, service) => Lookup::Unknown,
             None => {
                 let sole = self.sole(now, service);
                 sole.map_or(Lookup::Ask, Lookup::Release)
@@ -214,6 +232,9 @@
         });
         for record in &origins {
             self.relays.push(now, record.key);
+            if record.release.is_none() {
+                self.doubts.push(now, record.key, true);
+            }
         }
         if !origins.is_empty() {
             let sends = u32::try_from(targets).unwrap_or(u32::MAX);
@@ -253,6 +274,22 @@
         }
     }
 
+    /// Takes the streams of unknown origin that a hub has to tell of now. To be called on each VM.
+    pub fn take_doubts(&mut self, now: Instant, is_hub: bool) -> Doubts {
+        let mut doubts = Doubts::default();
+        if !is_hub {
+            self.doubts.clear();
+        }
+        while doubts.near.origins.len() < MAX_TOLD
+            && let Some((key, is_far)) = self.doubts.pop(now)
+        {
+            let record = self.table.tell(now, &key);
+            doubts.far.origins.extend(record.clone().filter(|_| is_far));
+            doubts.near.origins.extend(record);
+        }
+        doubts
+    }
+
     /// Applies news of another VM.
     pub fn learn(
         &mut self,
@@ -268,6 +305,9 @@
             if is_news && news.relay && is_hub {
                 self.relays.push(now, record.key);
             }
+            if is_news && is_hub && self.table.find(now, &record.key) == Some(Known::Unknown) {
+                self.doubts.push(now, record.key, news.relay);
+            }
             if let Some(release) = &record.release {
                 has_new_release |= self.history.hear(now, &record.service, release);
             }
--- a/crates/origins/tests/origin_fleet.rs
+++ b/crates/origins/tests/origin_fleet.rs
@@ -130,6 +130,44 @@
     }
 }
 
+/// Only hubs knew that an origin is unknown, and the other VMs took it for the sole release.
+#[test]
+fn origins_in_doubt_are_unknown_everywhere() {
+    for (vms, zones, _) in FLEETS {
+        let mut fleet = Fleet::new(vms, zones, LIFE, 8);
+        for _ in 0..200 {
+            fleet.begin_in_doubt();
+            fleet.run(Duration::from_millis(20), 1.0);
+        }
+        fleet.run(secs(2), 1.0);
+        let tally = fleet.take_tally();
+        assert_eq!(tally.wrong(), 0, "{vms} VMs");
+        assert!(tally.unknowable() >= 195, "{vms} VMs: {:?}", tally.all);
+    }
+}
+
+/// Streams of endpoints whose release isn't known were taken for those of the known one, or made VMs
+/// tell each other of all of them.
+#[test]
+fn streams_of_unknown_releases_are_unknown_and_not_told() {
+    for (vms, zones, rate) in FLEETS {
+        let mut fleet = Fleet::new(vms, zones, LIFE, 9);
+        fleet.list(&[1, 0]);
+        run_with_trouble(&mut fleet, 16, rate);
+        let tally = fleet.take_tally();
+        assert!(tally.unknowable() > 10, "{vms} VMs: {:?}", tally.all);
+        check("unknown release", vms, 9, &tally);
+        fleet.list(&[0]);
+        fleet.run(LIFE * 2 + secs(2), 0.0);
+        fleet.network.reset_counts();
+        fleet.run(secs(12), rate);
+        assert_eq!(fleet.network.datagrams(), 0, "{vms} VMs");
+        let tally = fleet.take_tally();
+        assert_eq!(tally.wrong(), 0, "{vms} VMs");
+        assert!(tally.unknowable() > 0, "{vms} VMs");
+    }
+}
+
 /// VMs told each other of each stream though all could infer its release.
 #[test]
 fn vms_are_silent_while_one_release_serves() {
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -100,6 +100,51 @@
     assert_eq!(look_up(&other, 120_020, 1), Lookup::Unknown);
 }
 
+/// Members infer from a sole release without asking their hub, which alone knew better.
+#[test]
+fn hubs_tell_all_vms_of_unknown_origins_several_times() {
+    let mut vm = observer(&[1]);
+    vm.began(at(120_000), key(1), &unknown(), at(150_000), None);
+    let news = vm.take_news(at(120_000), 2);
+    assert!(vm.take_doubts(at(120_000), false).near.is_empty());
+    let mut hub = observer(&[1]);
+    hub.learn(at(120_010), vm_addr(MEMBER), &news, true);
+    let mut tells = 0;
+    let mut far = OriginNews::default();
+    for ms in 120_010..121_000 {
+        let doubts = hub.take_doubts(at(ms), true);
+        tells += doubts.near.origins.len();
+        assert_eq!(doubts.near, doubts.far);
+        if !doubts.far.is_empty() {
+            far = doubts.far;
+        }
+    }
+    assert_eq!(tells, 3);
+    // The hubs of other zones tell their own zones only.
+    let mut other = observer(&[1]);
+    other.learn(at(121_000), vm_addr(0), &far, true);
+    let doubts = other.take_doubts(at(121_000), true);
+    assert_eq!(doubts.near.origins.len(), 1);
+    assert!(doubts.far.is_empty());
+    // What is known already isn't told without end.
+    hub.learn(at(121_000), vm_addr(OTHER), &doubts.near, true);
+    assert!(hub.take_doubts(at(121_000), true).near.is_empty());
+    let mut member = observer(&[1]);
+    member.learn(at(121_000), vm_addr(0), &doubts.near, false);
+    assert_eq!(look_up(&member, 121_000, 1), Lookup::Unknown);
+}
+
+/// A hub that was told of two releases for one stream kept it to itself.
+#[test]
+fn conflict_seen_by_a_hub_is_told() {
+    let mut hub = observer(&[1, 2]);
+    hub.learn(at(120_000), vm_addr(MEMBER), &told(&[(1, 1)], true), true);
+    assert!(hub.take_doubts(at(120_000), true).near.is_empty());
+    hub.learn(at(120_010), vm_addr(OTHER), &told(&[(1, 2)], true), true);
+    let doubts = hub.take_doubts(at(120_010), true);
+    assert_eq!(doubts.near.origins[0].release, None);
+}
+
 /// The streams of an endpoint that had restarted with another release were known at others as before.
 #[test]
 fn streams_of_a_restarted_endpoint_are_told_as_unknown() {
