--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -6,6 +6,7 @@
 //! endpoints are out of date. A release that cannot be known is unknown, never guessed. While one
 //! release serves, VMs tell each other nothing.
 
+mod askers;
 mod doubt_queue;
 mod origin_news;
 mod origin_table;
--- a/crates/origins/src/origins.rs
+++ b/crates/origins/src/origins.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Known, Origin, OriginAsk, OriginNews, OriginRecord, OriginTable, ReleaseHistory, StreamKey,
-        doubt_queue::DoubtQueue, relay_queue::RelayQueue,
+        askers::Askers, doubt_queue::DoubtQueue, relay_queue::RelayQueue,
     },
     clock::Instant,
     std::{
@@ -25,11 +25,6 @@
 /// Interval at which a hub tells those of other zones, and most origins at a time.
 const RELAY_INTERVAL: Duration = Duration::from_millis(50);
 const MAX_RELAYED: usize = 8 * MAX_TOLD;
-/// Time for which a hub waits for what other hubs know.
-const ASK_TIME: Duration = Duration::from_millis(500);
-const MAX_WAITING: usize = 4_096;
-/// Largest number of VMs that wait for the origin of one stream.
-const MAX_ASKERS: usize = 8;
 /// Most asks in one datagram that are passed on or answered.
 const MAX_ASKS: usize = 64;
 
@@ -62,13 +57,6 @@
     pub far: OriginNews,
 }
 
-/// VMs that wait for the origin of a stream.
-#[derive(Debug)]
-struct Waiting {
-    until: Instant,
-    askers: BTreeSet<SocketAddr>,
-}
-
 /// Origins of streams, releases of services, and what others have to be told.
 #[derive(Debug, Default)]
 pub struct Origins {
@@ -78,7 +66,7 @@
     only: BTreeMap<ServiceId, Release>,
     relays: RelayQueue,
     doubts: DoubtQueue,
-    waiting: BTreeMap<StreamKey, Waiting>,
+    askers: Askers,
     next_tell: Instant,
     next_retell: Instant,
     next_relay: Instant,
@@ -322,9 +310,7 @@
 
     /// Tells those that wait for the origin of a stream.
     fn answer_waiting(&mut self, now: Instant, key: &StreamKey, reaction: &mut Reaction) {
-        let Some(waiting) = self.waiting.remove(key).filter(|w| now < w.until) else {
-            return;
-        };
+        let askers = self.askers.take(now, key);
         let Some(record) = self.table.tell(now, key) else {
             return;
         };
@@ -332,10 +318,8 @@
             origins: vec![record],
             ..OriginNews::default()
         };
-        let askers = waiting.askers.into_iter();
-        reaction
-            .answers
-            .extend(askers.map(|addr| (addr, news.clone())));
+        let answers = askers.into_iter().map(|addr| (addr, news.clone()));
+        reaction.answers.extend(answers);
     }
 
     fn answer(
@@ -351,7 +335,7 @@
             if let Some(record) = self.known(now, ask) {
                 answer.origins.push(record);
             } else if is_hub && news.relay {
-                self.wait(now, ask.key, from);
+                self.askers.add(now, ask.key, from);
                 reaction.forwarded.asks.push(ask.clone());
             }
         }
@@ -375,27 +359,10 @@
         })
     }
 
-    fn wait(&mut self, now: Instant, key: StreamKey, asker: SocketAddr) {
-        if self.waiting.len() >= MAX_WAITING {
-            self.waiting.retain(|_, w| now < w.until);
-        }
-        if self.waiting.len() >= MAX_WAITING {
-            return;
-        }
-        let waiting = self.waiting.entry(key).or_insert_with(|| Waiting {
-            until: now,
-            askers: BTreeSet::new(),
-        });
-        waiting.until = now + ASK_TIME;
-        if waiting.askers.len() < MAX_ASKERS {
-            waiting.askers.insert(asker);
-        }
-    }
-
     /// Drops what is out of date. To be called about every second.
     pub fn expire(&mut self, now: Instant) {
         self.table.expire(now);
-        self.waiting.retain(|_, w| now < w.until);
+        self.askers.expire(now);
         self.update_only(now);
     }
 
--- a/crates/origins/tests/origin_fleet.rs
+++ b/crates/origins/tests/origin_fleet.rs
@@ -97,6 +97,35 @@
     }
 }
 
+/// VMs that were cut off while a release came and went inferred the other one, then or afterwards.
+#[test]
+fn cut_vms_infer_nothing_from_old_lists() {
+    for (vms, zones, rate) in FLEETS {
+        let mut fleet = Fleet::new(vms, zones, LIFE, 10);
+        fleet.run(secs(2), rate);
+        for vm in (0..vms).step_by(4) {
+            fleet.cut(vm, secs(9));
+        }
+        fleet.list(&[1, 2]);
+        for second in 0..12 {
+            fleet.run(secs(1), rate);
+            if second == 6 {
+                fleet.list(&[1]);
+            }
+            if second > 3 && second % 2 == 0 {
+                // Its callers come back anywhere.
+                let vm = 1 + 4 * fleet.rng.usize(..vms / 4);
+                fleet.kill(vm);
+            }
+        }
+        let tally = fleet.take_tally();
+        report("cut VMs", vms, 10, &tally);
+        assert_eq!(tally.wrong(), 0, "{vms} VMs");
+        let (returns, _) = Tally::share(&tally.cut);
+        assert!(returns > 20, "{vms} VMs: {returns}");
+    }
+}
+
 /// Callers of a release whose last endpoint had gone were served by the one that was left.
 #[test]
 fn callers_of_a_release_that_is_gone_are_known() {
