Placer: endpoints of the release that a request names, engine memory within one release

A stream was joined at an endpoint of another release than the one that began it, and engines could fetch memory that engines of another release had written.

Change: `EndpointSpec` has the release. `PlacementRequest.release` restricts the candidates, endpoints of unknown release are never among them; `avoid_releases` names releases that are used only if nothing else accepts. Memory is fetched, and counted in the forecast, only between engines of the same known release; where no open endpoint has a known release all count as one, as before. Another known release without a later start is handled like a restart; a release that becomes known or unknown is not, since VMs of older releases list endpoints without it. `Placer::has_release` tells whether an endpoint of a release is open. Existing callers name no release. `EndpointSpec` and `PlacementRequest` moved to files of their own.

--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -106,6 +106,8 @@
             max_pause: request.route.pause,
             prompt: request.caller.prompt.as_ref(),
             avoid,
+            release: None,
+            avoid_releases: &[],
         };
         let registry = self.registry.lock();
         let mut placers = self.placers.lock();
@@ -303,5 +305,6 @@
         slots: endpoint.slots,
         cheap: endpoint.cheap,
         started: endpoint.born,
+        release: endpoint.release.clone(),
     }
 }
--- a/crates/route/src/placement/cache_estimate.rs
+++ b/crates/route/src/placement/cache_estimate.rs
@@ -1,7 +1,10 @@
 //! Expected cache state of a prompt at an endpoint.
 
 use {
-    super::tracked_endpoint::TrackedEndpoint, crate::Prompt, clock::Instant, std::time::Duration,
+    super::{kv_sources::KvSources, tracked_endpoint::TrackedEndpoint},
+    crate::Prompt,
+    clock::Instant,
+    std::time::Duration,
     types::EndpointId,
 };
 
@@ -32,7 +35,7 @@
         prompt: &Prompt,
         entry: &TrackedEndpoint,
         preference: Option<usize>,
-        kv_sources: &[EndpointId],
+        kv_sources: &KvSources,
     ) -> Self {
         let age = now.since(entry.cold_since).as_secs_f64() / CACHE_FILL_TIME.as_secs_f64();
         let filled = 1.0 - (-age).exp();
@@ -52,8 +55,8 @@
                 missing_shared += (1.0 - share) * tokens;
             }
         }
-        let kv_source = kv_sources.iter().find(|id| **id != entry.spec.id);
-        let kv_source = kv_source
+        let kv_source = kv_sources
+            .source_for(entry)
             .filter(|_| missing_shared >= MIN_SHARED_TOKENS as f64)
             .cloned();
         let fetched = match kv_source {
--- a/crates/route/src/placement/cost.rs
+++ b/crates/route/src/placement/cost.rs
@@ -7,9 +7,11 @@
             CACHE_FILL_TIME, CacheEstimate, MIN_SHARED_TOKENS, PREFERRED_CACHED_SHARES,
         },
         cached_parts,
+        kv_sources::KvSources,
         load::Load,
         pending_prefill::PendingPrefill,
-        placer::{Placement, PlacementRequest, Placer},
+        placement_request::PlacementRequest,
+        placer::{Placement, Placer},
         profile::EngineProfile,
         reserved::reserved_engines,
         tracked_endpoint::TrackedEndpoint,
@@ -82,9 +84,8 @@
     latency_ms: f64,
     /// Preferred endpoints for the prompt's shared parts, best first.
     preferred: Vec<EndpointId>,
-    /// Endpoints to fetch shared parts from, best first. The second is the source for the first
-    /// itself.
-    kv_sources: Vec<EndpointId>,
+    /// Endpoints to fetch shared parts from.
+    kv_sources: KvSources,
     /// Engines reserved for pause-sensitive streams.
     reserved: BTreeSet<EndpointId>,
     /// Whether the request is a pause-sensitive stream.
@@ -107,7 +108,7 @@
         usual_failures,
         latency_ms: median(latencies).unwrap_or(DEFAULT_LATENCY_MS),
         preferred: Vec::new(),
-        kv_sources: Vec::new(),
+        kv_sources: KvSources::default(),
         reserved: BTreeSet::new(),
         pause_sensitive: false,
         prefill_correction: placer.correction.factor(),
@@ -125,15 +126,21 @@
             }
             _ => Vec::new(),
         };
-        let ids = |entries: &mut dyn Iterator<Item = &&TrackedEndpoint>, limit: usize| {
-            entries.take(limit).map(|e| e.spec.id.clone()).collect()
-        };
-        context.preferred = ids(&mut preference_order.iter(), PREFERRED_CACHED_SHARES.len());
-        let warm = |e: &&&TrackedEndpoint| now.since(e.cold_since) >= CACHE_FILL_TIME;
-        context.kv_sources = ids(&mut preference_order.iter().filter(warm), 2);
+        let warm = |e: &&TrackedEndpoint| now.since(e.cold_since) >= CACHE_FILL_TIME;
+        let warm = preference_order.iter().copied().filter(warm);
+        context.kv_sources = KvSources::new(warm, placer.knows_releases());
+        let suited = preference_order.iter().filter(|e| request.suits(&e.spec));
+        let preferred = suited.take(PREFERRED_CACHED_SHARES.len());
+        context.preferred = preferred.map(|e| e.spec.id.clone()).collect();
     }
-    let allowed = open().filter(|e| !request.avoid.contains(&e.spec.id));
-    let costs = allowed.map(|entry| endpoint_cost(placer, now, request, entry, &context));
+    let allowed = || open().filter(|e| request.allows(&e.spec));
+    let cost = |entry| endpoint_cost(placer, now, request, entry, &context);
+    let first_choice = allowed().filter(|e| !request.is_last_resort(&e.spec));
+    let best = cheapest_of(first_choice.map(cost));
+    best.or_else(|| cheapest_of(allowed().map(cost)))
+}
+
+fn cheapest_of(costs: impl Iterator<Item = (f64, Placement)>) -> Option<Placement> {
     let best = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
     Some(best.1)
 }
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -9,20 +9,26 @@
 mod cached_parts;
 mod correction;
 mod cost;
+mod endpoint_spec;
 mod health;
+mod kv_sources;
 mod load;
 mod outcomes;
 mod pending_prefill;
+mod placement_request;
 mod placer;
 mod profile;
 mod rate_meter;
+mod releases;
 mod reserved;
 mod tracked_endpoint;
 
 pub use {
+    endpoint_spec::EndpointSpec,
     load::{Load, PeerLoad, Reporter},
     outcomes::Outcomes,
     pending_prefill::PendingPrefill,
-    placer::{EndpointSpec, Placement, PlacementOutcome, PlacementRequest, Placer},
+    placement_request::PlacementRequest,
+    placer::{Placement, PlacementOutcome, Placer},
     profile::EngineProfile,
 };
--- a/crates/route/src/placement/placer.rs
+++ b/crates/route/src/placement/placer.rs
@@ -5,17 +5,19 @@
         cached_parts::CachedParts,
         correction::PrefillCorrection,
         cost,
+        endpoint_spec::EndpointSpec,
         health::Health,
         load::{Load, PeerLoad, PeerLoads, Reporter},
         outcomes::RecentOutcomes,
+        placement_request::PlacementRequest,
         profile::EngineProfile,
         rate_meter::RateMeter,
         tracked_endpoint::TrackedEndpoint,
     },
-    crate::{Activity, FleetRank, Prompt},
+    crate::{Activity, FleetRank},
     clock::Instant,
     std::{collections::BTreeMap, time::Duration},
-    types::{EndpointId, PromptPartId, Urgency, ZoneId},
+    types::{EndpointId, PromptPartId, Urgency},
 };
 
 /// Factor by which failure shares decay in each interval.
@@ -23,38 +25,6 @@
 /// Interval of the decay of failure shares.
 const DECAY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Properties of an endpoint, as listed.
-#[derive(Debug, Clone, PartialEq)]
-pub struct EndpointSpec {
-    /// Identifier.
-    pub id: EndpointId,
-    /// Availability zone.
-    pub zone: ZoneId,
-    /// Maximum number of concurrent requests.
-    pub slots: u32,
-    /// Whether the platform may reclaim it at short notice.
-    pub cheap: bool,
-    /// Start time; a new value means a restart, which empties the cache.
-    pub started: u64,
-}
-
-/// Input of one placement.
-#[derive(Debug, Clone, Copy)]
-pub struct PlacementRequest<'a> {
-    /// Availability zone of this VM.
-    pub zone: &'a ZoneId,
-    /// Urgency at the engines.
-    pub urgency: Urgency,
-    /// Target for the time to the first token, or to the response of a plain service.
-    pub target: Duration,
-    /// Target for the longest pause between two stream events.
-    pub max_pause: Option<Duration>,
-    /// Prompt, for generation requests.
-    pub prompt: Option<&'a Prompt>,
-    /// Endpoints that already failed or refused the request.
-    pub avoid: &'a [EndpointId],
-}
-
 /// An endpoint chosen for a request. Must be released by [`Placer::finish`].
 #[derive(Debug, Clone, PartialEq)]
 pub struct Placement {
@@ -144,7 +114,7 @@
                 closed_until: Instant::default(),
                 limiter: None,
             });
-        if entry.spec.started != spec.started {
+        if spec.is_restart_of(&entry.spec) {
             entry.cached_parts.clear();
             entry.cold_since = now;
             entry.health = Health::default();
--- a/crates/route/src/placement/tracked_endpoint.rs
+++ b/crates/route/src/placement/tracked_endpoint.rs
@@ -3,10 +3,10 @@
 use {
     super::{
         cached_parts::CachedParts,
+        endpoint_spec::EndpointSpec,
         health::Health,
         load::{Load, PeerLoads},
         outcomes::RecentOutcomes,
-        placer::EndpointSpec,
     },
     crate::{FleetRank, notice::ShareLimiter},
     clock::Instant,
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -30,6 +30,7 @@
         slots: 16,
         cheap,
         started: 1,
+        release: None,
     }
 }
 
@@ -71,6 +72,8 @@
         max_pause: Some(Duration::from_millis(pause_ms)),
         prompt,
         avoid: &[],
+        release: None,
+        avoid_releases: &[],
     }
 }
 
