Connection pool: a connection remembers the start time that its peer gave on it

An endpoint may restart under its id and address before the list says so. Only a connection on which it has named its start time shows which process answers.

Change: `PooledConn` has an optional proof, kept from `put_back` to the next take; `put_back` takes the pooled connection as a whole. `take_proven` and `take_proven_or_connect` prefer an idle connection with the given proof. Nothing sets a proof yet.

--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -60,20 +60,18 @@
     bytes.extend_from_slice(body);
     let (time_limit, max_body) = limits;
     let opened = timeout(clock, time_limit, pool.take_or_connect(clock.now(), addr)).await;
-    let pooled = opened
+    let mut pooled = opened
         .map_err(|_| CallError::timed_out(Verdict::NotRun))?
         .map_err(|e| CallError {
             verdict: Verdict::NotRun,
             cause: e.into(),
         })?;
-    let mut conn = pooled.conn;
     let exchange = async {
+        let conn = &mut pooled.conn;
         let (response, fully_sent) = conn.exchange(&bytes, MAX_HEAD_SIZE).await?;
         let framing =
             response_framing(&response, &head.method).map_err(|_| BodyError::Malformed)?;
-        let body = BodyReader::new(framing)
-            .read_all(&mut conn, max_body)
-            .await?;
+        let body = BodyReader::new(framing).read_all(conn, max_body).await?;
         Ok((
             Response {
                 head: response,
@@ -90,7 +88,7 @@
             cause,
         })?;
     if fully_sent {
-        pool.put_back(clock.now(), addr, conn, &response.head);
+        pool.put_back(clock.now(), addr, pooled, &response.head);
     }
     Ok(response)
 }
--- a/crates/h1/src/pool.rs
+++ b/crates/h1/src/pool.rs
@@ -21,11 +21,42 @@
     pub conn: Conn,
     /// Whether it has already carried a request.
     pub reused: bool,
+    /// Start time in milliseconds since the Unix epoch that the peer gave on this connection. A
+    /// restart of the peer breaks the connection, so it holds as long as the connection.
+    pub proof: Option<u64>,
+}
+
+impl PooledConn {
+    /// Opens a new connection.
+    pub async fn connect(addr: SocketAddr) -> io::Result<Self> {
+        Ok(Self {
+            conn: Conn::connect(addr).await?,
+            reused: false,
+            proof: None,
+        })
+    }
 }
 
 struct IdleConn {
     conn: Conn,
     until: Instant,
+    proof: Option<u64>,
+}
+
+impl IdleConn {
+    fn is_usable(&self, now: Instant) -> bool {
+        self.until > now && self.conn.is_reusable()
+    }
+}
+
+impl From<IdleConn> for PooledConn {
+    fn from(entry: IdleConn) -> Self {
+        Self {
+            conn: entry.conn,
+            reused: true,
+            proof: entry.proof,
+        }
+    }
 }
 
 /// Idle connections by address.
@@ -40,9 +71,27 @@
         let mut idle = self.idle.lock();
         let list = idle.get_mut(&addr)?;
         while let Some(entry) = list.pop() {
-            if entry.until > now && entry.conn.is_reusable() {
-                let conn = entry.conn;
-                return Some(PooledConn { conn, reused: true });
+            if entry.is_usable(now) {
+                return Some(entry.into());
+            }
+        }
+        None
+    }
+
+    /// Takes an idle connection on which the peer said that it started at `started`; if there is
+    /// none, any idle one.
+    pub fn take_proven(&self, now: Instant, addr: SocketAddr, started: u64) -> Option<PooledConn> {
+        self.take_idle_with(now, addr, started)
+            .or_else(|| self.take_idle(now, addr))
+    }
+
+    fn take_idle_with(&self, now: Instant, addr: SocketAddr, proof: u64) -> Option<PooledConn> {
+        let mut idle = self.idle.lock();
+        let list = idle.get_mut(&addr)?;
+        while let Some(at) = list.iter().rposition(|e| e.proof == Some(proof)) {
+            let entry = list.remove(at);
+            if entry.is_usable(now) {
+                return Some(entry.into());
             }
         }
         None
@@ -53,16 +102,32 @@
         if let Some(pooled) = self.take_idle(now, addr) {
             return Ok(pooled);
         }
-        let conn = Conn::connect(addr).await?;
-        Ok(PooledConn {
-            conn,
-            reused: false,
-        })
+        PooledConn::connect(addr).await
+    }
+
+    /// Takes an idle connection, if possible one with this proof, or opens a new one.
+    pub async fn take_proven_or_connect(
+        &self,
+        now: Instant,
+        addr: SocketAddr,
+        started: u64,
+    ) -> io::Result<PooledConn> {
+        if let Some(pooled) = self.take_proven(now, addr, started) {
+            return Ok(pooled);
+        }
+        PooledConn::connect(addr).await
     }
 
     /// Puts a connection back after a complete response with this head, if it can carry another
     /// request.
-    pub fn put_back(&self, now: Instant, addr: SocketAddr, conn: Conn, head: &ResponseHead) {
+    pub fn put_back(
+        &self,
+        now: Instant,
+        addr: SocketAddr,
+        pooled: PooledConn,
+        head: &ResponseHead,
+    ) {
+        let PooledConn { conn, proof, .. } = pooled;
         if !head.keeps_alive() || !conn.is_reusable() {
             return;
         }
@@ -72,20 +137,21 @@
             return;
         }
         let until = now + timeout;
-        let mut table = self.idle.lock();
-        let list = table.entry(addr).or_default();
-        if list.len() < MAX_IDLE {
-            list.push(IdleConn { conn, until });
-        }
+        self.add(addr, IdleConn { conn, until, proof });
     }
 
     /// Puts back a connection that has carried no request yet.
     pub fn put_unused(&self, now: Instant, addr: SocketAddr, conn: Conn) {
         let until = now + DEFAULT_IDLE_TIMEOUT - IDLE_MARGIN;
+        let proof = None;
+        self.add(addr, IdleConn { conn, until, proof });
+    }
+
+    fn add(&self, addr: SocketAddr, entry: IdleConn) {
         let mut table = self.idle.lock();
         let list = table.entry(addr).or_default();
         if list.len() < MAX_IDLE {
-            list.push(IdleConn { conn, until });
+            list.push(entry);
         }
     }
 
@@ -93,7 +159,7 @@
     pub fn remove_expired(&self, now: Instant) {
         let mut idle = self.idle.lock();
         for list in idle.values_mut() {
-            list.retain(|e| e.until > now && e.conn.is_reusable());
+            list.retain(|e| e.is_usable(now));
         }
         idle.retain(|_, list| !list.is_empty());
     }
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -5,7 +5,7 @@
     crate::{adapter::ForwardHeaders, process::Node},
     clock::timeout,
     futures_lite::FutureExt,
-    h1::{BodyError, BodyReader, Conn, Framing, PooledConn, ResponseHead, response_framing},
+    h1::{BodyError, BodyReader, Framing, PooledConn, ResponseHead, response_framing},
     std::{sync::Arc, time::Duration},
     types::{Bytes, Verdict},
 };
@@ -29,7 +29,7 @@
 
 /// A response whose head has arrived and whose body is still to be read.
 pub(super) struct PendingResponse {
-    pub(super) conn: Conn,
+    pub(super) pooled: PooledConn,
     pub(super) head: ResponseHead,
     pub(super) reader: BodyReader,
     /// Whether the request was written completely; otherwise the connection cannot be reused.
@@ -55,7 +55,10 @@
         node: &Node,
         slot: &SlotLease,
     ) -> Result<(ResponseHead, Vec<u8>), BodyError> {
-        let body = self.reader.read_all(&mut self.conn, MAX_BODY).await?;
+        let body = self
+            .reader
+            .read_all(&mut self.pooled.conn, MAX_BODY)
+            .await?;
         Ok((self.return_connection(node, slot), body))
     }
 
@@ -63,7 +66,7 @@
     pub(super) fn return_connection(self, node: &Node, slot: &SlotLease) -> ResponseHead {
         if self.request_written && !self.until_close && self.reader.is_done() {
             node.pool
-                .put_back(node.clock.now(), slot.addr, self.conn, &self.head);
+                .put_back(node.clock.now(), slot.addr, self.pooled, &self.head);
         }
         self.head
     }
@@ -78,7 +81,7 @@
     last_event: Option<u64>,
     opened: Option<PooledConn>,
 ) -> Result<PendingResponse, FailedAttempt> {
-    let PooledConn { conn, .. } = match opened {
+    let pooled = match opened {
         Some(opened) => opened,
         None => connect(node, request, slot).await?,
     };
@@ -103,7 +106,7 @@
         node.pool.remove_addr(slot.addr);
         Err("no answer from the endpoint")
     };
-    let answer = exchange(node, request, slot, conn, last_event);
+    let answer = exchange(node, request, slot, pooled, last_event);
     match answer.or(dead).await {
         Ok(pending) => check_not_run(node, request, slot, pending).await,
         Err(cause) => {
@@ -183,10 +186,11 @@
     node: &Node,
     request: &RoutedRequest,
     slot: &SlotLease,
-    mut conn: Conn,
+    mut pooled: PooledConn,
     last_event: Option<u64>,
 ) -> Result<PendingResponse, &'static str> {
     let bytes = request_bytes(node, request, slot, last_event);
+    let conn = &mut pooled.conn;
     let first = conn.exchange(&bytes, MAX_HEAD).await;
     let (mut head, request_written) = first.map_err(|_| "connection lost before an answer")?;
     for _ in 0..MAX_STALE_RESPONSES {
@@ -197,7 +201,7 @@
         let matches_request = parsed.id.as_ref() == Some(&request.caller.id);
         if matches_request || (parsed.id.is_none() && head.status >= 300) {
             return Ok(PendingResponse {
-                conn,
+                pooled,
                 head,
                 reader: BodyReader::new(framing),
                 request_written,
@@ -206,7 +210,7 @@
         }
         log::warn!(request:% = request.caller.id, endpoint:% = slot.endpoint(), status = head.status; "skipped a late response to another request");
         let mut rest = BodyReader::new(framing);
-        let skipped = rest.read_all(&mut conn, MAX_BODY).await;
+        let skipped = rest.read_all(conn, MAX_BODY).await;
         skipped.map_err(|_| "malformed answer")?;
         let next = conn.response_head(MAX_HEAD).await;
         head = next.map_err(|_| "connection lost before an answer")?;
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -267,7 +267,7 @@
                 since: node.clock.now(),
             };
             let reading = async {
-                let next = pending.reader.next(&mut pending.conn, &mut bytes);
+                let next = pending.reader.next(&mut pending.pooled.conn, &mut bytes);
                 let next = async { Waited::Arrived(next.await) };
                 let silent = async {
                     if may_relocate(request) {
