Adapter: the request that asks an endpoint for its start time

The router has to learn on a connection whether the endpoint is still the process that is listed.

The scripted endpoints of the relay tests answer with a start time that a test can set, also not at all or closing the connection, and don't count the question as a request; the crashing ones answer with that of the running process. Nothing asks yet.

--- a/crates/relay/src/adapter/header_codec.rs
+++ b/crates/relay/src/adapter/header_codec.rs
@@ -2,7 +2,7 @@
 
 use {
     compact_str::CompactString,
-    h1::{Headers, ResponseHead},
+    h1::{Headers, RequestHead, ResponseHead},
     route::{Notice, Prompt},
     std::{error::Error, fmt, net::SocketAddr, time::Duration},
     types::{AttemptId, EndpointId, OrgId, Urgency},
@@ -70,7 +70,7 @@
     pub notice: Notice,
 }
 
-/// Parses and writes the platform's header fields.
+/// Parses and writes the platform's header fields, and asks endpoints for their start time.
 pub trait HeaderCodec: Send + Sync {
     /// Parses a caller's header fields.
     fn parse_request(&self, headers: &Headers) -> Result<CallerHeaders, InvalidHeader>;
@@ -80,4 +80,12 @@
 
     /// Parses the head of an endpoint's response.
     fn parse_response(&self, head: &ResponseHead) -> ResponseHeaders;
+
+    /// The request, without a body, that asks the endpoint at `addr` for its start time. It takes no
+    /// slot.
+    fn start_query(&self, addr: SocketAddr) -> RequestHead;
+
+    /// The start time, in milliseconds since the Unix epoch, in the body of the answer; `None` if it
+    /// names none.
+    fn parse_start(&self, body: &[u8]) -> Option<u64>;
 }
--- a/crates/relay/tests/common/crashing.rs
+++ b/crates/relay/tests/common/crashing.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        endpoint::{SeenRequest, read_request},
+        endpoint::{FIRST_START, SeenRequest, read_request, start_answer},
         fakes::FakeFeed,
         router::{endpoint, free_addr, response_head},
     },
@@ -12,7 +12,7 @@
         net::{Shutdown, TcpListener, TcpStream},
         sync::{
             Arc, Mutex,
-            atomic::{AtomicBool, Ordering::SeqCst},
+            atomic::{AtomicBool, AtomicU64, Ordering::SeqCst},
         },
         thread,
         time::{Duration, Instant},
@@ -56,6 +56,8 @@
     is_deadly: IsDeadly,
     log: Arc<CrashLog>,
     is_up: Arc<AtomicBool>,
+    /// Start time of the running process.
+    started: Arc<AtomicU64>,
     sockets: Arc<Mutex<Vec<TcpStream>>>,
 }
 
@@ -72,6 +74,7 @@
             is_deadly: Arc::new(is_deadly),
             log: log.clone(),
             is_up: Arc::default(),
+            started: Arc::new(AtomicU64::new(FIRST_START)),
             sockets: Arc::default(),
         };
         let (running, feed) = (engine.clone(), feed.clone());
@@ -82,11 +85,12 @@
     }
 
     fn run(&self, mut listener: TcpListener, feed: &FakeFeed) {
-        for born in 2.. {
+        for born in FIRST_START + 1.. {
             self.accept(&listener);
             drop(listener);
             thread::sleep(RESTART_TIME);
             listener = TcpListener::bind(self.listed.addr).unwrap();
+            self.started.store(born, SeqCst);
             self.is_up.store(true, SeqCst);
             let listed = Endpoint {
                 born,
@@ -132,6 +136,13 @@
             if !self.is_up.load(SeqCst) {
                 return;
             }
+            if request.asks_start() {
+                let answer = start_answer(self.started.load(SeqCst));
+                if socket.write_all(answer.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
             if (self.is_deadly)(&request) {
                 self.log.arrivals.lock().unwrap().push(Instant::now());
                 self.crash(&mut socket);
--- a/crates/relay/tests/common/endpoint.rs
+++ b/crates/relay/tests/common/endpoint.rs
@@ -1,13 +1,22 @@
 //! A scripted endpoint.
 
-use std::{
-    io::{Read, Write},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex, Weak},
-    thread,
-    time::Duration,
+use {
+    super::fakes::START_TARGET,
+    std::{
+        io::{Read, Write},
+        net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+        sync::{
+            Arc, Mutex, Weak,
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst},
+        },
+        thread,
+        time::Duration,
+    },
 };
 
+/// Start time of an endpoint, as `endpoint()` lists it.
+pub(super) const FIRST_START: u64 = 1;
+
 /// How an endpoint responds to a request.
 #[derive(Clone)]
 pub(crate) enum Script {
@@ -36,6 +45,31 @@
         let found = lines.find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, v)| v.trim().to_owned())
     }
+
+    /// Whether the request asks for the start time.
+    pub(super) fn asks_start(&self) -> bool {
+        self.head.starts_with(&format!("GET {START_TARGET} "))
+    }
+}
+
+/// Answer of an endpoint that is asked for its start time.
+pub(super) fn start_answer(started: u64) -> String {
+    let body = started.to_string();
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// What an endpoint says of its start.
+pub(crate) struct StartTime {
+    pub(crate) started: AtomicU64,
+    /// Whether it leaves the question unanswered.
+    pub(crate) silent: AtomicBool,
+    /// Number of answers after which it closes the connection.
+    pub(crate) closing: AtomicUsize,
+    /// How often it was asked.
+    pub(crate) asked: AtomicUsize,
 }
 
 type Responder = Arc<dyn Fn(usize, &SeenRequest) -> Script + Send + Sync>;
@@ -47,6 +81,8 @@
     pub(crate) closed: Arc<Mutex<usize>>,
     pub(crate) connections: Arc<Mutex<usize>>,
     sockets: Arc<Mutex<Vec<Weak<TcpStream>>>>,
+    /// Requests for the start time are no seen requests.
+    pub(crate) start: Arc<StartTime>,
 }
 
 impl FakeEndpoint {
@@ -60,9 +96,16 @@
             closed: Arc::default(),
             connections: Arc::default(),
             sockets: Arc::default(),
+            start: Arc::new(StartTime {
+                started: AtomicU64::new(FIRST_START),
+                silent: AtomicBool::new(false),
+                closing: AtomicUsize::new(0),
+                asked: AtomicUsize::new(0),
+            }),
         };
         let (seen, closed) = (endpoint.seen.clone(), endpoint.closed.clone());
         let (connections, sockets) = (endpoint.connections.clone(), endpoint.sockets.clone());
+        let start = endpoint.start.clone();
         let respond: Responder = Arc::new(respond);
         thread::spawn(move || {
             for socket in listener.incoming().flatten() {
@@ -70,8 +113,9 @@
                 let socket = Arc::new(socket);
                 sockets.lock().unwrap().push(Arc::downgrade(&socket));
                 let (seen, respond, closed) = (seen.clone(), respond.clone(), closed.clone());
+                let start = start.clone();
                 thread::spawn(move || {
-                    serve(&socket, &seen, &respond);
+                    serve(&socket, &seen, &respond, &start);
                     drop(socket);
                     *closed.lock().unwrap() += 1;
                 });
@@ -103,8 +147,28 @@
     }
 }
 
-fn serve(mut socket: &TcpStream, seen: &Mutex<Vec<SeenRequest>>, respond: &Responder) {
+fn serve(
+    mut socket: &TcpStream,
+    seen: &Mutex<Vec<SeenRequest>>,
+    respond: &Responder,
+    start: &StartTime,
+) {
     while let Some(request) = read_request(&mut socket) {
+        if request.asks_start() {
+            let asked = start.asked.fetch_add(1, SeqCst);
+            if start.silent.load(SeqCst) {
+                continue;
+            }
+            let closes = asked < start.closing.load(SeqCst);
+            let mut answer = start_answer(start.started.load(SeqCst));
+            if closes {
+                answer = answer.replacen("\r\n", "\r\nConnection: close\r\n", 1);
+            }
+            if socket.write_all(answer.as_bytes()).is_err() || closes {
+                return;
+            }
+            continue;
+        }
         let number = {
             let mut seen = seen.lock().unwrap();
             seen.push(request.clone());
--- a/crates/relay/tests/common/fakes.rs
+++ b/crates/relay/tests/common/fakes.rs
@@ -1,7 +1,7 @@
 //! In-memory fakes of the platform.
 
 use {
-    h1::{Headers, ResponseHead},
+    h1::{Headers, RequestHead, ResponseHead},
     ports::{PlatformError, PlatformFuture},
     relay::{
         AppendOutcome, CallerHeaders, CapacityOrder, DutyApi, Feed, FeedChange, FeedKind,
@@ -11,6 +11,7 @@
     route::{Notice, Prompt},
     std::{
         collections::{BTreeMap, HashMap},
+        net::SocketAddr,
         sync::{
             Mutex,
             atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst},
@@ -20,6 +21,9 @@
     types::{OrgId, PromptPartId, Tokens, Verdict},
 };
 
+/// Target of the request for the start time of an endpoint.
+pub(crate) const START_TARGET: &str = "/start";
+
 /// Plain header fields for the tests.
 pub(crate) struct FakeHeaderCodec;
 
@@ -80,6 +84,21 @@
             },
         }
     }
+
+    fn start_query(&self, addr: SocketAddr) -> RequestHead {
+        let mut headers = Headers::default();
+        headers.push("Host", addr.to_string());
+        RequestHead {
+            method: "GET".into(),
+            target: START_TARGET.into(),
+            minor_version: 1,
+            headers,
+        }
+    }
+
+    fn parse_start(&self, body: &[u8]) -> Option<u64> {
+        std::str::from_utf8(body).ok()?.parse().ok()
+    }
 }
 
 /// Prompt parts of ten tokens, by their numbers.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -10,7 +10,7 @@
 
 pub(crate) use {
     crashing::{CrashForm, CrashLog, CrashingEngine},
-    endpoint::{FakeEndpoint, Script, SeenRequest},
+    endpoint::{FakeEndpoint, Script, SeenRequest, StartTime},
     fakes::{FakeDutyApi, FakeFeed, FakeLog},
     releases::{
         ALL_EVENTS, FIRST_EVENTS, Fleet, ReleaseLog, ReleasedEndpoint, StreamRequest,
--- a/crates/relay/tests/common/router.rs
+++ b/crates/relay/tests/common/router.rs
@@ -1,7 +1,10 @@
 //! The router under test.
 
 use {
-    super::fakes::{FakeDutyApi, FakeFeed, FakeHeaderCodec, FakeLog},
+    super::{
+        endpoint::FIRST_START,
+        fakes::{FakeDutyApi, FakeFeed, FakeHeaderCodec, FakeLog},
+    },
     clock::SystemClock,
     daemon::{AdminPages, Readiness},
     futures_lite::FutureExt,
@@ -101,7 +104,7 @@
         leaving: false,
         cheap: false,
         cold: Duration::ZERO,
-        born: 1,
+        born: FIRST_START,
         release: Some("r1".parse().unwrap()),
     }
 }
