Resumed streams: the endpoint must say on the connection that it is the listed process

An endpoint that restarted under its id and address, perhaps with another release, got streams to go on with until the list showed the restart.

Change: an attempt may ask for a proof. It takes a connection on which the endpoint has given the listed start time, else it asks on any connection, and on a second one if the first breaks off or is closed after the answer, together within the timeout of connecting. Another start time or no answer: nothing is sent, the endpoint counts as unreachable, a line is logged, and the request may go to another endpoint. What the answer says of the endpoint itself is noted. The proof goes to the pool with the connection. Attempts with a last event ask for it, no others yet.

--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt of a request at one endpoint, up to the head of the response.
 
 use {
-    super::{routed_request::RoutedRequest, slot_lease::SlotLease},
+    super::{routed_request::RoutedRequest, slot_lease::SlotLease, start_proof::prove_start},
     crate::{adapter::ForwardHeaders, process::Node},
     clock::timeout,
     futures_lite::FutureExt,
@@ -11,7 +11,7 @@
 };
 
 /// Timeout of connecting: enough for two round trips between zones and one lost packet.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time after which an endpoint that has been silent towards all requests of this VM is given up.
 const DEAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time of silence after which it is checked whether the endpoint accepts connections.
@@ -38,6 +38,25 @@
     until_close: bool,
 }
 
+/// What an attempt needs beside the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(super) struct AttemptSpec {
+    /// Event after which a stream resumes.
+    pub(super) last_event: Option<u64>,
+    /// Whether the endpoint must prove that it hasn't restarted since it was listed.
+    pub(super) proven: bool,
+}
+
+impl AttemptSpec {
+    /// For a stream, which must not be joined at an endpoint that has restarted unnoticed.
+    pub(super) fn of_stream(last_event: Option<u64>) -> Self {
+        Self {
+            last_event,
+            proven: last_event.is_some(),
+        }
+    }
+}
+
 /// An attempt that brought no usable response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct FailedAttempt {
@@ -72,18 +91,18 @@
     }
 }
 
-/// Sends the request and reads the head of the response; `last_event` is the event after which a
-/// stream resumes. `opened` is a connection to the endpoint, if there is one already.
+/// Sends the request and reads the head of the response. `opened` is a connection to the endpoint, if
+/// there is one already.
 pub(super) async fn attempt(
     node: &Arc<Node>,
     request: &RoutedRequest,
     slot: &SlotLease,
-    last_event: Option<u64>,
+    spec: AttemptSpec,
     opened: Option<PooledConn>,
 ) -> Result<PendingResponse, FailedAttempt> {
     let pooled = match opened {
         Some(opened) => opened,
-        None => connect(node, request, slot).await?,
+        None => connect(node, request, slot, spec.proven).await?,
     };
     let quarantined = node.quarantine(request).is_some();
     if quarantined || !node.still_accepts(slot) {
@@ -106,7 +125,7 @@
         node.pool.remove_addr(slot.addr);
         Err("no answer from the endpoint")
     };
-    let answer = exchange(node, request, slot, pooled, last_event);
+    let answer = exchange(node, request, slot, pooled, spec.last_event);
     match answer.or(dead).await {
         Ok(pending) => check_not_run(node, request, slot, pending).await,
         Err(cause) => {
@@ -150,27 +169,42 @@
     }
 }
 
-/// Opens a connection to the endpoint of a slot, or takes an idle one.
-pub(super) async fn open(node: &Node, slot: &SlotLease) -> Result<PooledConn, &'static str> {
-    let opening = node.pool.take_or_connect(node.clock.now(), slot.addr);
-    match timeout(&*node.clock, CONNECT_TIMEOUT, opening).await {
-        Ok(Ok(pooled)) => {
-            let kind = if pooled.reused { "reused" } else { "new" };
-            metrics::counter!("celerystage_endpoint_connections_total", "kind" => kind)
-                .increment(1);
-            Ok(pooled)
+/// Opens a connection to the endpoint of a slot, or takes an idle one; with `proven`, one on which the
+/// endpoint has said that it is the listed process.
+pub(super) async fn open(
+    node: &Node,
+    request: &RoutedRequest,
+    slot: &SlotLease,
+    proven: bool,
+) -> Result<PooledConn, &'static str> {
+    let now = node.clock.now();
+    let opening = async {
+        if proven {
+            let pool = &node.pool;
+            return pool.take_proven_or_connect(now, slot.addr, slot.born).await;
         }
-        Ok(Err(_)) => Err("connection refused"),
-        Err(_) => Err("connection timed out"),
+        node.pool.take_or_connect(now, slot.addr).await
+    };
+    let pooled = match timeout(&*node.clock, CONNECT_TIMEOUT, opening).await {
+        Ok(Ok(pooled)) => pooled,
+        Ok(Err(_)) => return Err("connection refused"),
+        Err(_) => return Err("connection timed out"),
+    };
+    let kind = if pooled.reused { "reused" } else { "new" };
+    metrics::counter!("celerystage_endpoint_connections_total", "kind" => kind).increment(1);
+    if proven {
+        return prove_start(node, request, slot, pooled).await;
     }
+    Ok(pooled)
 }
 
 async fn connect(
     node: &Node,
     request: &RoutedRequest,
     slot: &SlotLease,
+    proven: bool,
 ) -> Result<PooledConn, FailedAttempt> {
-    open(node, slot).await.map_err(|cause| {
+    open(node, request, slot, proven).await.map_err(|cause| {
         request.connect_failed(slot.endpoint(), cause);
         node.pool.remove_addr(slot.addr);
         FailedAttempt {
--- a/crates/relay/src/request/buffered.rs
+++ b/crates/relay/src/request/buffered.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        attempt::{FailedAttempt, PendingResponse, attempt},
+        attempt::{AttemptSpec, FailedAttempt, PendingResponse, attempt},
         response::Response,
         routed_request::RoutedRequest,
         slot_lease::SlotLease,
@@ -34,7 +34,7 @@
             });
         }
         avoid.push(slot.endpoint().clone());
-        match attempt(node, request, &slot, None, None).await {
+        match attempt(node, request, &slot, AttemptSpec::default(), None).await {
             Ok(pending) => match read_response(node, request, slot, pending).await {
                 Ok(response) if response.head.status < MIN_FAILURE_STATUS => return response,
                 Ok(response) if !may_retry(request, Verdict::Ran) => return response,
--- a/crates/relay/src/request/mod.rs
+++ b/crates/relay/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod routed_request;
 mod silence_watch;
 mod slot_lease;
+mod start_proof;
 mod stream;
 
 pub(crate) use {
--- a/crates/relay/src/request/silence_watch.rs
+++ b/crates/relay/src/request/silence_watch.rs
@@ -49,6 +49,8 @@
     pub(super) avoid: &'a [EndpointId],
     /// Whether the response has begun.
     pub(super) begun: bool,
+    /// Whether another endpoint must prove that it hasn't restarted since it was listed.
+    pub(super) proven: bool,
     /// When the last bytes came, or the wait began.
     pub(super) since: Instant,
 }
@@ -89,7 +91,7 @@
             SilenceAction::Dead => ("endpoint went silent", PlacementOutcome::Unreachable),
         };
         let slot = self.node.acquire_other(self.request, self.avoid)?;
-        let opened = match open(self.node, &slot).await {
+        let opened = match open(self.node, self.request, &slot, self.proven).await {
             Ok(opened) => opened,
             Err(failure) => {
                 log::info!(request:% = self.request.caller.id, other:% = slot.endpoint(), cause = failure; "no connection for a request at a silent endpoint");
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        attempt::{PendingResponse, attempt},
+        attempt::{AttemptSpec, PendingResponse, attempt},
         buffered::{may_retry, may_retry_failure},
         response::{Response, add_connection_header},
         routed_request::RoutedRequest,
@@ -105,10 +105,9 @@
             },
         };
         avoid.push(slot.endpoint().clone());
-        let last_event = stream.last_event;
+        let spec = AttemptSpec::of_stream(stream.last_event);
         let sending = async {
-            let work =
-                async { Waited::Arrived(attempt(node, request, &slot, last_event, opened).await) };
+            let work = async { Waited::Arrived(attempt(node, request, &slot, spec, opened).await) };
             if !may_relocate(request) {
                 return work.await;
             }
@@ -118,6 +117,7 @@
                 slot: &slot,
                 avoid: &avoid,
                 begun: false,
+                proven: spec.proven,
                 since: node.clock.now(),
             };
             let silent = async { Waited::Relocated(watch.until_relocated().await) };
@@ -264,6 +264,7 @@
                 slot: &slot,
                 avoid,
                 begun: has_events,
+                proven: self.last_event.is_some(),
                 since: node.clock.now(),
             };
             let reading = async {
