Origins: lists as old as followers have them, a system's first start, endpoints that are always proven

Cause: joined to the router, the crate's bounds were too tight: a VM that follows its zone's reader has a list up to 1.2 s old and could infer nothing; a new system told each stream for a whole window, although there were none before its start.

`begin_system` says that no stream is older than the observation. Endpoints are proven before each resumable stream now, so that streams at unproven ones need not be remembered; that part and its tests are gone, and the simulation's streams of unknown origin begin at endpoints of unknown release instead.

--- a/crates/origins/src/doubt_queue.rs
+++ b/crates/origins/src/doubt_queue.rs
@@ -55,6 +55,10 @@
         Some(taken)
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     pub(crate) fn clear(&mut self) {
         self.0.clear();
     }
--- a/crates/origins/src/origin_table.rs
+++ b/crates/origins/src/origin_table.rs
@@ -11,7 +11,7 @@
         sync::Arc,
         time::Duration,
     },
-    types::{EndpointId, Release, ServiceId},
+    types::{Release, ServiceId},
 };
 
 /// Largest number of streams: as many as a hash map of 2^17 slots holds.
@@ -43,19 +43,12 @@
     pub release: Option<Release>,
 }
 
-/// The part of an entry that only streams have which this VM served.
-#[derive(Debug)]
-struct Own {
-    began: Instant,
-    /// The endpoint, if its start wasn't proven.
-    unproven: Option<EndpointId>,
-}
-
 #[derive(Debug)]
 struct Entry {
     origin: Arc<Origin>,
     until: Instant,
-    own: Option<Box<Own>>,
+    /// Whether this VM served it.
+    own: bool,
     /// How often others still have to be told.
     tells: u8,
 }
@@ -82,32 +75,13 @@
         self.entries.is_empty()
     }
 
-    /// Records a stream that this VM began or joined; `unproven` is its endpoint if that may have
-    /// restarted unnoticed. It may be the same stream as before.
-    pub fn record(
-        &mut self,
-        now: Instant,
-        key: StreamKey,
-        origin: &Origin,
-        until: Instant,
-        unproven: Option<&EndpointId>,
-    ) {
+    /// Records a stream that this VM began or joined. It may be the same stream as before.
+    pub fn record(&mut self, now: Instant, key: StreamKey, origin: &Origin, until: Instant) {
         let changed = self.merge(now, key, origin, until);
         let Some(entry) = self.entries.get_mut(&key) else {
             return;
         };
-        let is_first = entry.own.is_none();
-        // A stream that is joined at a proven endpoint may have begun at an unproven one.
-        let own = entry.own.get_or_insert_with(|| {
-            Box::new(Own {
-                began: now,
-                unproven: unproven.cloned(),
-            })
-        });
-        if own.unproven.is_none() {
-            own.unproven = unproven.cloned();
-            own.began = now;
-        }
+        let is_first = !std::mem::replace(&mut entry.own, true);
         if changed || is_first {
             self.queue(key);
         }
@@ -147,7 +121,7 @@
         let entry = Entry {
             origin,
             until,
-            own: None,
+            own: false,
             tells: 0,
         };
         self.entries.insert(key, entry);
@@ -219,7 +193,7 @@
     pub fn mark_untold(&mut self, now: Instant, services: impl Fn(&ServiceId) -> bool) {
         let mut keys = Vec::new();
         for (key, entry) in &mut self.entries {
-            let is_due = entry.own.is_some() && entry.until > now && entry.tells == 0;
+            let is_due = entry.own && entry.until > now && entry.tells == 0;
             if is_due && services(&entry.origin.service) {
                 entry.tells = 1;
                 keys.push((entry.until, *key));
@@ -269,27 +243,6 @@
         records
     }
 
-    /// Makes the origins unknown of own streams that began since then at an endpoint which wasn't
-    /// proven: it has restarted with another release. Returns their number.
-    pub fn forget_begun(&mut self, now: Instant, endpoint: &EndpointId, since: Instant) -> usize {
-        let is_doubtful = |own: &Own| own.unproven.as_ref() == Some(endpoint) && own.began >= since;
-        let entries = self.entries.iter();
-        let doubtful: Vec<_> = entries
-            .filter(|(_, e)| e.until > now && e.origin.release.is_some())
-            .filter(|(_, e)| e.own.as_deref().is_some_and(is_doubtful))
-            .map(|(key, e)| (*key, e.origin.service.clone(), e.until))
-            .collect();
-        for (key, service, until) in &doubtful {
-            let unknown = Origin {
-                service: service.clone(),
-                release: None,
-            };
-            self.merge(now, *key, &unknown, *until);
-            self.queue(*key);
-        }
-        doubtful.len()
-    }
-
     /// Drops streams that can no longer be resumed.
     pub fn expire(&mut self, now: Instant) {
         self.entries.retain(|_, e| e.until > now);
--- a/crates/origins/src/origins.rs
+++ b/crates/origins/src/origins.rs
@@ -11,7 +11,7 @@
         net::SocketAddr,
         time::Duration,
     },
-    types::{EndpointId, Release, ServiceId},
+    types::{Release, ServiceId},
 };
 
 /// Most origins told at a time: about as many as a datagram holds.
@@ -79,6 +79,11 @@
         self.update_only(now);
     }
 
+    /// Notes that the whole system starts for the first time.
+    pub fn begin_system(&mut self) {
+        self.history.begin_system();
+    }
+
     /// Notes that the whole list, as it was at `read` or later, hasn't changed. To be called at each
     /// read, more often than every [`crate::MAX_LIST_AGE`].
     pub fn confirm_list(&mut self, now: Instant, read: Instant) {
@@ -136,37 +141,32 @@
         self.history.is_settled(now, service, release)
     }
 
+    /// The listed releases at which new streams may not begin yet.
+    pub fn unsettled(&self, now: Instant, service: &ServiceId) -> Vec<Release> {
+        if self.only.contains_key(service) {
+            return Vec::new();
+        }
+        self.history.unsettled(now, service)
+    }
+
+    /// Whether there is nothing to send now or later.
+    pub fn is_quiet(&self) -> bool {
+        self.news_due().is_none() && self.relays.is_empty() && self.doubts.is_empty()
+    }
+
     /// Records that a stream brought its first event to a caller, or that it goes on: `key` is that of
-    /// its first attempt. `unproven` is its endpoint if that may have restarted unnoticed.
-    pub fn began(
-        &mut self,
-        now: Instant,
-        key: StreamKey,
-        origin: &Origin,
-        until: Instant,
-        unproven: Option<&EndpointId>,
-    ) {
+    /// its first attempt.
+    pub fn began(&mut self, now: Instant, key: StreamKey, origin: &Origin, until: Instant) {
         // Nobody infers a release while endpoints of unknown release are listed.
         let is_expected = origin.release.is_none()
             && self.table.find(now, &key).is_none()
             && self.history.has_unknown(now, &origin.service);
-        self.table.record(now, key, origin, until, unproven);
+        self.table.record(now, key, origin, until);
         if is_expected {
             self.table.withhold(&key);
         }
     }
 
-    /// Makes the origins unknown of own streams that began since then at an endpoint which has
-    /// restarted with another release. Returns their number.
-    pub fn endpoint_restarted(
-        &mut self,
-        now: Instant,
-        endpoint: &EndpointId,
-        since: Instant,
-    ) -> usize {
-        self.table.forget_begun(now, endpoint, since)
-    }
-
     /// The release that a stream began at.
     pub fn look_up(&self, now: Instant, key: &StreamKey, service: &ServiceId) -> Lookup {
         match self.table.find(now, key) {
