Go on with a stream only at the release that began it

Cause: endpoints of a service counted as interchangeable. Neither the router, when it resumed a stream within a response, nor the VM that a caller came back to knew which release had begun it.

Change: each VM records the release of the streams that it serves, by the attempt that brought the first event, and tells other VMs while more than one release may serve (crate `origins`). Whoever takes a stream up goes to an endpoint of that release; a VM that doesn't know asks the others for up to a quarter of a second; if nobody knows, or no endpoint of the release is left, the caller is told at once that the request has not run. A new release gets streams once all VMs know of it. An endpoint must say on the connection that it is the listed process before a resumable stream begins or goes on there. Resumed streams pass admission, and go to the service that began them where a route is split.

--- a/crates/relay/src/adapter/header_codec.rs
+++ b/crates/relay/src/adapter/header_codec.rs
@@ -40,6 +40,14 @@
     pub resumes: Option<AttemptId>,
 }
 
+impl CallerHeaders {
+    /// The attempt that brought or will bring the first event of the stream.
+    pub(crate) fn first_attempt(&self) -> &AttemptId {
+        let earlier = self.resumes.as_ref().filter(|_| self.last_event.is_some());
+        earlier.unwrap_or(&self.id)
+    }
+}
+
 /// Header fields that the router sets on a request to an endpoint, beside the caller's own.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ForwardHeaders<'a> {
--- a/crates/relay/src/adapter/settings.rs
+++ b/crates/relay/src/adapter/settings.rs
@@ -55,6 +55,8 @@
     pub memory: Bytes,
     /// Time and retry bounds of the fleet.
     pub bounds: PlatformBounds,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// Whether usage reporting is one of the duties.
     pub reports_usage: bool,
     /// Whether ordering endpoints is one of the duties.
--- a/crates/relay/src/peers/hubs.rs
+++ b/crates/relay/src/peers/hubs.rs
@@ -137,7 +137,11 @@
         self.uses_hubs(now) && self.readers(now).is_empty()
     }
 
-    fn hubs_of(&self, now: Instant, zone: &ZoneId) -> impl Iterator<Item = (&VmId, &Peer)> {
+    pub(super) fn hubs_of(
+        &self,
+        now: Instant,
+        zone: &ZoneId,
+    ) -> impl Iterator<Item = (&VmId, &Peer)> {
         self.live(now).filter(move |(_, p)| {
             let heard = now.since(p.last_heard) < READER_TIMEOUT;
             heard && p.hub && !p.leaving && p.zone == *zone
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -9,6 +9,7 @@
 mod gossip_message;
 mod hubs;
 mod load_summary;
+mod origin_targets;
 mod peer_table;
 #[cfg(test)]
 mod tests;
--- a/crates/relay/src/process/endpoint_list.rs
+++ b/crates/relay/src/process/endpoint_list.rs
@@ -19,7 +19,8 @@
         let endpoint = registry.get(&endpoint.id).cloned().unwrap_or(endpoint);
         log::info!(
             endpoint:% = endpoint.id, service:% = endpoint.service, zone:% = endpoint.zone,
-            addr:% = endpoint.addr, leaving = endpoint.leaving, cheap = endpoint.cheap, change:? = change;
+            addr:% = endpoint.addr, born = endpoint.born,
+            release = endpoint.release.as_ref().map_or("", |r| r.as_str()), leaving = endpoint.leaving, cheap = endpoint.cheap, change:? = change;
             "endpoint listed"
         );
         self.record_change(EndpointChange::Listed(endpoint.clone()));
--- a/crates/relay/src/process/feed_reader.rs
+++ b/crates/relay/src/process/feed_reader.rs
@@ -129,6 +129,7 @@
                     let absent = self.node.absent_endpoints(&listed);
                     absent.iter().for_each(|id| self.node.remove_endpoint(id));
                     self.node.registry.lock().read_applied();
+                    self.node.observe_list(sent);
                 }
                 Some(next)
             }
@@ -155,6 +156,9 @@
                 apply_changes(&self.node, changes);
                 if self.kind == FeedKind::Endpoints {
                     self.node.registry.lock().read_applied();
+                    // A read that waits in vain tells that nothing has changed until its end.
+                    let read = if changed { sent } else { sent + wait };
+                    self.node.observe_list(read.min(self.node.clock.now()));
                 }
                 if changed {
                     self.node.clock.sleep(BATCH_PAUSE).await;
--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -4,6 +4,7 @@
     super::{
         Node,
         crashes::{apply_crash_news, send_crash_news},
+        origin_news::apply_origin_news,
         summaries::{apply_summary, send_roster, send_summaries},
     },
     crate::{
@@ -38,6 +39,8 @@
     Roster,
     /// Crashes of endpoints and their causes.
     Crashes,
+    /// Releases that began streams, and questions for them.
+    Origins,
 }
 
 impl DatagramKind {
@@ -48,6 +51,7 @@
             Self::Summary => "summary",
             Self::Roster => "roster",
             Self::Crashes => "crashes",
+            Self::Origins => "origins",
         }
     }
 }
@@ -208,6 +212,9 @@
     loop {
         match socket.recv_from(&mut buf).await {
             Ok((size, from)) => {
+                if apply_origin_news(&node, &socket, from, &buf[..size]).await {
+                    continue;
+                }
                 if let Some(reply) = apply_datagram(&node, from, &buf[..size]) {
                     send(&socket, from, &reply, DatagramKind::Reply).await;
                 }
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -12,11 +12,13 @@
 mod liveness;
 mod node;
 mod notices;
+mod origin_news;
 mod other_zone;
 mod placement;
 mod run;
 mod shutdown;
 mod state_sync;
+mod stream_origins;
 mod summaries;
 mod usage_reporter;
 mod wall_clock;
@@ -26,6 +28,7 @@
     lifecycle::{ConnectionGuard, Lifecycle},
     liveness::ConnectionChecks,
     node::Node,
+    stream_origins::StreamOrigins,
     wall_clock::WallClock,
 };
 pub use {
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -1,11 +1,11 @@
 //! State that all tasks of the process share.
 //!
 //! Lock order: config, registry, sent_loads, placers, retry_budgets, peers, count_keeper,
-//! window_counter, history, freshness.
+//! window_counter, history, freshness, origins.
 //! No lock is held across an await.
 
 use {
-    super::{ConnectionChecks, Freshness, Lifecycle, WallClock, gossip::SentLoads},
+    super::{ConnectionChecks, Freshness, Lifecycle, StreamOrigins, WallClock, gossip::SentLoads},
     crate::{
         adapter::{HeaderCodec, NodeSettings},
         configuration::{CallerLimits, Config},
@@ -51,6 +51,11 @@
     pub(crate) sent_loads: Mutex<SentLoads>,
     /// What requests have done to endpoints. Not locked together with anything else.
     pub(crate) crashes: Mutex<CrashTable>,
+    /// Which releases began streams.
+    pub(crate) origins: Mutex<StreamOrigins>,
+    /// Notified when there is something to tell or to ask of origins, and when something was learnt.
+    pub(crate) origins_due: Event,
+    pub(crate) origins_learned: Event,
     /// Checks of silent endpoints. Not locked together with anything else.
     pub(crate) connection_checks: Mutex<ConnectionChecks>,
     /// Sequence number of the next gossip message.
@@ -97,6 +102,9 @@
             )),
             sent_loads: Mutex::default(),
             crashes: Mutex::new(CrashTable::new(fastrand::f64())),
+            origins: Mutex::new(StreamOrigins::new(settings.first_start)),
+            origins_due: Event::new(),
+            origins_learned: Event::new(),
             connection_checks: Mutex::default(),
             gossip_seq: AtomicU64::new(1),
             window_counter: Mutex::default(),
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -3,9 +3,9 @@
 use {
     super::Node,
     crate::{
-        configuration::Config,
+        configuration::{Config, RouteKind},
         endpoints::Endpoint,
-        request::{RoutedRequest, SlotLease},
+        request::{RoutedRequest, SlotLease, StreamOrigin},
     },
     admit::{Forecast, QueueForecast},
     clock::Instant,
@@ -65,6 +65,7 @@
             services = config.doc.services.len();
             "configuration in force"
         );
+        self.set_resume_windows(&config);
         *current = Some(config);
         self.changed.notify(usize::MAX);
         true
@@ -99,6 +100,14 @@
         }
         let now = self.clock.now();
         let config = self.config();
+        let origin = request.origin();
+        let unsettled = match origin {
+            StreamOrigin::New if request.route.kind == RouteKind::Resumable => {
+                self.unsettled_releases(&request.service)
+            }
+            StreamOrigin::New | StreamOrigin::Known(_) => Vec::new(),
+            StreamOrigin::Unknown => return Err(request.unknown_origin()),
+        };
         let placement_request = PlacementRequest {
             zone: &self.settings.zone,
             urgency: request.urgency,
@@ -106,8 +115,8 @@
             max_pause: request.route.pause,
             prompt: request.caller.prompt.as_ref(),
             avoid,
-            release: None,
-            avoid_releases: &[],
+            release: origin.release(),
+            avoid_releases: &unsettled,
         };
         let registry = self.registry.lock();
         let mut placers = self.placers.lock();
@@ -118,6 +127,13 @@
                 .get_mut(&request.service)
                 .and_then(|p| p.schedule_return(now));
             drop(placers);
+            if let Some(release) = origin.release()
+                && !self.serves_release(&request.service, release)
+            {
+                return Err(
+                    request.unavailable("no endpoint has the release that began the stream")
+                );
+            }
             return Err(match retry_after {
                 Some(wait) => request.all_busy(wait.mul_f64(1.0 + fastrand::f64() * BUSY_JITTER)),
                 None => self.failure_refusal(request, "no other endpoint is listed"),
@@ -260,7 +276,9 @@
     placer: &Placer,
     placement: &Placement,
 ) -> Result<(), Duration> {
-    if request.was_sent() || request.caller.prompt.is_none() {
+    // What a stream has cost already would be lost.
+    let resumes = request.caller.last_event.is_some();
+    if request.was_sent() || resumes || request.caller.prompt.is_none() {
         return Ok(());
     }
     let classes = config
--- a/crates/relay/src/process/state_sync.rs
+++ b/crates/relay/src/process/state_sync.rs
@@ -44,6 +44,9 @@
 /// Pause between two rounds of asking other VMs at the start.
 const FETCH_RETRY_PAUSE: Duration = Duration::from_millis(700);
 
+/// Age from which a list says nothing of the releases that serve.
+const MAX_OBSERVED_AGE: Duration = Duration::from_secs(60);
+
 /// A request for the state that another VM knows.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct StateRequest {
@@ -341,6 +344,7 @@
 }
 
 pub(super) fn apply_response(node: &Node, response: StateResponse) {
+    let age = Duration::from_millis(response.ages[1]);
     if let Some(doc) = response.config {
         node.apply_config(Arc::new(Config::new(doc)));
     }
@@ -357,4 +361,7 @@
             EndpointChange::Gone(id) => node.remove_endpoint_now(&id),
         }
     }
+    if age < MAX_OBSERVED_AGE {
+        node.observe_list(node.clock.now() - age);
+    }
 }
--- /dev/null
+++ b/crates/relay/src/process/stream_origins.rs
@@ -0,0 +1,177 @@
+//! Which release began a stream: what this VM records, and what it knows when a caller takes one up.
+
+use {
+    super::Node,
+    crate::{
+        configuration::Config,
+        request::{RoutedRequest, SlotLease},
+    },
+    clock::{Instant, timeout},
+    origins::{Lookup, Origin, OriginNews, Origins, StreamKey},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+    types::{Release, ServiceId},
+};
+
+/// Time that other VMs get to say which release began a stream, and how often they are asked.
+const ASK_TIME: Duration = Duration::from_millis(125);
+const ASKS: u32 = 2;
+/// Longest time for which a stream is resumed, in multiples of the longest timeout of a service's routes:
+/// a caller comes back within its own.
+const WINDOW_TIMEOUTS: u32 = 2;
+
+/// Origins of streams, and questions that are to be sent to other VMs.
+#[derive(Debug, Default)]
+pub(crate) struct StreamOrigins {
+    pub(super) known: Origins,
+    pub(super) asks: Vec<OriginNews>,
+}
+
+impl StreamOrigins {
+    /// What is known at the start.
+    pub(super) fn new(first_start: bool) -> Self {
+        let mut origins = Self::default();
+        if first_start {
+            origins.known.begin_system();
+        }
+        origins
+    }
+}
+
+impl Node {
+    /// Notes the list of endpoints, as it was at `read` or later.
+    pub(super) fn observe_list(&self, read: Instant) {
+        let listed: BTreeSet<(ServiceId, Option<Release>)> = {
+            let registry = self.registry.lock();
+            let endpoints = registry.endpoints();
+            let listed: BTreeSet<_> = endpoints
+                .map(|e| (&e.service, e.release.as_ref()))
+                .collect();
+            let listed = listed.into_iter();
+            listed.map(|(s, r)| (s.clone(), r.cloned())).collect()
+        };
+        let now = self.clock.now();
+        let mut origins = self.origins.lock();
+        let listed = listed.iter().map(|(s, r)| (s, r.as_ref()));
+        origins.known.replace_list(now, read, listed);
+        let is_quiet = origins.known.is_quiet();
+        drop(origins);
+        if !is_quiet {
+            self.origins_due.notify(usize::MAX);
+        }
+    }
+
+    /// Sets for how long streams of each service may be resumed.
+    pub(super) fn set_resume_windows(&self, config: &Config) {
+        let now = self.clock.now();
+        let mut longest: BTreeMap<&ServiceId, Duration> = BTreeMap::new();
+        for route in config.doc.routes.iter().filter(|r| r.kind.is_stream()) {
+            for (service, _) in &route.split {
+                let window = longest.entry(service).or_default();
+                *window = (*window).max(route.timeout * WINDOW_TIMEOUTS);
+            }
+        }
+        let mut origins = self.origins.lock();
+        for (service, window) in longest {
+            origins.known.set_window(now, service, window);
+        }
+    }
+
+    /// The only release that a service has had for as long as its streams may be resumed, if this VM
+    /// knows that.
+    pub(crate) fn sole_release(&self, service: &ServiceId) -> Option<Release> {
+        let now = self.clock.now();
+        self.origins.lock().known.sole(now, service)
+    }
+
+    /// Releases of a service that not all VMs may know yet.
+    pub(super) fn unsettled_releases(&self, service: &ServiceId) -> Vec<Release> {
+        let now = self.clock.now();
+        self.origins.lock().known.unsettled(now, service)
+    }
+
+    /// Records that a stream brought events from the endpoint of a lease.
+    pub(crate) fn record_origin(&self, request: &RoutedRequest, slot: &SlotLease) {
+        let now = self.clock.now();
+        let origin = Origin {
+            service: request.service.clone(),
+            release: slot.release.clone(),
+        };
+        let patience = request.caller.timeout.unwrap_or(request.route.timeout);
+        let mut origins = self.origins.lock();
+        let until = request.arrived + patience;
+        let key = first_key(request);
+        origins.known.began(now, key, &origin, until);
+        let has_news = origins.known.news_due().is_some();
+        drop(origins);
+        if has_news {
+            self.origins_due.notify(usize::MAX);
+        }
+    }
+
+    /// The release that began the stream which a caller takes up, if this VM or another one knows it.
+    pub(crate) async fn find_origin(&self, request: &RoutedRequest) -> Option<Release> {
+        let asked = self.clock.now();
+        let (release, source) = self.look_up_origin(request).await;
+        log::info!(
+            request:% = request.caller.id, resumes = request.caller.resumes.as_ref().map_or("", |a| a.as_str()),
+            release = release.as_ref().map_or("", |r| r.as_str()), source = source,
+            took_ms = self.clock.now().since(asked).as_millis() as u64;
+            "release of a stream looked up"
+        );
+        release
+    }
+
+    async fn look_up_origin(&self, request: &RoutedRequest) -> (Option<Release>, &'static str) {
+        let service = &request.service;
+        if request.caller.resumes.is_none() {
+            return (self.sole_release(service), "only release");
+        }
+        let key = first_key(request);
+        match self.known_origin(&key, service) {
+            Lookup::Release(release) => return (Some(release), "known"),
+            Lookup::Unknown => return (None, "nobody"),
+            Lookup::Ask => {}
+        }
+        for _ in 0..ASKS {
+            let ask = Origins::ask(key, service);
+            self.origins.lock().asks.push(ask);
+            self.origins_due.notify(usize::MAX);
+            let answered = async {
+                loop {
+                    let learned = self.origins_learned.listen();
+                    match self.known_origin(&key, service) {
+                        Lookup::Ask => learned.await,
+                        Lookup::Release(release) => return Some(release),
+                        Lookup::Unknown => return None,
+                    }
+                }
+            };
+            if let Ok(release) = timeout(&*self.clock, ASK_TIME, answered).await {
+                return (release, "other VM");
+            }
+        }
+        (None, "no answer")
+    }
+
+    fn known_origin(&self, key: &StreamKey, service: &ServiceId) -> Lookup {
+        let now = self.clock.now();
+        self.origins.lock().known.look_up(now, key, service)
+    }
+
+    /// Whether an endpoint of the release takes new requests, though maybe not now.
+    pub(super) fn serves_release(&self, service: &ServiceId, release: &Release) -> bool {
+        let placers = self.placers.lock();
+        let placer = placers.get(service);
+        placer.is_some_and(|p| p.has_release(release))
+    }
+}
+
+/// The key of the stream that a request begins or takes up.
+fn first_key(request: &RoutedRequest) -> StreamKey {
+    let first = request.caller.first_attempt();
+    let org = request.org.as_ref().map(|o| &o.id);
+    StreamKey::of(&request.service, org, first)
+}
--- a/crates/relay/src/request/accept.rs
+++ b/crates/relay/src/request/accept.rs
@@ -7,8 +7,9 @@
     h1::RequestHead,
     parking_lot::Mutex,
     route::{RequestHash, Suspect},
+    siphasher::sip::SipHasher13,
     std::time::Duration,
-    types::{Reason, Refusal},
+    types::{AttemptId, Reason, Refusal},
 };
 
 /// `Retry-After` while no configuration is known: about the time to read it.
@@ -42,7 +43,13 @@
         };
         Some(org.clone())
     };
-    let service = route.service(fastrand::f64()).cloned();
+    // A caller that takes a stream up is sent to the service that began it.
+    let draw = if route.kind.is_stream() {
+        draw_of(caller.first_attempt())
+    } else {
+        fastrand::f64()
+    };
+    let service = route.service(draw).cloned();
     let Some(service) = service else {
         return Err(Refusal::not_run(
             Reason::Unavailable,
@@ -79,3 +86,9 @@
         progress: Mutex::new(Progress::default()),
     })
 }
+
+/// A number in [0, 1) that is the same for an attempt at all VMs.
+fn draw_of(attempt: &AttemptId) -> f64 {
+    let hash = SipHasher13::new().hash(attempt.as_str().as_bytes());
+    (hash >> 11) as f64 / (1_u64 << 53) as f64
+}
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -47,16 +47,6 @@
     pub(super) proven: bool,
 }
 
-impl AttemptSpec {
-    /// For a stream, which must not be joined at an endpoint that has restarted unnoticed.
-    pub(super) fn of_stream(last_event: Option<u64>) -> Self {
-        Self {
-            last_event,
-            proven: last_event.is_some(),
-        }
-    }
-}
-
 /// An attempt that brought no usable response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct FailedAttempt {
--- a/crates/relay/src/request/mod.rs
+++ b/crates/relay/src/request/mod.rs
@@ -14,7 +14,7 @@
     accept::accept,
     buffered::run_buffered,
     response::Response,
-    routed_request::RoutedRequest,
+    routed_request::{RoutedRequest, StreamOrigin},
     slot_lease::SlotLease,
     stream::{StreamOutcome, run_stream},
 };
--- a/crates/relay/src/request/routed_request.rs
+++ b/crates/relay/src/request/routed_request.rs
@@ -15,6 +15,28 @@
     },
 };
 
+/// Which release began the stream of a request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) enum StreamOrigin {
+    /// The caller has no events yet.
+    #[default]
+    New,
+    /// This release: only its endpoints may go on.
+    Known(Release),
+    /// That is unknown: no endpoint may go on.
+    Unknown,
+}
+
+impl StreamOrigin {
+    /// The release whose endpoints may go on.
+    pub(crate) fn release(&self) -> Option<&Release> {
+        match self {
+            Self::Known(release) => Some(release),
+            Self::New | Self::Unknown => None,
+        }
+    }
+}
+
 /// State of a request's attempts.
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
@@ -26,6 +48,8 @@
     pub(crate) endpoint: Option<EndpointId>,
     /// Release of the last endpoint that the request was sent to.
     pub(crate) release: Option<Release>,
+    /// Which release began the stream.
+    pub(crate) origin: StreamOrigin,
     /// The last failure.
     pub(crate) cause: Option<&'static str>,
     /// Time to the first event of a stream.
@@ -104,6 +128,22 @@
         self.progress.lock().sends() > 0
     }
 
+    /// Which release began the stream.
+    pub(crate) fn origin(&self) -> StreamOrigin {
+        self.progress.lock().origin.clone()
+    }
+
+    /// Records which release began the stream; `None` if that is unknown.
+    pub(crate) fn set_origin(&self, release: Option<Release>) {
+        let origin = release.map_or(StreamOrigin::Unknown, StreamOrigin::Known);
+        self.progress.lock().origin = origin;
+    }
+
+    /// The refusal of a stream that can't go on, as nobody knows which release began it.
+    pub(crate) fn unknown_origin(&self) -> Refusal {
+        self.unavailable("it is not known which release began the stream")
+    }
+
     /// Records the forecast for the chosen endpoint.
     pub(crate) fn record_forecast(&self, placement: &Placement) {
         let mut progress = self.progress.lock();
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -94,6 +94,13 @@
         last_event: request.caller.last_event,
         repeated_bytes: 0,
     };
+    if stream.last_event.is_some() {
+        match stream.watch(node.find_origin(request)).await {
+            WatchOutcome::CallerLeft => return StreamOutcome::CallerLeft,
+            WatchOutcome::TimedOut => return stream.fail(request.timed_out()),
+            WatchOutcome::Done(release) => request.set_origin(release),
+        }
+    }
     let mut avoid: Vec<EndpointId> = Vec::new();
     let mut next: Option<(SlotLease, PooledConn)> = None;
     loop {
@@ -105,7 +112,10 @@
             },
         };
         avoid.push(slot.endpoint().clone());
-        let spec = AttemptSpec::of_stream(stream.last_event);
+        let spec = AttemptSpec {
+            last_event: stream.last_event,
+            proven: needs_proof(request, stream.last_event),
+        };
         let sending = async {
             let work = async { Waited::Arrived(attempt(node, request, &slot, spec, opened).await) };
             if !may_relocate(request) {
@@ -143,7 +153,10 @@
                 if !(200..300).contains(&pending.head.status) {
                     return stream.forward_response(request, slot, pending).await;
                 }
-                match stream.forward_events(request, slot, pending, &avoid).await {
+                match stream
+                    .forward_events(request, slot, pending, (&avoid, spec))
+                    .await
+                {
                     SegmentOutcome::Complete => return stream.write_end().await,
                     SegmentOutcome::CallerLeft => return StreamOutcome::CallerLeft,
                     SegmentOutcome::TimedOut => return stream.fail(request.timed_out()),
@@ -176,6 +189,12 @@
     Ok(slot)
 }
 
+/// Whether an endpoint must prove that it hasn't restarted since it was listed. Streams go on only at the
+/// release that began them, and so it must be known at both ends.
+fn needs_proof(request: &RoutedRequest, last_event: Option<u64>) -> bool {
+    request.route.kind == RouteKind::Resumable || last_event.is_some()
+}
+
 /// Whether the request may go on at another endpoint while the one in progress is silent.
 fn may_relocate(request: &RoutedRequest) -> bool {
     request.route.kind == RouteKind::Resumable && request.sends() + 1 < request.route.attempts
@@ -250,7 +269,7 @@
         request: &RoutedRequest,
         mut slot: SlotLease,
         mut pending: PendingResponse,
-        avoid: &[EndpointId],
+        (avoid, spec): (&[EndpointId], AttemptSpec),
     ) -> SegmentOutcome {
         let mut splitter = EventSplitter::default();
         let mut bytes = Vec::new();
@@ -264,7 +283,7 @@
                 slot: &slot,
                 avoid,
                 begun: has_events,
-                proven: self.last_event.is_some(),
+                proven: spec.proven || self.last_event.is_some(),
                 since: node.clock.now(),
             };
             let reading = async {
@@ -325,6 +344,10 @@
                 has_events = true;
                 slot.first_event();
                 self.node.count_usage(request);
+                if request.route.kind == RouteKind::Resumable {
+                    request.set_origin(slot.release.clone());
+                    self.node.record_origin(request, &slot);
+                }
                 let mut progress = request.progress.lock();
                 progress
                     .first_event
--- a/crates/relay/tests/common/router.rs
+++ b/crates/relay/tests/common/router.rs
@@ -122,6 +122,8 @@
     pub(crate) ports: Ports,
     /// Time after which a leaving endpoint may receive no more requests.
     pub(crate) drain: Duration,
+    /// Whether the whole system starts for the first time.
+    pub(crate) first_start: bool,
 }
 
 /// The ports that all VMs of a fleet listen on.
@@ -146,6 +148,7 @@
             ip: IpAddr::from([127, 0, 0, 1]),
             ports: Ports::free(),
             drain: Duration::from_secs(2),
+            first_start: true,
         }
     }
 }
@@ -180,6 +183,7 @@
         }
         let mut settings = settings(spec.name, spec.seeds, (spec.ip, spec.ports));
         settings.bounds.endpoint_drain = spec.drain;
+        settings.first_start = spec.first_start;
         let duty_api: Arc<FakeDutyApi> = Arc::default();
         let (stop, killed) = (StopSignal::default(), StopSignal::default());
         let router = Self {
@@ -304,6 +308,7 @@
             usage_window: Duration::from_secs(5),
             report_due: Duration::from_secs(10),
         },
+        first_start: true,
         reports_usage: true,
         orders_capacity: false,
     }
--- a/crates/relay/tests/restarted_endpoints.rs
+++ b/crates/relay/tests/restarted_endpoints.rs
@@ -8,6 +8,7 @@
     relay::RouteKind,
     std::{
         sync::atomic::Ordering::SeqCst,
+        thread,
         time::{Duration, Instant},
     },
 };
@@ -140,8 +141,13 @@
         endpoint("e2", servers[1].addr),
     ];
     let router = Router::with(RouteKind::Resumable, endpoints);
-    servers.iter().for_each(restart);
-    let response = router.exchange(request(1, None).as_bytes());
+    // The stream breaks a moment after its first events.
+    let response = thread::scope(|scope| {
+        let caller = scope.spawn(|| router.exchange(request(1, None).as_bytes()));
+        router.wait_for(|| servers.iter().any(|s| s.count() > 0));
+        servers.iter().for_each(restart);
+        caller.join().unwrap()
+    });
     assert_eq!(ids(&response), [1, 2]);
     assert!(!response.ends_with("0\r\n\r\n"), "{response}");
     assert_eq!(servers.iter().map(FakeEndpoint::count).sum::<usize>(), 1);
@@ -169,3 +175,14 @@
     assert_eq!(ids(&response), [3, 4, 5]);
     assert_eq!((server.count(), asked(&server)), (1, 2));
 }
+
+// A stream began at an endpoint that had restarted, and counted as one of the listed release.
+#[test]
+fn stream_does_not_begin_at_a_restarted_endpoint() {
+    let server = breaks_new_streams();
+    let router = Router::with(RouteKind::Resumable, vec![endpoint("e1", server.addr)]);
+    restart(&server);
+    let response = router.exchange(request(1, None).as_bytes());
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    assert_eq!(server.count(), 0);
+}
