--- /dev/null
+++ b/crates/relay/src/request/caller_stream.rs
@@ -0,0 +1,334 @@
+//! The caller's side of a stream: events are forwarded as they arrive.
+
+use {
+    super::{
+        attempt::{AttemptSpec, PendingResponse},
+        response::{Response, add_connection_header},
+        routed_request::RoutedRequest,
+        silence_watch::{Relocation, SilenceWatch},
+        slot_lease::SlotLease,
+        stream::StreamOutcome,
+    },
+    crate::{configuration::RouteKind, process::Node},
+    clock::{Instant, timeout},
+    futures_lite::FutureExt,
+    h1::{Conn, Event, EventSplitter, ResponseHead},
+    route::PlacementOutcome,
+    std::{future::Future, sync::Arc, time::Duration},
+    types::{EndpointId, Reason, Refusal, Verdict},
+};
+
+/// Timeout of a write to the caller.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Most bytes of events that the caller already has: more than a resumed stream repeats.
+const MAX_REPEATED_BYTES: usize = 1024 * 1024;
+
+/// The caller's side of a stream.
+pub(super) struct CallerStream<'a> {
+    pub(super) conn: &'a mut Conn,
+    pub(super) node: &'a Arc<Node>,
+    pub(super) deadline: Instant,
+    /// Whether the connection is closed after the stream.
+    pub(super) closes: bool,
+    /// Whether the head was sent.
+    pub(super) started: bool,
+    /// Id of the last event that the caller has.
+    pub(super) last_event: Option<u64>,
+    /// Bytes of events that were skipped because the caller has them.
+    pub(super) repeated_bytes: usize,
+}
+
+/// Result of work that ends early if the caller leaves or the request times out.
+pub(super) enum WatchOutcome<T> {
+    Done(T),
+    CallerLeft,
+    TimedOut,
+}
+
+/// How the part of a stream that one endpoint sent has ended.
+pub(super) enum SegmentOutcome {
+    Complete,
+    CallerLeft,
+    TimedOut,
+    Broken(&'static str, PlacementOutcome),
+    /// The endpoint went silent, and the stream goes on at another one.
+    Relocated(Box<Relocation>),
+}
+
+/// What a request to an endpoint has come to.
+pub(super) enum Waited<T> {
+    /// The endpoint sent something.
+    Arrived(T),
+    /// The endpoint is silent, and the request goes on at another one.
+    Relocated(Box<Relocation>),
+    /// The endpoint has ended without a word.
+    Ended,
+}
+
+/// Whether the request may go on at another endpoint while the one in progress is silent.
+pub(super) fn may_relocate(request: &RoutedRequest) -> bool {
+    request.route.kind == RouteKind::Resumable && request.sends() + 1 < request.route.attempts
+}
+
+/// Ends the attempt at a silent endpoint.
+pub(super) fn leave(
+    node: &Arc<Node>,
+    request: &RoutedRequest,
+    slot: SlotLease,
+    relocation: &Relocation,
+) {
+    node.note_cut(request, &slot, relocation.cause);
+    request.end_send(Verdict::MayHaveRun, Some(relocation.cause));
+    slot.finish(relocation.outcome);
+}
+
+impl CallerStream<'_> {
+    /// Runs `work` until it is done, the caller leaves or the request times out.
+    pub(super) async fn watch<T>(&mut self, work: impl Future<Output = T>) -> WatchOutcome<T> {
+        let remaining = self.deadline.since(self.node.clock.now());
+        let done = async { WatchOutcome::Done(work.await) };
+        let caller_left = async {
+            self.conn.wait_closed().await;
+            WatchOutcome::CallerLeft
+        };
+        let watched = timeout(&*self.node.clock, remaining, done.or(caller_left)).await;
+        watched.unwrap_or(WatchOutcome::TimedOut)
+    }
+
+    pub(super) fn fail(&self, refusal: Refusal) -> StreamOutcome {
+        if self.started {
+            return StreamOutcome::Broken(refusal);
+        }
+        StreamOutcome::NotStarted(Response::refusal(refusal))
+    }
+
+    /// Forwards a response that is not a stream, such as an error.
+    pub(super) async fn forward_response(
+        &mut self,
+        request: &RoutedRequest,
+        slot: SlotLease,
+        pending: PendingResponse,
+    ) -> StreamOutcome {
+        let node = self.node.clone();
+        // A failure that doesn't say "not run" ran as well.
+        node.count_usage(request);
+        let read = self.watch(pending.read_body(&node, &slot)).await;
+        match read {
+            WatchOutcome::CallerLeft => StreamOutcome::CallerLeft,
+            WatchOutcome::TimedOut => self.fail(request.timed_out()),
+            WatchOutcome::Done(Err(_)) => {
+                node.note_cut(request, &slot, "answer cut short");
+                request.end_send(Verdict::MayHaveRun, Some("answer cut short"));
+                slot.finish(PlacementOutcome::Failed);
+                self.fail(request.unavailable("answer cut short"))
+            }
+            WatchOutcome::Done(Ok((head, body))) => {
+                request.end_send(Verdict::Ran, None);
+                slot.finish(PlacementOutcome::Failed);
+                if self.started {
+                    let failed = Refusal::with_verdict(
+                        Verdict::Ran,
+                        Reason::EndpointFailed,
+                        "stream could not go on",
+                    );
+                    return StreamOutcome::Broken(failed);
+                }
+                StreamOutcome::NotStarted(Response::forwarded(head, body))
+            }
+        }
+    }
+
+    /// Forwards the events of one endpoint.
+    pub(super) async fn forward_events(
+        &mut self,
+        request: &RoutedRequest,
+        mut slot: SlotLease,
+        mut pending: PendingResponse,
+        (avoid, spec): (&[EndpointId], AttemptSpec),
+    ) -> SegmentOutcome {
+        let mut splitter = EventSplitter::default();
+        let mut bytes = Vec::new();
+        let mut has_events = false;
+        let outcome = loop {
+            bytes.clear();
+            let node = self.node.clone();
+            let watch = SilenceWatch {
+                node: &node,
+                request,
+                slot: &slot,
+                avoid,
+                begun: has_events,
+                proven: spec.proven || self.last_event.is_some(),
+                since: node.clock.now(),
+            };
+            let reading = async {
+                let next = pending.reader.next(&mut pending.pooled.conn, &mut bytes);
+                let next = async { Waited::Arrived(next.await) };
+                let silent = async {
+                    if may_relocate(request) {
+                        return Waited::Relocated(watch.until_relocated().await);
+                    }
+                    watch.until_ended().await;
+                    Waited::Ended
+                };
+                next.or(silent).await
+            };
+            match self.watch(reading).await {
+                WatchOutcome::CallerLeft => break SegmentOutcome::CallerLeft,
+                WatchOutcome::TimedOut => break SegmentOutcome::TimedOut,
+                WatchOutcome::Done(Waited::Relocated(relocation)) => {
+                    break SegmentOutcome::Relocated(relocation);
+                }
+                WatchOutcome::Done(Waited::Ended) => {
+                    break SegmentOutcome::Broken(
+                        "endpoint went silent",
+                        PlacementOutcome::Unreachable,
+                    );
+                }
+                WatchOutcome::Done(Waited::Arrived(Err(_))) => {
+                    break SegmentOutcome::Broken("stream cut", PlacementOutcome::Failed);
+                }
+                WatchOutcome::Done(Waited::Arrived(Ok(false)))
+                    if splitter.is_empty() && has_events =>
+                {
+                    break SegmentOutcome::Complete;
+                }
+                WatchOutcome::Done(Waited::Arrived(Ok(false))) => {
+                    break SegmentOutcome::Broken("stream cut", PlacementOutcome::Failed);
+                }
+                WatchOutcome::Done(Waited::Arrived(Ok(true))) => {}
+            }
+            if watch.is_long() {
+                self.node.record_alive(&slot);
+            }
+            let Ok(events) = splitter.push(&bytes) else {
+                break SegmentOutcome::Broken(
+                    "event over the size limit",
+                    PlacementOutcome::Failed,
+                );
+            };
+            if events.is_empty() {
+                continue;
+            }
+            if has_events {
+                slot.next_event();
+                if slot.passes_trial() {
+                    self.node.record_sound(request, &slot);
+                }
+            } else {
+                has_events = true;
+                slot.first_event();
+                self.node.count_usage(request);
+                if request.route.kind == RouteKind::Resumable {
+                    request.set_origin(slot.release.clone());
+                    self.node.record_origin(request, &slot);
+                }
+                let mut progress = request.progress.lock();
+                progress
+                    .first_event
+                    .get_or_insert(self.node.clock.now().since(request.arrived));
+            }
+            match self.write_events(request, &pending.head, events).await {
+                Ok(()) => {}
+                Err(outcome) => break outcome,
+            }
+        };
+        let verdict = match outcome {
+            SegmentOutcome::Complete => Verdict::Ran,
+            _ => Verdict::MayHaveRun,
+        };
+        match &outcome {
+            SegmentOutcome::Complete => {
+                request.end_send(verdict, None);
+                self.node.record_sound(request, &slot);
+                pending.return_connection(self.node, &slot);
+                slot.finish(PlacementOutcome::Completed);
+            }
+            SegmentOutcome::Broken(cause, placement_outcome) => {
+                // Closing the connection makes the endpoint stop the run before the next endpoint
+                // starts one.
+                drop(pending);
+                self.node.note_cut(request, &slot, cause);
+                request.end_send(verdict, Some(cause));
+                slot.finish(*placement_outcome);
+            }
+            SegmentOutcome::Relocated(relocation) => {
+                drop(pending);
+                leave(self.node, request, slot, relocation);
+            }
+            SegmentOutcome::CallerLeft | SegmentOutcome::TimedOut => {}
+        }
+        outcome
+    }
+
+    /// Writes the events that the caller does not have yet.
+    async fn write_events(
+        &mut self,
+        request: &RoutedRequest,
+        head: &ResponseHead,
+        events: Vec<Event>,
+    ) -> Result<(), SegmentOutcome> {
+        let mut out = Vec::new();
+        let mut body = Vec::new();
+        let mut count = 0;
+        for event in events {
+            let id = event.id();
+            let already_sent = id.zip(self.last_event).is_some_and(|(id, last)| id <= last);
+            if already_sent {
+                self.repeated_bytes += event.raw.len();
+                continue;
+            }
+            let gap = id
+                .zip(self.last_event)
+                .is_some_and(|(id, last)| id != last + 1);
+            if gap {
+                return Err(SegmentOutcome::Broken(
+                    "event missing",
+                    PlacementOutcome::Failed,
+                ));
+            }
+            self.last_event = id.or(self.last_event);
+            body.extend_from_slice(&event.raw);
+            count += 1;
+        }
+        if self.repeated_bytes > MAX_REPEATED_BYTES {
+            return Err(SegmentOutcome::Broken(
+                "too many repeated events",
+                PlacementOutcome::Failed,
+            ));
+        }
+        if body.is_empty() {
+            return Ok(());
+        }
+        if !self.started {
+            self.started = true;
+            let mut head = head.clone();
+            head.headers.strip_hop_by_hop();
+            head.headers.push("Transfer-Encoding", "chunked");
+            add_connection_header(&mut head.headers, self.closes);
+            head.write(&mut out);
+        }
+        out.extend_from_slice(format!("{:x}\r\n", body.len()).as_bytes());
+        out.extend_from_slice(&body);
+        out.extend_from_slice(b"\r\n");
+        request.progress.lock().events += count;
+        let written = timeout(&*self.node.clock, WRITE_TIMEOUT, self.conn.write_all(&out)).await;
+        match written {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(SegmentOutcome::CallerLeft),
+        }
+    }
+
+    pub(super) async fn write_end(&mut self) -> StreamOutcome {
+        let written = timeout(
+            &*self.node.clock,
+            WRITE_TIMEOUT,
+            self.conn.write_all(b"0\r\n\r\n"),
+        )
+        .await;
+        match written {
+            Ok(Ok(())) => StreamOutcome::Complete,
+            _ => StreamOutcome::CallerLeft,
+        }
+    }
+}
--- a/crates/relay/src/request/mod.rs
+++ b/crates/relay/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod attempt;
 mod buffered;
+mod caller_stream;
 mod response;
 mod routed_request;
 mod silence_watch;
