Begin streams at a release only once all VMs know it; tell of streams while the list can't be read

A release that not all VMs knew yet was used as a last resort, while others still took the old one for the only one; after a gap of two to three seconds in the list, a new release counted as unused from when it was seen instead of from the last list without it; and while no VM could read the list, nothing was told and nothing could be concluded, so that all streams taken up at another VM were refused.

Change: new resumable streams are refused (not run, come back in a second) where only a release takes them that appeared less than three seconds ago; those of a VM's first list are known to the others. What counts is the last list without the release. With a list that is out of date a VM has others told. A VM that has just started keeps its questions until it knows another one, and asks for half a second; who gets no answer may come back. An endpoint that is listed without a start time has nothing to prove.

--- a/crates/origins/src/origins.rs
+++ b/crates/origins/src/origins.rs
@@ -22,7 +22,7 @@
 const SEND_INTERVAL: Duration = Duration::from_millis(5);
 /// Interval at which streams are told again: a hub hears of those of all its zone.
 const RETELL_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval at which a hub tells those of other zones, and most origins at a time.
+/// Interval at which a first hub tells the hubs of the next zone, and most origins at a time.
 const RELAY_INTERVAL: Duration = Duration::from_millis(50);
 const MAX_RELAYED: usize = 8 * MAX_TOLD;
 /// Most asks in one datagram that are passed on or answered.
@@ -102,10 +102,11 @@
         self.update_only(now);
     }
 
-    /// Has others told again of the own streams of services that no longer have only one release:
-    /// VMs that can infer it now soon can't any more.
+    /// Has others told again of the own streams of services that no longer have only one release, as far
+    /// as this VM can know: VMs that can infer it now soon can't any more.
     fn update_only(&mut self, now: Instant) {
-        let services = self.history.services();
+        let is_current = self.history.is_current(now);
+        let services = self.history.services().filter(|_| is_current);
         let only: BTreeMap<_, _> = services
             .filter_map(|s| Some((s.clone(), self.history.only(now, s)?)))
             .collect();
@@ -238,7 +239,7 @@
         }
     }
 
-    /// Takes the news that a first hub has to send to the hubs of other zones now. To be called on
+    /// Takes the news that a first hub has to send to the hubs of the next zone now. To be called on
     /// each VM, so that a second hub can take over and others don't keep it.
     pub fn take_relayed(&mut self, now: Instant, is_first_hub: bool) -> OriginNews {
         if !is_first_hub {
--- a/crates/origins/src/release_history.rs
+++ b/crates/origins/src/release_history.rs
@@ -22,21 +22,20 @@
 /// Largest number of releases of one service that are remembered.
 const MAX_RELEASES: usize = 64;
 
-/// Longest time that a read of the list takes, for what depends on it.
-const READ_TIME: Duration = Duration::from_millis(250);
-/// Time for which this VM sees a release listed while no VM can have used it yet, as others have seen
-/// it earlier by the age of a list and the time of a read at most.
-const UNUSED_TIME: Duration = SETTLE_TIME
-    .saturating_sub(MAX_LIST_AGE)
-    .saturating_sub(READ_TIME);
+/// Part of `SETTLE_TIME` for which a release is not taken for unused any more: clocks run differently.
+const USE_MARGIN: Duration = Duration::from_millis(250);
 
 /// When a release was listed. `None` as the end: it still is.
 #[derive(Debug, Clone, Copy)]
 struct Listing {
     since: Instant,
+    /// When the list was as it was read last without the release; `None` if there was no such read.
+    absent_at: Option<Instant>,
     ended: Option<Instant>,
     /// Whether it was listed before.
     returned: bool,
+    /// Whether it was in the first list that this VM read: the others know it already.
+    initial: bool,
 }
 
 impl Listing {
@@ -44,9 +43,13 @@
         self.ended.is_some_and(|at| now.since(at) >= span)
     }
 
-    /// Whether no VM has used the release yet, provided that there is a settled one.
+    /// Whether no VM has used the release yet, provided that there is a settled one: it settles at no VM
+    /// sooner than `SETTLE_TIME` after it was absent.
     fn is_unused(&self, now: Instant) -> bool {
-        self.ended.is_none() && !self.returned && now.since(self.since) < UNUSED_TIME
+        let listed_after = self
+            .absent_at
+            .is_some_and(|at| now.since(at) < SETTLE_TIME - USE_MARGIN);
+        self.ended.is_none() && !self.returned && listed_after
     }
 }
 
@@ -63,14 +66,20 @@
 }
 
 impl Service {
-    fn list(&mut self, now: Instant, listed: &BTreeSet<Option<&Release>>) {
+    /// Applies the releases that are listed now; the list before was as it was at `last_read`.
+    fn list(
+        &mut self,
+        now: Instant,
+        listed: &BTreeSet<Option<&Release>>,
+        last_read: Option<Instant>,
+    ) {
         for (release, listing) in &mut self.listings {
             if listing.ended.is_none() && !listed.contains(&release.as_ref()) {
                 listing.ended = Some(now);
             }
         }
         for release in listed {
-            self.note(now, *release, None);
+            self.note(now, *release, None, last_read);
         }
         self.listings
             .retain(|_, l| !l.ended_before(now, HISTORY_TIME));
@@ -85,11 +94,19 @@
         }
     }
 
-    fn note(&mut self, now: Instant, release: Option<&Release>, ended: Option<Instant>) {
+    fn note(
+        &mut self,
+        now: Instant,
+        release: Option<&Release>,
+        ended: Option<Instant>,
+        absent_at: Option<Instant>,
+    ) {
         let new = Listing {
             since: now,
+            absent_at,
             ended,
             returned: false,
+            initial: ended.is_none() && absent_at.is_none(),
         };
         let listing = self.listings.entry(release.cloned()).or_insert(new);
         let Some(last) = listing.ended else {
@@ -165,6 +182,7 @@
         read: Instant,
         endpoints: impl IntoIterator<Item = (&'a ServiceId, Option<&'a Release>)>,
     ) {
+        let last_read = self.since.map(|_| self.last_read);
         self.confirm(now, read);
         let mut listed: BTreeMap<&ServiceId, BTreeSet<Option<&Release>>> = BTreeMap::new();
         for (service, release) in endpoints {
@@ -175,7 +193,7 @@
         }
         let nothing = BTreeSet::new();
         for (id, service) in &mut self.services {
-            service.list(now, listed.get(id).unwrap_or(&nothing));
+            service.list(now, listed.get(id).unwrap_or(&nothing), last_read);
         }
     }
 
@@ -197,7 +215,7 @@
                 service.listings.insert(Some(release.clone()), listing);
             }
             Some(listing) if !listing.ended_before(now, window) => return false,
-            _ => service.note(now, Some(release), Some(now)),
+            _ => service.note(now, Some(release), Some(now), None),
         }
         true
     }
@@ -297,6 +315,9 @@
         };
         let own = service.listings.get(&release.cloned());
         let known_for = own.map_or(Duration::ZERO, |l| now.since(l.since));
+        if own.is_some_and(|l| l.initial && !l.returned) {
+            return true;
+        }
         let mut listings = service.listings.iter();
         known_for >= SETTLE_TIME || !listings.any(|(other, l)| is_other(other, l))
     }
--- a/crates/relay/src/endpoints/endpoint.rs
+++ b/crates/relay/src/endpoints/endpoint.rs
@@ -25,7 +25,8 @@
     pub cheap: bool,
     /// Remaining warm-up time until it reaches full speed.
     pub cold: Duration,
-    /// Start time in milliseconds since the Unix epoch; distinguishes restarts under the same id.
+    /// Start time in milliseconds since the Unix epoch; distinguishes restarts under the same id. Zero
+    /// if the platform doesn't tell it.
     pub born: u64,
     /// Release of its software; `None` if a VM told of the endpoint that doesn't know releases.
     #[serde(default)]
--- a/crates/relay/src/process/origin_news.rs
+++ b/crates/relay/src/process/origin_news.rs
@@ -7,7 +7,6 @@
     },
     async_io::Async,
     clock::Instant,
-    futures_lite::FutureExt,
     origins::OriginNews,
     std::{
         net::{SocketAddr, UdpSocket},
@@ -64,13 +63,7 @@
             due.await;
         }
         send_round(&node, &socket, &mut hubs).await;
-        let asked = async {
-            while node.origins.lock().asks.is_empty() {
-                node.origins_due.listen().await;
-            }
-        };
-        let pause = node.clock.sleep(ROUND_INTERVAL);
-        asked.or(pause).await;
+        node.clock.sleep(ROUND_INTERVAL).await;
     }
 }
 
@@ -78,7 +71,14 @@
 pub(super) async fn expire_origins(node: Arc<Node>) {
     loop {
         node.clock.sleep(EXPIRY_INTERVAL).await;
-        node.origins.lock().known.expire(node.clock.now());
+        let mut origins = node.origins.lock();
+        origins.known.expire(node.clock.now());
+        // A list that is out of date has others told.
+        let is_quiet = origins.known.is_quiet();
+        drop(origins);
+        if !is_quiet {
+            node.origins_due.notify(usize::MAX);
+        }
     }
 }
 
@@ -94,7 +94,12 @@
             }
             hubs.clone_from(&targets.near);
         }
-        let asks = std::mem::take(&mut origins.asks);
+        // A VM that has just started may know no other one yet.
+        let asks = if targets.near.is_empty() {
+            Vec::new()
+        } else {
+            std::mem::take(&mut origins.asks)
+        };
         let known = &mut origins.known;
         (
             asks,
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -22,6 +22,8 @@
 const ASSUMED_VMS: u32 = 8;
 /// `Retry-After` for a request that no endpoint could take: about the time of one request.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// `Retry-After` for a stream that only endpoints of a release could take which not all VMs know yet.
+const NEW_RELEASE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Share of the time that a caller has left after which it may still come back and be served.
 const MAX_RETURN_SHARE: f64 = 1.0 / 3.0;
 /// Smallest part of the longest wait that a refused caller is told, so that callers return spread.
@@ -140,6 +142,16 @@
             });
         };
         request.record_forecast(&placement);
+        let chosen = registry
+            .accepting(&placement.id)
+            .and_then(|e| e.release.as_ref());
+        if chosen.is_some_and(|r| unsettled.contains(r)) {
+            if let Some(placer) = placers.get_mut(&request.service) {
+                placer.finish(now, &placement, PlacementOutcome::Unsent);
+            }
+            let refusal = request.unavailable("only a new release takes requests");
+            return Err(refusal.with_retry_after(NEW_RELEASE_RETRY_AFTER));
+        }
         if let Some(placer) = placers.get_mut(&request.service)
             && let Err(wait) = admit_at(now, config.as_deref(), request, placer, &placement)
         {
--- a/crates/relay/src/process/run.rs
+++ b/crates/relay/src/process/run.rs
@@ -56,7 +56,7 @@
         .wrap_err_with(|| format!("cannot listen on {} for gossip", settings.peers))?;
     let socket = Arc::new(socket);
     let node = Arc::new(Node::new(&process, settings, codec));
-    log::info!(vm:% = node.settings.vm, zone:% = node.settings.zone, incarnation = node.incarnation.0; "started");
+    log::info!(vm:% = node.settings.vm, zone:% = node.settings.zone, incarnation = node.incarnation.0, first_start = node.settings.first_start; "started");
     let ex = &process.ex;
     let tasks = [
         ex.spawn(follow_feed(
--- a/crates/relay/src/process/state_sync.rs
+++ b/crates/relay/src/process/state_sync.rs
@@ -44,6 +44,8 @@
 /// Pause between two rounds of asking other VMs at the start.
 const FETCH_RETRY_PAUSE: Duration = Duration::from_millis(700);
 
+/// Time from a read of the list to the receipt of what was read, beyond the age that the responder tells.
+const TRANSFER_TIME: Duration = Duration::from_millis(250);
 /// Age from which a list says nothing of the releases that serve.
 const MAX_OBSERVED_AGE: Duration = Duration::from_secs(60);
 
@@ -344,7 +346,7 @@
 }
 
 pub(super) fn apply_response(node: &Node, response: StateResponse) {
-    let age = Duration::from_millis(response.ages[1]);
+    let age = Duration::from_millis(response.ages[1]).saturating_add(TRANSFER_TIME);
     if let Some(doc) = response.config {
         node.apply_config(Arc::new(Config::new(doc)));
     }
--- a/crates/relay/src/process/stream_origins.rs
+++ b/crates/relay/src/process/stream_origins.rs
@@ -12,12 +12,15 @@
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
-    types::{Release, ServiceId},
+    types::{Refusal, Release, ServiceId},
 };
 
 /// Time that other VMs get to say which release began a stream, and how often they are asked.
 const ASK_TIME: Duration = Duration::from_millis(125);
-const ASKS: u32 = 2;
+const ASKS: u32 = 4;
+/// Source of a release that no VM has told of, and `Retry-After` then: one may be heard of yet.
+const NO_ANSWER: &str = "no answer";
+const NO_ANSWER_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest time for which a stream is resumed, in multiples of the longest timeout of a service's routes:
 /// a caller comes back within its own.
 const WINDOW_TIMEOUTS: u32 = 2;
@@ -112,7 +115,7 @@
     }
 
     /// The release that began the stream which a caller takes up, if this VM or another one knows it.
-    pub(crate) async fn find_origin(&self, request: &RoutedRequest) -> Option<Release> {
+    pub(crate) async fn find_origin(&self, request: &RoutedRequest) -> Result<Release, Refusal> {
         let asked = self.clock.now();
         let (release, source) = self.look_up_origin(request).await;
         log::info!(
@@ -121,7 +124,13 @@
             took_ms = self.clock.now().since(asked).as_millis() as u64;
             "release of a stream looked up"
         );
-        release
+        release.ok_or_else(|| {
+            let refusal = request.unknown_origin();
+            if source == NO_ANSWER {
+                return refusal.with_retry_after(NO_ANSWER_RETRY_AFTER);
+            }
+            refusal
+        })
     }
 
     async fn look_up_origin(&self, request: &RoutedRequest) -> (Option<Release>, &'static str) {
@@ -153,7 +162,7 @@
                 return (release, "other VM");
             }
         }
-        (None, "no answer")
+        (None, NO_ANSWER)
     }
 
     fn known_origin(&self, key: &StreamKey, service: &ServiceId) -> Lookup {
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -168,6 +168,8 @@
     proven: bool,
 ) -> Result<PooledConn, &'static str> {
     let now = node.clock.now();
+    // Without a listed start time there is nothing to compare with.
+    let proven = proven && slot.born != 0;
     let opening = async {
         if proven {
             let pool = &node.pool;
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -51,7 +51,8 @@
         match stream.watch(node.find_origin(request)).await {
             WatchOutcome::CallerLeft => return StreamOutcome::CallerLeft,
             WatchOutcome::TimedOut => return stream.fail(request.timed_out()),
-            WatchOutcome::Done(release) => request.set_origin(release),
+            WatchOutcome::Done(Ok(release)) => request.set_origin(Some(release)),
+            WatchOutcome::Done(Err(refusal)) => return stream.fail(refusal),
         }
     }
     let mut avoid: Vec<EndpointId> = Vec::new();
