Drop questions for the release of a stream when their request has ended

A VM that knows no other one kept its questions for ever, and woke up 40 times a second for them. They are kept by stream now, and removed with the request that asks. Only the code was read; no test of its own.

--- a/crates/relay/src/process/origin_news.rs
+++ b/crates/relay/src/process/origin_news.rs
@@ -9,6 +9,7 @@
     clock::Instant,
     origins::OriginNews,
     std::{
+        collections::BTreeMap,
         net::{SocketAddr, UdpSocket},
         sync::Arc,
         time::Duration,
@@ -96,7 +97,7 @@
         }
         // A VM that has just started may know no other one yet.
         let asks = if targets.near.is_empty() {
-            Vec::new()
+            BTreeMap::new()
         } else {
             std::mem::take(&mut origins.asks)
         };
@@ -108,7 +109,7 @@
             known.take_doubts(now, targets.is_hub),
         )
     };
-    for ask in &asks {
+    for ask in asks.values() {
         send_all(socket, &targets.near, ask).await;
         if targets.is_hub {
             send_all(socket, &targets.far, ask).await;
--- a/crates/relay/src/process/stream_origins.rs
+++ b/crates/relay/src/process/stream_origins.rs
@@ -29,7 +29,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct StreamOrigins {
     pub(super) known: Origins,
-    pub(super) asks: Vec<OriginNews>,
+    /// By stream, until they are sent or their requests have ended.
+    pub(super) asks: BTreeMap<StreamKey, OriginNews>,
 }
 
 impl StreamOrigins {
@@ -144,14 +145,25 @@
             Lookup::Unknown => return (None, "nobody"),
             Lookup::Ask => {}
         }
+        let answer = self.ask_for_origin(&key, service).await;
+        self.origins.lock().asks.remove(&key);
+        answer.map_or((None, NO_ANSWER), |release| (release, "other VM"))
+    }
+
+    /// What other VMs say of a stream: its release, or that it is unknown. `None` if they don't answer.
+    async fn ask_for_origin(
+        &self,
+        key: &StreamKey,
+        service: &ServiceId,
+    ) -> Option<Option<Release>> {
         for _ in 0..ASKS {
-            let ask = Origins::ask(key, service);
-            self.origins.lock().asks.push(ask);
+            let ask = Origins::ask(*key, service);
+            self.origins.lock().asks.insert(*key, ask);
             self.origins_due.notify(usize::MAX);
             let answered = async {
                 loop {
                     let learned = self.origins_learned.listen();
-                    match self.known_origin(&key, service) {
+                    match self.known_origin(key, service) {
                         Lookup::Ask => learned.await,
                         Lookup::Release(release) => return Some(release),
                         Lookup::Unknown => return None,
@@ -159,10 +171,10 @@
                 }
             };
             if let Ok(release) = timeout(&*self.clock, ASK_TIME, answered).await {
-                return (release, "other VM");
+                return Some(release);
             }
         }
-        (None, NO_ANSWER)
+        None
     }
 
     fn known_origin(&self, key: &StreamKey, service: &ServiceId) -> Lookup {
