Bound the questions that are kept while there is nobody to ask

A request whose caller leaves doesn't remove its question. At most 256 are kept until another VM is known. Only the code was read; no test of its own.

--- a/crates/relay/src/process/origin_news.rs
+++ b/crates/relay/src/process/origin_news.rs
@@ -18,6 +18,8 @@
 
 /// Interval between two rounds of news while there is any.
 const ROUND_INTERVAL: Duration = Duration::from_millis(25);
+/// Questions from which they are no longer kept while there is nobody to ask: their callers may have left.
+const MAX_KEPT_ASKS: usize = 256;
 /// Interval at which old knowledge is dropped.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -96,7 +98,7 @@
             hubs.clone_from(&targets.near);
         }
         // A VM that has just started may know no other one yet.
-        let asks = if targets.near.is_empty() {
+        let asks = if targets.near.is_empty() && origins.asks.len() < MAX_KEPT_ASKS {
             BTreeMap::new()
         } else {
             std::mem::take(&mut origins.asks)
