Log whether a send went over a kept connection, and whether any endpoint responds

`request ended` gets `connection`, and a line tells when all endpoints fall silent for a second while requests wait. No logic is changed.

--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -218,6 +218,12 @@
         placer.activity(self.clock.now(), slot.endpoint())
     }
 
+    /// Time since any endpoint sent something to this VM, while requests wait for endpoints.
+    pub(super) fn endpoint_silence(&self, now: Instant) -> Option<Duration> {
+        let placers = self.placers.lock();
+        placers.values().filter_map(|p| p.silence(now)).min()
+    }
+
     /// Whether this VM lately heard of other endpoints near this one.
     pub(super) fn has_contact_near(&self, service: &ServiceId, id: &EndpointId) -> bool {
         let placers = self.placers.lock();
--- a/crates/relay/src/process/run.rs
+++ b/crates/relay/src/process/run.rs
@@ -26,6 +26,9 @@
 /// Time by which a timer is late from which the process counts as stalled.
 const MIN_STALL: Duration = Duration::from_millis(300);
 
+/// Silence of all endpoints, while requests wait for them, from which it is logged.
+const MIN_LOGGED_SILENCE: Duration = Duration::from_secs(1);
+
 /// What a platform adapter provides.
 pub struct Adapter {
     /// Settings of the VM.
@@ -112,6 +115,7 @@
 
 async fn sweep(node: Arc<Node>) {
     let mut due = node.clock.now() + SWEEP_INTERVAL;
+    let mut hears_endpoints = true;
     loop {
         node.clock.sleep(SWEEP_INTERVAL).await;
         let now = node.clock.now();
@@ -120,6 +124,12 @@
             log::warn!(stalled_ms = late.as_millis() as u64; "this process could not run for a time");
         }
         due = now + SWEEP_INTERVAL;
+        let silence = node.endpoint_silence(now);
+        let heard = silence.is_none_or(|time| time < MIN_LOGGED_SILENCE);
+        if heard != hears_endpoints {
+            log::warn!(hears = heard, silent_ms = silence.map_or(0, |t| t.as_millis() as u64); "responses of all endpoints");
+            hears_endpoints = heard;
+        }
         node.drop_expired();
         node.judge_crashes();
         node.pool.remove_expired(node.clock.now());
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -109,7 +109,7 @@
             sent: false,
         });
     }
-    request.start_send(slot.endpoint(), slot.release.as_ref());
+    request.start_send(slot.endpoint(), slot.release.as_ref(), pooled.reused);
     let dead = async {
         until_dead(node, request, slot).await;
         node.pool.remove_addr(slot.addr);
--- a/crates/relay/src/request/routed_request.rs
+++ b/crates/relay/src/request/routed_request.rs
@@ -46,6 +46,8 @@
     pub(crate) in_flight: bool,
     /// The last endpoint that was chosen.
     pub(crate) endpoint: Option<EndpointId>,
+    /// Whether the last connection that the request was sent on had carried others before.
+    pub(crate) reused: Option<bool>,
     /// Release of the last endpoint that the request was sent to.
     pub(crate) release: Option<Release>,
     /// Which release began the stream.
@@ -178,9 +180,15 @@
     }
 
     /// Records the start of a send.
-    pub(crate) fn start_send(&self, endpoint: &EndpointId, release: Option<&Release>) {
+    pub(crate) fn start_send(
+        &self,
+        endpoint: &EndpointId,
+        release: Option<&Release>,
+        reused: bool,
+    ) {
         let mut progress = self.progress.lock();
         progress.in_flight = true;
+        progress.reused = Some(reused);
         progress.endpoint = Some(endpoint.clone());
         progress.release = release.cloned();
     }
--- a/crates/route/src/placement/placer.rs
+++ b/crates/route/src/placement/placer.rs
@@ -269,6 +269,16 @@
         self.endpoints.get(id)?.health.activity(now)
     }
 
+    /// Time since any endpoint sent something to this VM; `None` if none did, or no request is in flight.
+    pub fn silence(&self, now: Instant) -> Option<Duration> {
+        let endpoints = || self.endpoints.values();
+        if endpoints().all(|e| e.own_load.in_flight == 0) {
+            return None;
+        }
+        let activity = endpoints().filter_map(|e| e.health.activity(now));
+        activity.map(|a| a.last).min()
+    }
+
     /// Whether there is an endpoint beside `avoid` that takes a request and isn't known to be silent.
     pub fn has_other(&self, now: Instant, avoid: &[EndpointId]) -> bool {
         let others = self.endpoints.iter().filter(|(id, _)| !avoid.contains(id));
