--- a/crates/relay/tests/common/router.rs
+++ b/crates/relay/tests/common/router.rs
@@ -117,6 +117,8 @@
     pub(crate) feed: Arc<FakeFeed>,
     pub(crate) log: Arc<FakeLog>,
     pub(crate) name: &'static str,
+    /// Availability zone of the VM.
+    pub(crate) zone: &'static str,
     /// Address of the VM. The VMs of one fleet have different addresses and the same ports.
     pub(crate) ip: IpAddr,
     pub(crate) ports: Ports,
@@ -145,6 +147,7 @@
             feed: Arc::default(),
             log: Arc::default(),
             name: "vm-1",
+            zone: "z",
             ip: IpAddr::from([127, 0, 0, 1]),
             ports: Ports::free(),
             drain: Duration::from_secs(2),
@@ -182,6 +185,7 @@
             feed.push(FeedKind::Endpoints, FeedChange::Listed(endpoint));
         }
         let mut settings = settings(spec.name, spec.seeds, (spec.ip, spec.ports));
+        settings.zone = spec.zone.parse().unwrap();
         settings.bounds.endpoint_drain = spec.drain;
         settings.first_start = spec.first_start;
         let duty_api: Arc<FakeDutyApi> = Arc::default();
