--- a/crates/relay/src/connection/internal.rs
+++ b/crates/relay/src/connection/internal.rs
@@ -1,7 +1,10 @@
 //! Internal HTTP calls: readiness checks of the platform, and state requests of other VMs.
 
 use {
-    crate::process::Node,
+    crate::{
+        process::Node,
+        request::{CARRY_OVERHEAD, CARRY_PATH, serve_carried},
+    },
     async_io::Async,
     clock::timeout,
     h1::{BodyReader, Conn, ResponseHead, request_framing},
@@ -25,11 +28,21 @@
 /// Answers a request by its path and body.
 pub(crate) type InternalHandler = Arc<dyn Fn(&str, Vec<u8>) -> InternalFuture + Send + Sync>;
 
+/// Who calls an internal address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Audience {
+    /// The platform, which checks readiness.
+    Platform,
+    /// Other VMs, which may send requests to be carried.
+    Vms,
+}
+
 /// Accepts internal connections until it is dropped.
 pub(crate) async fn serve_internal(
     node: Arc<Node>,
     listener: Async<TcpListener>,
     handler: InternalHandler,
+    audience: Audience,
 ) {
     loop {
         let conn = match listener.accept().await {
@@ -38,7 +51,7 @@
         };
         match conn {
             Ok(conn) => {
-                let work = serve_connection(node.clone(), conn, handler.clone());
+                let work = serve_connection(node.clone(), conn, handler.clone(), audience);
                 node.executor.spawn(work).detach();
             }
             Err(e) => {
@@ -49,21 +62,43 @@
     }
 }
 
-async fn serve_connection(node: Arc<Node>, mut conn: Conn, handler: InternalHandler) {
-    while serve_call(&node, &mut conn, &handler).await.is_some() {}
+async fn serve_connection(
+    node: Arc<Node>,
+    mut conn: Conn,
+    handler: InternalHandler,
+    audience: Audience,
+) {
+    while serve_call(&node, &mut conn, &handler, audience)
+        .await
+        .is_some()
+    {}
 }
 
 /// Serves one request; `None` if the connection has to be closed.
-async fn serve_call(node: &Node, conn: &mut Conn, handler: &InternalHandler) -> Option<()> {
+async fn serve_call(
+    node: &Arc<Node>,
+    conn: &mut Conn,
+    handler: &InternalHandler,
+    audience: Audience,
+) -> Option<()> {
     let read = timeout(&*node.clock, IDLE_TIMEOUT, conn.request_head(MAX_HEAD)).await;
     let head = read.ok()?.ok()?.ok()??;
     let mut reader = BodyReader::new(request_framing(&head).ok()?);
+    let carries = audience == Audience::Vms && head.path() == CARRY_PATH;
+    let max_body = if carries {
+        Bytes(node.caller_limits().body.0 + CARRY_OVERHEAD.0)
+    } else {
+        MAX_BODY
+    };
     let body = timeout(
         &*node.clock,
         TRANSFER_TIMEOUT,
-        reader.read_all(conn, MAX_BODY),
+        reader.read_all(conn, max_body),
     )
     .await;
+    if carries {
+        return serve_carried(node, conn, &body.ok()?.ok()?).await;
+    }
     let (status, body) = handler(head.path(), body.ok()?.ok()?).await;
     let mut response = ResponseHead::new(status);
     response
--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -6,5 +6,5 @@
 
 pub(crate) use {
     front::{listen, serve_front},
-    internal::{InternalFuture, InternalHandler, serve_internal},
+    internal::{Audience, InternalFuture, InternalHandler, serve_internal},
 };
--- a/crates/relay/src/peers/gossip_message.rs
+++ b/crates/relay/src/peers/gossip_message.rs
@@ -55,4 +55,7 @@
     /// Limits that endpoints named or ended lately.
     #[serde(default)]
     pub(crate) limits: Vec<LimitNotice>,
+    /// Whether it reaches the endpoints and takes requests of others there.
+    #[serde(default)]
+    pub(crate) carries: bool,
 }
--- a/crates/relay/src/peers/hubs.rs
+++ b/crates/relay/src/peers/hubs.rs
@@ -315,6 +315,11 @@
         all.map(|addr| (addr, parts)).collect()
     }
 
+    /// Addresses of the hubs of this zone that were heard from lately.
+    pub(crate) fn known_hubs(&self, now: Instant) -> Vec<SocketAddr> {
+        self.hubs_of(now, &self.zone).map(|(_, p)| p.addr).collect()
+    }
+
     /// Addresses of the hubs of other zones.
     pub(crate) fn other_hubs(&self, now: Instant) -> Vec<SocketAddr> {
         let hubs = self
--- a/crates/relay/src/peers/peer_table.rs
+++ b/crates/relay/src/peers/peer_table.rs
@@ -4,6 +4,7 @@
     super::{FleetRoster, GossipMessage, gossip_message::MAX_ADDRS, hubs::HUBS_PER_ZONE},
     crate::endpoints::ReadSpan,
     clock::Instant,
+    detour::Carrier,
     route::FleetRank,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -48,6 +49,8 @@
     pub(super) vms: u32,
     /// Whether it is a hub.
     pub(super) hub: bool,
+    /// Whether it takes requests of others to their endpoints.
+    carries: bool,
 }
 
 /// Effect of a received datagram.
@@ -184,6 +187,7 @@
             reads: message.reads.map(|ages| ages.span_at(now)),
             vms: message.vms,
             hub: message.hub,
+            carries: message.carries,
         };
         let cleared = previously_loaded
             .difference(&peer.loaded_endpoints)
@@ -220,6 +224,23 @@
         })
     }
 
+    /// The VMs heard from lately that take requests of others to their endpoints; they listen for them on
+    /// `port`.
+    pub(crate) fn carriers(&self, now: Instant, port: u16) -> Vec<Carrier> {
+        let timeout = READER_TIMEOUT.max(self.mesh_interval(now) * 3);
+        let recent = self
+            .live(now)
+            .filter(|(_, p)| p.carries && now.since(p.last_heard) < timeout);
+        recent
+            .map(|(vm, p)| Carrier {
+                vm: vm.clone(),
+                addr: SocketAddr::new(p.addr.ip(), port),
+                zone: p.zone.clone(),
+                millicores: p.millicores,
+            })
+            .collect()
+    }
+
     /// A random sample of the addresses of live VMs.
     pub(crate) fn sample_addresses(&self, now: Instant) -> Vec<SocketAddr> {
         let live = self.live_peers(now).map(|p| p.addr);
--- a/crates/relay/src/peers/tests.rs
+++ b/crates/relay/src/peers/tests.rs
@@ -95,6 +95,7 @@
         vm.seq += 1;
         let status = vm.table.hub_status(now);
         GossipMessage {
+            carries: false,
             vm: format!("vm-{at:04}").parse().unwrap(),
             inc: Incarnation(1),
             zone: vm.zone.clone(),
--- a/crates/relay/src/process/accounting.rs
+++ b/crates/relay/src/process/accounting.rs
@@ -67,12 +67,13 @@
             Some(false) => "new",
             None => "",
         };
+        let carrier = progress.carrier.as_ref().map_or("", |vm| vm.as_str());
         let first = progress.first_event.map_or(0, |d| d.as_millis() as u64);
         log::info!(
             request:% = request.caller.id, route:% = request.route.id, service:% = request.service,
             org = request.org.as_ref().map_or("", |o| o.id.as_str()), tier = request.tier.0,
             urgency = request.urgency.0, version = request.version.0, endpoint = endpoint, release = release, resumes = resumes,
-            sends = progress.sends(), connection = connection, verdict:% = progress.verdict(), cause = progress.cause.unwrap_or(""),
+            sends = progress.sends(), connection = connection, carrier = carrier, verdict:% = progress.verdict(), cause = progress.cause.unwrap_or(""),
             expected_ms = progress.predicted.as_millis() as u64,
             ahead_ms = progress.queue_delay.as_millis() as u64, fetched_from = source,
             first_ms = first, events = progress.events, took_ms = took.as_millis() as u64,
--- a/crates/relay/src/process/crashes.rs
+++ b/crates/relay/src/process/crashes.rs
@@ -6,7 +6,7 @@
         Node,
         gossip::{DatagramKind, MAX_DATAGRAM_BYTES, send},
     },
-    crate::request::{RoutedRequest, SlotLease},
+    crate::request::{EndpointTarget, RoutedRequest, SlotLease},
     async_io::Async,
     compact_str::{CompactString, ToCompactString},
     route::{CrashChange, CrashNews, EndpointStart, Suspect},
@@ -17,7 +17,6 @@
         sync::Arc,
         time::Duration,
     },
-    types::ServiceId,
 };
 
 /// First bytes of encoded news; no other datagram begins with them.
@@ -61,7 +60,7 @@
             i64::try_from(a.last.as_millis()).unwrap_or(i64::MAX)
         });
         log::info!(
-            request:% = request.caller.id, endpoint:% = slot.endpoint(), born = slot.born, cause = cause,
+            request:% = request.caller.id, endpoint:% = slot.endpoint(), born = slot.target.born, cause = cause,
             heard_ms = heard_ms, events = request.progress.lock().events, suspects = join(&request.suspects).as_str();
             "request cut by its endpoint"
         );
@@ -70,7 +69,7 @@
 
     /// Finds out whether the endpoint has crashed, if the request may be the cause.
     pub(crate) fn suspect_crash(self: &Arc<Self>, request: &RoutedRequest, slot: &SlotLease) {
-        let start = slot.endpoint_start();
+        let start = slot.target.start();
         // An endpoint that leaves is expected to end.
         if !slot.on_trial() || self.registry.lock().has_left(&start.id, start.born) {
             return;
@@ -81,7 +80,7 @@
             .lock()
             .record_cut(now, &start, &request.suspects);
         if needs_check {
-            let check = check_endpoint(self.clone(), start, slot.service().clone());
+            let check = check_endpoint(self.clone(), slot.target.clone());
             self.executor.spawn(check).detach();
         }
     }
@@ -96,7 +95,7 @@
 
     /// Records that an endpoint went on with a request after a silence, so that it has not crashed.
     pub(crate) fn record_alive(&self, slot: &SlotLease) {
-        let (now, start) = (self.clock.now(), slot.endpoint_start());
+        let (now, start) = (self.clock.now(), slot.target.start());
         self.crashes.lock().record_alive(now, &start, slot.began);
     }
 
@@ -126,25 +125,10 @@
     }
 }
 
-async fn check_endpoint(node: Arc<Node>, start: EndpointStart, service: ServiceId) {
+async fn check_endpoint(node: Arc<Node>, target: EndpointTarget) {
     node.clock.sleep(CHECK_DELAY).await;
-    let opened = node.open_spare(start.addr, CHECK_TIMEOUT).await;
-    let check = match opened {
-        Ok(Ok(())) => {
-            if restarts(&node, &start).await {
-                Check::Restarted
-            } else {
-                Check::Alive
-            }
-        }
-        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Check::Refused,
-        Ok(Err(e)) => {
-            log::warn!(endpoint:% = start.id, error:% = e; "cannot check an endpoint that cut a request");
-            Check::Unknown
-        }
-        Err(_) if node.has_contact_near(&service, &start.id) => Check::Silent,
-        Err(_) => Check::Unknown,
-    };
+    let start = target.start();
+    let check = check_directly(&node, &target).await;
     let crashed = matches!(check, Check::Restarted | Check::Refused | Check::Silent);
     log::info!(
         endpoint:% = start.id, born = start.born, check:? = check, crashed = crashed;
@@ -154,6 +138,29 @@
     node.crashes.lock().end_check(now, &start, crashed);
 }
 
+async fn check_directly(node: &Node, target: &EndpointTarget) -> Check {
+    let opened = node.open_spare(target.addr, CHECK_TIMEOUT).await;
+    match opened {
+        Ok(Ok(())) => check_restart(node, target).await,
+        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Check::Refused,
+        Ok(Err(e)) => {
+            log::warn!(endpoint:% = target.id, error:% = e; "cannot check an endpoint that cut a request");
+            Check::Unknown
+        }
+        Err(_) if node.has_contact_near(&target.service, &target.id) => Check::Silent,
+        Err(_) => Check::Unknown,
+    }
+}
+
+/// What an endpoint that accepts connections shows.
+async fn check_restart(node: &Node, target: &EndpointTarget) -> Check {
+    if restarts(node, &target.start()).await {
+        Check::Restarted
+    } else {
+        Check::Alive
+    }
+}
+
 /// Whether an endpoint is listed with a later start time, now or within `RELIST_TIME`.
 async fn restarts(node: &Node, start: &EndpointStart) -> bool {
     let end = node.clock.now() + RELIST_TIME;
--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -148,6 +148,7 @@
     };
     let mut loads: Vec<_> = loads.into_iter().collect();
     let rates: Vec<_> = rates.into_iter().collect();
+    let carries = node.carries();
     let departures = node.registry.lock().recent_departures(now);
     let (status, addrs) = {
         let peers = node.peers.lock();
@@ -176,6 +177,7 @@
             seeks: parts.seeks,
             departures: departures.clone(),
             limits: limits.to_vec(),
+            carries,
         };
         let Ok(bytes) = rmp_serde::to_vec(&message) else {
             log::error!("cannot encode a gossip datagram");
--- a/crates/relay/src/process/liveness.rs
+++ b/crates/relay/src/process/liveness.rs
@@ -2,11 +2,11 @@
 
 use {
     super::Node,
-    crate::request::SlotLease,
+    crate::request::{EndpointTarget, Probe, SlotLease, probe},
     clock::{Elapsed, Instant, timeout},
+    detour::ConnectFailure,
     h1::Conn,
     std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration},
-    types::{EndpointId, ServiceId},
 };
 
 /// Timeout of a check.
@@ -47,7 +47,7 @@
     /// Checks whether the endpoint of a lease accepts connections, unless that has just been checked:
     /// many requests wait for an endpoint that is silent.
     pub(crate) fn check_connections(self: &Arc<Self>, slot: &SlotLease) {
-        let (addr, began) = (slot.addr, self.clock.now());
+        let (addr, began) = (slot.target.addr, self.clock.now());
         let mut checks = self.connection_checks.lock();
         checks
             .0
@@ -63,35 +63,32 @@
         };
         checks.0.insert(addr, check);
         drop(checks);
-        let (service, id) = (slot.service().clone(), slot.endpoint().clone());
-        let check = check_endpoint(self.clone(), addr, service, id);
+        let check = check_endpoint(self.clone(), slot.target.clone());
         self.executor.spawn(check).detach();
     }
 
     /// Opens a connection to an endpoint and keeps it for a request.
-    pub(super) async fn open_spare(
+    pub(crate) async fn open_spare(
         &self,
         addr: SocketAddr,
         limit: Duration,
     ) -> Result<io::Result<()>, Elapsed> {
         let opened = timeout(&*self.clock, limit, Conn::connect(addr)).await?;
-        Ok(opened.map(|conn| self.pool.put_unused(self.clock.now(), addr, conn)))
+        Ok(opened.map(|conn| {
+            self.record_accepted();
+            self.pool.put_unused(self.clock.now(), addr, conn);
+        }))
     }
 }
 
-async fn check_endpoint(node: Arc<Node>, addr: SocketAddr, service: ServiceId, id: EndpointId) {
-    let opened = node.open_spare(addr, CHECK_TIMEOUT).await;
-    let accepts = match opened {
-        Ok(Ok(())) => Some(true),
-        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Some(false),
-        Ok(Err(e)) => {
-            log::warn!(endpoint:% = id, addr:% = addr, error:% = e; "cannot check a silent endpoint");
-            None
-        }
-        Err(_) => node.has_contact_near(&service, &id).then_some(false),
+async fn check_endpoint(node: Arc<Node>, target: EndpointTarget) {
+    let accepts = match accepts_directly(&node, &target).await {
+        // The reason may be with the links of this VM.
+        Some(false) | None if !node.is_connected() => accepts_carrier(&node, &target).await,
+        accepts => accepts,
     };
-    log::info!(endpoint:% = id, addr:% = addr, accepts:? = accepts; "silent endpoint checked");
-    if let Some(check) = node.connection_checks.lock().0.get_mut(&addr) {
+    log::info!(endpoint:% = target.id, addr:% = target.addr, accepts:? = accepts; "silent endpoint checked");
+    if let Some(check) = node.connection_checks.lock().0.get_mut(&target.addr) {
         check.accepts = accepts;
         match accepts {
             Some(true) => check.refusals = 0,
@@ -100,3 +97,40 @@
         }
     }
 }
+
+async fn accepts_directly(node: &Node, target: &EndpointTarget) -> Option<bool> {
+    if !node.is_connected() {
+        return None;
+    }
+    let began = node.clock.now();
+    let opened = node.open_spare(target.addr, CHECK_TIMEOUT).await;
+    let failure = ConnectFailure {
+        addr: target.addr,
+        took: node.clock.now().since(began),
+        limit: CHECK_TIMEOUT,
+    };
+    match opened {
+        Ok(Ok(())) => Some(true),
+        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
+            node.record_connect_failure(failure, Some(&e));
+            Some(false)
+        }
+        Ok(Err(e)) => {
+            log::warn!(endpoint:% = target.id, addr:% = target.addr, error:% = e; "cannot check a silent endpoint");
+            None
+        }
+        Err(Elapsed) => {
+            node.record_connect_failure(failure, None);
+            let contact = node.has_contact_near(&target.service, &target.id);
+            contact.then_some(false)
+        }
+    }
+}
+
+/// Whether an endpoint accepts connections of a VM that reaches the endpoints; `None` if none says so.
+async fn accepts_carrier(node: &Arc<Node>, target: &EndpointTarget) -> Option<bool> {
+    match probe(node, target).await? {
+        Probe::Accepts => Some(true),
+        Probe::Refuses | Probe::Silent => Some(false),
+    }
+}
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -9,6 +9,7 @@
 mod feed_reader;
 mod gossip;
 mod lifecycle;
+mod links;
 mod liveness;
 mod node;
 mod notices;
@@ -26,6 +27,7 @@
 pub(crate) use {
     feed_reader::Freshness,
     lifecycle::{ConnectionGuard, Lifecycle},
+    links::CarrierLease,
     liveness::ConnectionChecks,
     node::Node,
     stream_origins::StreamOrigins,
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -14,13 +14,17 @@
     },
     async_executor::Executor,
     clock::{Instant, SharedClock},
+    detour::{CarrierTable, Reachability},
     event_listener::Event,
     h1::Pool,
     parking_lot::{Mutex, RwLock},
     route::{CrashTable, Placer, SlidingRetryBudget},
     std::{
         collections::BTreeMap,
-        sync::{Arc, atomic::AtomicU64},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, AtomicUsize},
+        },
         time::Duration,
     },
     types::{Incarnation, ServiceId},
@@ -58,6 +62,14 @@
     pub(crate) origins_learned: Event,
     /// Checks of silent endpoints. Not locked together with anything else.
     pub(crate) connection_checks: Mutex<ConnectionChecks>,
+    /// Whether this VM reaches the endpoints. Not locked together with anything else.
+    pub(crate) reachability: Mutex<Reachability>,
+    /// Notified when it begins or ceases to reach them.
+    pub(crate) link_changed: Event,
+    /// The VMs that may carry requests. Not locked together with anything else.
+    pub(crate) carriers: Mutex<CarrierTable>,
+    /// Number of requests of other VMs that this one carries.
+    pub(super) carried: AtomicUsize,
     /// Sequence number of the next gossip message.
     pub(crate) gossip_seq: AtomicU64,
     pub(crate) window_counter: Mutex<WindowCounter>,
@@ -106,6 +118,10 @@
             origins_due: Event::new(),
             origins_learned: Event::new(),
             connection_checks: Mutex::default(),
+            reachability: Mutex::default(),
+            link_changed: Event::new(),
+            carriers: Mutex::new(CarrierTable::new(fastrand::u64(..))),
+            carried: AtomicUsize::new(0),
             gossip_seq: AtomicU64::new(1),
             window_counter: Mutex::default(),
             count_keeper: Mutex::default(),
--- a/crates/relay/src/process/notices.rs
+++ b/crates/relay/src/process/notices.rs
@@ -5,10 +5,10 @@
     crate::{
         adapter::ResponseHeaders,
         endpoints::{EndpointChange, Registry, RegistryChange},
-        request::{RoutedRequest, SlotLease},
+        request::EndpointTarget,
     },
     route::LimitNotice,
-    types::{EndpointId, PerSecond},
+    types::{AttemptId, EndpointId, PerSecond},
 };
 
 impl Node {
@@ -34,35 +34,35 @@
     /// Applies what a response of an endpoint says of the endpoint itself.
     pub(crate) fn note_response(
         &self,
-        slot: &SlotLease,
-        request: &RoutedRequest,
+        target: &EndpointTarget,
+        attempt: &AttemptId,
         (status, said): (u16, &ResponseHeaders),
     ) {
         // The response of another instance at the same address says nothing of this one.
         if said.misdirected {
             return;
         }
-        let id = slot.endpoint();
+        let id = &target.id;
         let notice = said.notice;
         let now = self.clock.now();
-        if notice.leaving && self.mark_leaving(id, slot.born) {
-            log::info!(endpoint:% = id, request:% = request.caller.id, status = status; "endpoint says that it leaves");
+        if notice.leaving && self.mark_leaving(id, target.born) {
+            log::info!(endpoint:% = id, request:% = attempt, status = status; "endpoint says that it leaves");
         }
         if let Some(time) = notice.busy_for {
             let mut registry = self.registry.lock();
-            registry.close(now, id, slot.born, now + time);
+            registry.close(now, id, target.born, now + time);
             self.restrict(&registry, id);
             log::info!(
-                endpoint:% = id, request:% = request.caller.id, status = status,
+                endpoint:% = id, request:% = attempt, status = status,
                 busy_ms = time.as_millis() as u64;
                 "endpoint refuses requests for a time"
             );
         }
         let mut registry = self.registry.lock();
-        if registry.set_limit(now, (id, slot.born), notice.limit) {
+        if registry.set_limit(now, (id, target.born), notice.limit) {
             self.restrict(&registry, id);
             log::info!(
-                endpoint:% = id, request:% = request.caller.id, status = status,
+                endpoint:% = id, request:% = attempt, status = status,
                 limit = notice.limit.map_or(-1.0, PerSecond::get);
                 "endpoint changed its limit"
             );
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -5,10 +5,11 @@
     crate::{
         configuration::{Config, RouteKind},
         endpoints::Endpoint,
-        request::{RoutedRequest, SlotLease, StreamOrigin},
+        request::{EndpointTarget, RoutedRequest, SlotLease, StreamOrigin},
     },
     admit::{Forecast, QueueForecast},
     clock::Instant,
+    detour::Link,
     route::{
         Activity, EndpointSpec, EngineProfile, FleetRank, Placement, PlacementOutcome,
         PlacementRequest, Placer, SlidingRetryBudget,
@@ -80,13 +81,13 @@
         placers.values_mut().for_each(|p| p.set_rank(now, rank));
     }
 
-    /// Whether the endpoint of a lease still takes requests: it may have closed while a connection
+    /// Whether an endpoint still takes requests: it may have closed while a connection
     /// was opened.
-    pub(crate) fn still_accepts(&self, slot: &SlotLease) -> bool {
-        let id = slot.endpoint();
+    pub(crate) fn still_accepts(&self, target: &EndpointTarget) -> bool {
+        let id = &target.id;
         let registry = self.registry.lock();
         let placers = self.placers.lock();
-        let placer = placers.get(slot.service());
+        let placer = placers.get(&target.service);
         registry.accepting(id).is_some() && placer.is_some_and(|p| p.is_open(self.clock.now(), id))
     }
 
@@ -192,6 +193,8 @@
             let placer = placers.get(&request.service);
             placer.is_some_and(|p| p.has_other(now, avoid))
         };
+        // The other endpoints may be as silent if the fault is with the links of this VM.
+        let has_other = has_other || self.link() == Link::Cut;
         if !has_other || !self.with_budget(&request.service, |b| b.has_retry(now)) {
             return None;
         }
--- a/crates/relay/src/process/run.rs
+++ b/crates/relay/src/process/run.rs
@@ -7,13 +7,16 @@
         duty_worker::run_duties,
         feed_reader::follow_feed,
         gossip,
+        links::{CARRIERS_PATH, follow_carriers, serve_carriers, watch_links},
         origin_news::{expire_origins, send_origin_news},
         shutdown::shut_down,
         state_sync::{STATE_PATH, fetch_initial_state, follow_readers, serve_state},
     },
     crate::{
         adapter::{DutyApi, Feed, FeedKind, HeaderCodec, NodeSettings, SharedLog},
-        connection::{InternalFuture, InternalHandler, listen, serve_front, serve_internal},
+        connection::{
+            Audience, InternalFuture, InternalHandler, listen, serve_front, serve_internal,
+        },
     },
     async_io::Async,
     eyre::{Result, WrapErr},
@@ -69,11 +72,17 @@
         )),
         ex.spawn(follow_feed(node.clone(), feed, FeedKind::Endpoints)),
         ex.spawn(serve_front(node.clone(), front)),
-        ex.spawn(serve_internal(node.clone(), ready, ready_handler(&node))),
+        ex.spawn(serve_internal(
+            node.clone(),
+            ready,
+            ready_handler(&node),
+            Audience::Platform,
+        )),
         ex.spawn(serve_internal(
             node.clone(),
             control,
             control_handler(&node),
+            Audience::Vms,
         )),
         ex.spawn(gossip::receive_gossip(node.clone(), socket.clone())),
         ex.spawn(gossip::send_gossip(node.clone(), socket.clone())),
@@ -83,6 +92,8 @@
         ex.spawn(follow_readers(node.clone())),
         ex.spawn(run_duties(node.clone(), log.clone(), duty_api)),
         ex.spawn(store_counts(node.clone(), log.clone())),
+        ex.spawn(watch_links(node.clone())),
+        ex.spawn(follow_carriers(node.clone())),
         ex.spawn(sweep(node.clone())),
     ];
     process.stop.wait().await;
@@ -101,11 +112,13 @@
 
 fn control_handler(node: &Arc<Node>) -> InternalHandler {
     let node = node.clone();
-    Arc::new(move |path, body| {
-        if path != STATE_PATH {
-            return status_only(404);
+    Arc::new(move |path, body| match path {
+        STATE_PATH => Box::pin(serve_state(node.clone(), body)),
+        CARRIERS_PATH => {
+            let response = serve_carriers(&node);
+            Box::pin(async move { response })
         }
-        Box::pin(serve_state(node.clone(), body))
+        _ => status_only(404),
     })
 }
 
@@ -121,6 +134,7 @@
         let now = node.clock.now();
         let late = now.since(due);
         if late >= MIN_STALL {
+            node.reachability.lock().record_pause();
             log::warn!(stalled_ms = late.as_millis() as u64; "this process could not run for a time");
         }
         due = now + SWEEP_INTERVAL;
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -1,42 +1,33 @@
 //! One attempt of a request at one endpoint, up to the head of the response.
 
 use {
-    super::{routed_request::RoutedRequest, slot_lease::SlotLease, start_proof::prove_start},
+    super::{
+        carried_request::CarriedRequest,
+        endpoint_call::{EndpointCall, OpenFailure},
+        path::{Path, PendingResponse, SendOutcome},
+        routed_request::RoutedRequest,
+        slot_lease::SlotLease,
+    },
     crate::{adapter::ForwardHeaders, process::Node},
-    clock::timeout,
+    detour::{CarryRefusal, Link},
     futures_lite::FutureExt,
-    h1::{BodyError, BodyReader, Framing, PooledConn, ResponseHead, response_framing},
+    route::PlacementOutcome,
     std::{sync::Arc, time::Duration},
-    types::{Bytes, Verdict},
+    types::{Verdict, VmId},
 };
 
-/// Timeout of connecting: enough for two round trips between zones and one lost packet.
-pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time after which an endpoint that has been silent towards all requests of this VM is given up.
 const DEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// The same for a request that may go on through another VM, while this one reaches no endpoint.
+const CUT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time of silence after which it is checked whether the endpoint accepts connections.
 const CHECK_TIME: Duration = Duration::from_secs(1);
 /// Checks in a row in which an endpoint that is given up accepted none: a packet may be lost.
 const MIN_REFUSED_CHECKS: u32 = 2;
 /// Interval between two checks of whether an endpoint that has not responded yet is silent.
 const SILENCE_POLL: Duration = Duration::from_millis(400);
-/// Largest head of a response.
-const MAX_HEAD: Bytes = Bytes(32 * 1024);
-/// Largest body of a buffered response.
-const MAX_BODY: Bytes = Bytes(4 * 1024 * 1024);
-/// Largest number of late responses to earlier requests that are skipped on one connection.
-const MAX_STALE_RESPONSES: usize = 3;
-
-/// A response whose head has arrived and whose body is still to be read.
-pub(super) struct PendingResponse {
-    pub(super) pooled: PooledConn,
-    pub(super) head: ResponseHead,
-    pub(super) reader: BodyReader,
-    /// Whether the request was written completely; otherwise the connection cannot be reused.
-    request_written: bool,
-    /// Whether the body ends where the connection is closed.
-    until_close: bool,
-}
+/// Carriers that a request is sent to until one takes it.
+const MAX_CARRIERS: usize = 3;
 
 /// What an attempt needs beside the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -52,82 +43,135 @@
 pub(super) struct FailedAttempt {
     pub(super) verdict: Verdict,
     pub(super) cause: &'static str,
-    pub(super) outcome: route::PlacementOutcome,
+    pub(super) outcome: PlacementOutcome,
     /// Whether any byte of the request was written.
     pub(super) sent: bool,
 }
 
-impl PendingResponse {
-    /// Reads the body, and returns the connection to the pool if it can be reused.
-    pub(super) async fn read_body(
-        mut self,
-        node: &Node,
-        slot: &SlotLease,
-    ) -> Result<(ResponseHead, Vec<u8>), BodyError> {
-        let body = self
-            .reader
-            .read_all(&mut self.pooled.conn, MAX_BODY)
-            .await?;
-        Ok((self.return_connection(node, slot), body))
-    }
-
-    /// Returns the connection to the pool after a complete response, if it can be reused.
-    pub(super) fn return_connection(self, node: &Node, slot: &SlotLease) -> ResponseHead {
-        if self.request_written && !self.until_close && self.reader.is_done() {
-            node.pool
-                .put_back(node.clock.now(), slot.addr, self.pooled, &self.head);
+impl FailedAttempt {
+    /// Nothing was sent to the endpoint.
+    fn unsent(cause: &'static str, outcome: PlacementOutcome) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            cause,
+            outcome,
+            sent: false,
         }
-        self.head
     }
 }
 
-/// Sends the request and reads the head of the response. `opened` is a connection to the endpoint, if
-/// there is one already.
+/// Sends the request and reads the head of the response. `opened` is a connection for it, if there is
+/// one already.
 pub(super) async fn attempt(
     node: &Arc<Node>,
     request: &RoutedRequest,
     slot: &SlotLease,
     spec: AttemptSpec,
-    opened: Option<PooledConn>,
+    opened: Option<Path>,
 ) -> Result<PendingResponse, FailedAttempt> {
-    let pooled = match opened {
+    let mut path = match opened {
         Some(opened) => opened,
         None => connect(node, request, slot, spec.proven).await?,
     };
-    let quarantined = node.quarantine(request).is_some();
-    if quarantined || !node.still_accepts(slot) {
-        let cause = if quarantined {
-            "others like it crashed endpoints"
-        } else {
-            "endpoint closed to new requests"
-        };
-        request.connect_failed(slot.endpoint(), cause);
-        return Err(FailedAttempt {
-            verdict: Verdict::NotRun,
-            cause,
-            outcome: route::PlacementOutcome::Unsent,
-            sent: false,
-        });
+    let mut tried: Vec<VmId> = Vec::new();
+    loop {
+        let quarantined = node.quarantine(request).is_some();
+        if quarantined || !node.still_accepts(&slot.target) {
+            let cause = if quarantined {
+                "others like it crashed endpoints"
+            } else {
+                "endpoint closed to new requests"
+            };
+            request.connect_failed(slot.endpoint(), cause);
+            return Err(FailedAttempt::unsent(cause, PlacementOutcome::Unsent));
+        }
+        tried.extend(path.carrier().cloned());
+        request.start_send(slot, &path);
+        match send(node, request, slot, spec, path).await {
+            SendOutcome::Answered(pending) => {
+                return check_not_run(node, request, slot, *pending).await;
+            }
+            SendOutcome::Lost(cause) => {
+                node.note_cut(request, slot, cause);
+                request.end_send(Verdict::MayHaveRun, Some(cause));
+                return Err(FailedAttempt {
+                    verdict: Verdict::MayHaveRun,
+                    cause,
+                    outcome: PlacementOutcome::Failed,
+                    sent: true,
+                });
+            }
+            SendOutcome::NotCarried(refusal) => {
+                let cause = not_carried(refusal);
+                request.cancel_send(cause);
+                let next = if refusal.is_of_carrier() && tried.len() < MAX_CARRIERS {
+                    Path::through_carrier(node, slot, &tried).await
+                } else {
+                    None
+                };
+                let Some(next) = next else {
+                    let outcome = match refusal {
+                        CarryRefusal::Refused | CarryRefusal::Unreachable => {
+                            PlacementOutcome::Unreachable
+                        }
+                        _ => PlacementOutcome::Unsent,
+                    };
+                    return Err(FailedAttempt::unsent(cause, outcome));
+                };
+                path = next;
+            }
+        }
     }
-    request.start_send(slot.endpoint(), slot.release.as_ref(), pooled.reused);
+}
+
+/// Sends the request over a path, until the head of the response is there or the endpoint is given up.
+async fn send(
+    node: &Arc<Node>,
+    request: &RoutedRequest,
+    slot: &SlotLease,
+    spec: AttemptSpec,
+    path: Path,
+) -> SendOutcome {
+    let carried = CarriedRequest {
+        vm: node.settings.vm.clone(),
+        service: slot.target.service.clone(),
+        endpoint: slot.target.id.clone(),
+        born: slot.target.born,
+        attempt: request.caller.id.clone(),
+        proven: spec.proven,
+        timeout_ms: request.remaining(node.clock.now()).as_millis() as u64,
+        method: request.head.method.as_str().into(),
+        bytes: request_bytes(node, request, slot, spec.last_event),
+    };
     let dead = async {
         until_dead(node, request, slot).await;
-        node.pool.remove_addr(slot.addr);
-        Err("no answer from the endpoint")
+        node.pool.remove_addr(slot.target.addr);
+        SendOutcome::Lost("no answer from the endpoint")
     };
-    let answer = exchange(node, request, slot, pooled, spec.last_event);
-    match answer.or(dead).await {
-        Ok(pending) => check_not_run(node, request, slot, pending).await,
-        Err(cause) => {
-            node.note_cut(request, slot, cause);
-            request.end_send(Verdict::MayHaveRun, Some(cause));
-            Err(FailedAttempt {
-                verdict: Verdict::MayHaveRun,
-                cause,
-                outcome: route::PlacementOutcome::Failed,
-                sent: true,
-            })
-        }
+    let call = endpoint_call(node, request, slot);
+    path.send(call, carried).or(dead).await
+}
+
+fn endpoint_call<'a>(
+    node: &'a Node,
+    request: &'a RoutedRequest,
+    slot: &'a SlotLease,
+) -> EndpointCall<'a> {
+    EndpointCall {
+        node,
+        target: &slot.target,
+        attempt: &request.caller.id,
+    }
+}
+
+fn not_carried(refusal: CarryRefusal) -> &'static str {
+    match refusal {
+        CarryRefusal::Cut => "carrying VM reaches no endpoint",
+        CarryRefusal::Busy => "carrying VM is busy",
+        CarryRefusal::Stopping => "carrying VM shuts down",
+        CarryRefusal::Refused => "connection of the carrying VM refused",
+        CarryRefusal::Unreachable => "connection of the carrying VM timed out",
+        CarryRefusal::Closed => "endpoint closed to the carrying VM",
     }
 }
 
@@ -136,7 +180,7 @@
 /// have crashed it.
 pub(super) async fn until_dead(node: &Arc<Node>, request: &RoutedRequest, slot: &SlotLease) {
     let began = node.clock.now();
-    let start = slot.endpoint_start();
+    let start = slot.target.start();
     let mut suspected = false;
     loop {
         let restarted = node.has_restarted(&start);
@@ -149,8 +193,13 @@
         }
         let waited = node.clock.now().since(began);
         let quiet = node.activity(slot).map_or(waited, |a| a.last.min(waited));
+        let cut = node.link() == Link::Cut;
+        if cut && quiet >= CUT_TIMEOUT && request.route.kind.is_idempotent() {
+            return;
+        }
         if quiet >= CHECK_TIME {
-            if quiet >= DEAD_TIMEOUT && node.refused_checks(slot.addr) >= MIN_REFUSED_CHECKS {
+            if quiet >= DEAD_TIMEOUT && node.refused_checks(slot.target.addr) >= MIN_REFUSED_CHECKS
+            {
                 return;
             }
             node.check_connections(slot);
@@ -159,91 +208,40 @@
     }
 }
 
-/// Opens a connection to the endpoint of a slot, or takes an idle one; with `proven`, one on which the
-/// endpoint has said that it is the listed process.
+/// Opens a connection on which a request gets to the endpoint of a slot: one of this VM, or one to a VM
+/// that carries it while this one reaches no endpoint. With `proven`, the endpoint must say on the
+/// connection that it is the listed process; a carrier sees to that when it gets the request.
 pub(super) async fn open(
-    node: &Node,
+    node: &Arc<Node>,
     request: &RoutedRequest,
     slot: &SlotLease,
     proven: bool,
-) -> Result<PooledConn, &'static str> {
-    let now = node.clock.now();
-    // Without a listed start time there is nothing to compare with.
-    let proven = proven && slot.born != 0;
-    let opening = async {
-        if proven {
-            let pool = &node.pool;
-            return pool.take_proven_or_connect(now, slot.addr, slot.born).await;
+) -> Result<Path, &'static str> {
+    let mut failure = OpenFailure::Cut;
+    if node.is_connected() {
+        match endpoint_call(node, request, slot).open(proven).await {
+            Ok(pooled) => return Ok(pooled.into()),
+            Err(e) if node.is_connected() => return Err(e.cause()),
+            Err(e) => failure = e,
         }
-        node.pool.take_or_connect(now, slot.addr).await
-    };
-    let pooled = match timeout(&*node.clock, CONNECT_TIMEOUT, opening).await {
-        Ok(Ok(pooled)) => pooled,
-        Ok(Err(_)) => return Err("connection refused"),
-        Err(_) => return Err("connection timed out"),
-    };
-    let kind = if pooled.reused { "reused" } else { "new" };
-    metrics::counter!("celerystage_endpoint_connections_total", "kind" => kind).increment(1);
-    if proven {
-        return prove_start(node, request, slot, pooled).await;
     }
-    Ok(pooled)
+    let carried = Path::through_carrier(node, slot, &[]).await;
+    carried.ok_or(failure.cause())
 }
 
 async fn connect(
-    node: &Node,
+    node: &Arc<Node>,
     request: &RoutedRequest,
     slot: &SlotLease,
     proven: bool,
-) -> Result<PooledConn, FailedAttempt> {
+) -> Result<Path, FailedAttempt> {
     open(node, request, slot, proven).await.map_err(|cause| {
         request.connect_failed(slot.endpoint(), cause);
-        node.pool.remove_addr(slot.addr);
-        FailedAttempt {
-            verdict: Verdict::NotRun,
-            cause,
-            outcome: route::PlacementOutcome::Unreachable,
-            sent: false,
-        }
+        node.pool.remove_addr(slot.target.addr);
+        FailedAttempt::unsent(cause, PlacementOutcome::Unreachable)
     })
 }
 
-async fn exchange(
-    node: &Node,
-    request: &RoutedRequest,
-    slot: &SlotLease,
-    mut pooled: PooledConn,
-    last_event: Option<u64>,
-) -> Result<PendingResponse, &'static str> {
-    let bytes = request_bytes(node, request, slot, last_event);
-    let conn = &mut pooled.conn;
-    let first = conn.exchange(&bytes, MAX_HEAD).await;
-    let (mut head, request_written) = first.map_err(|_| "connection lost before an answer")?;
-    for _ in 0..MAX_STALE_RESPONSES {
-        let framing =
-            response_framing(&head, &request.head.method).map_err(|_| "malformed answer")?;
-        let parsed = node.codec.parse_response(&head);
-        node.note_response(slot, request, (head.status, &parsed));
-        let matches_request = parsed.id.as_ref() == Some(&request.caller.id);
-        if matches_request || (parsed.id.is_none() && head.status >= 300) {
-            return Ok(PendingResponse {
-                pooled,
-                head,
-                reader: BodyReader::new(framing),
-                request_written,
-                until_close: framing == Framing::Close,
-            });
-        }
-        log::warn!(request:% = request.caller.id, endpoint:% = slot.endpoint(), status = head.status; "skipped a late response to another request");
-        let mut rest = BodyReader::new(framing);
-        let skipped = rest.read_all(conn, MAX_BODY).await;
-        skipped.map_err(|_| "malformed answer")?;
-        let next = conn.response_head(MAX_HEAD).await;
-        head = next.map_err(|_| "connection lost before an answer")?;
-    }
-    Err("too many answers to other requests")
-}
-
 /// Turns a response that says that the request did not run into a failed attempt.
 async fn check_not_run(
     node: &Arc<Node>,
@@ -262,14 +260,14 @@
     };
     request.end_send(Verdict::NotRun, Some(cause));
     if parsed.misdirected {
-        node.pool.remove_addr(slot.addr);
+        node.pool.remove_addr(slot.target.addr);
     } else if let Err(e) = pending.read_body(node, slot).await {
         log::debug!(endpoint:% = slot.endpoint(), error:% = e; "incomplete body of a refusal");
     }
     let outcome = if parsed.misdirected {
-        route::PlacementOutcome::Unreachable
+        PlacementOutcome::Unreachable
     } else {
-        route::PlacementOutcome::Refused
+        PlacementOutcome::Refused
     };
     Err(FailedAttempt {
         verdict: Verdict::NotRun,
@@ -288,7 +286,7 @@
     let mut head = request.head.clone();
     let forwarded = ForwardHeaders {
         endpoint: slot.endpoint(),
-        timeout: Some(request.deadline.since(node.clock.now())),
+        timeout: Some(request.remaining(node.clock.now())),
         org: request.org.as_ref().map(|o| &o.id),
         urgency: request.caller.prompt.as_ref().map(|_| request.urgency),
         last_event,
--- a/crates/relay/src/request/buffered.rs
+++ b/crates/relay/src/request/buffered.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        attempt::{AttemptSpec, FailedAttempt, PendingResponse, attempt},
+        attempt::{AttemptSpec, FailedAttempt, attempt},
+        path::PendingResponse,
         response::Response,
         routed_request::RoutedRequest,
         slot_lease::SlotLease,
--- a/crates/relay/src/request/caller_stream.rs
+++ b/crates/relay/src/request/caller_stream.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        attempt::{AttemptSpec, PendingResponse},
+        attempt::AttemptSpec,
+        path::PendingResponse,
         response::{Response, add_connection_header},
         routed_request::RoutedRequest,
         silence_watch::{Relocation, SilenceWatch},
@@ -162,7 +163,9 @@
                 since: node.clock.now(),
             };
             let reading = async {
-                let next = pending.reader.next(&mut pending.pooled.conn, &mut bytes);
+                let next = pending
+                    .reader
+                    .next(&mut pending.path.pooled.conn, &mut bytes);
                 let next = async { Waited::Arrived(next.await) };
                 let silent = async {
                     if may_relocate(request) {
@@ -198,6 +201,9 @@
                 }
                 WatchOutcome::Done(Waited::Arrived(Ok(true))) => {}
             }
+            if pending.path.carrier().is_none() {
+                self.node.record_heard();
+            }
             if watch.is_long() {
                 self.node.record_alive(&slot);
             }
@@ -241,7 +247,7 @@
             SegmentOutcome::Complete => {
                 request.end_send(verdict, None);
                 self.node.record_sound(request, &slot);
-                pending.return_connection(self.node, &slot);
+                pending.return_connection(self.node, slot.target.addr);
                 slot.finish(PlacementOutcome::Completed);
             }
             SegmentOutcome::Broken(cause, placement_outcome) => {
--- a/crates/relay/src/request/mod.rs
+++ b/crates/relay/src/request/mod.rs
@@ -4,6 +4,11 @@
 mod attempt;
 mod buffered;
 mod caller_stream;
+mod carried_request;
+mod carry;
+mod endpoint_call;
+mod endpoint_target;
+mod path;
 mod response;
 mod routed_request;
 mod silence_watch;
@@ -14,6 +19,10 @@
 pub(crate) use {
     accept::accept,
     buffered::run_buffered,
+    carried_request::CARRY_PATH,
+    carry::{CARRY_OVERHEAD, serve_carried},
+    endpoint_target::EndpointTarget,
+    path::{Probe, probe},
     response::Response,
     routed_request::{RoutedRequest, StreamOrigin},
     slot_lease::SlotLease,
--- a/crates/relay/src/request/routed_request.rs
+++ b/crates/relay/src/request/routed_request.rs
@@ -1,6 +1,7 @@
 //! An accepted request with its route, and the state of its attempts.
 
 use {
+    super::{path::Path, slot_lease::SlotLease},
     crate::{
         adapter::CallerHeaders,
         configuration::{Org, Route},
@@ -12,6 +13,7 @@
     std::{sync::Arc, time::Duration},
     types::{
         Attempts, EndpointId, Reason, Refusal, Release, ServiceId, Tier, Urgency, Verdict, Version,
+        VmId,
     },
 };
 
@@ -48,6 +50,8 @@
     pub(crate) endpoint: Option<EndpointId>,
     /// Whether the last connection that the request was sent on had carried others before.
     pub(crate) reused: Option<bool>,
+    /// The VM that took the last send to its endpoint, if it wasn't this one.
+    pub(crate) carrier: Option<VmId>,
     /// Release of the last endpoint that the request was sent to.
     pub(crate) release: Option<Release>,
     /// Which release began the stream.
@@ -180,17 +184,25 @@
     }
 
     /// Records the start of a send.
-    pub(crate) fn start_send(
-        &self,
-        endpoint: &EndpointId,
-        release: Option<&Release>,
-        reused: bool,
-    ) {
+    pub(super) fn start_send(&self, slot: &SlotLease, path: &Path) {
         let mut progress = self.progress.lock();
         progress.in_flight = true;
-        progress.reused = Some(reused);
-        progress.endpoint = Some(endpoint.clone());
-        progress.release = release.cloned();
+        progress.reused = Some(path.pooled.reused);
+        progress.carrier = path.carrier().cloned();
+        progress.endpoint = Some(slot.endpoint().clone());
+        progress.release = slot.release.clone();
+    }
+
+    /// Takes back a send that never reached an endpoint.
+    pub(super) fn cancel_send(&self, cause: &'static str) {
+        let mut progress = self.progress.lock();
+        progress.in_flight = false;
+        progress.cause = Some(cause);
+    }
+
+    /// Time until the request times out.
+    pub(crate) fn remaining(&self, now: Instant) -> Duration {
+        self.deadline.since(now)
     }
 
     /// Records the end of a send.
--- a/crates/relay/src/request/silence_watch.rs
+++ b/crates/relay/src/request/silence_watch.rs
@@ -3,12 +3,12 @@
 use {
     super::{
         attempt::{open, until_dead},
+        path::Path,
         routed_request::RoutedRequest,
         slot_lease::SlotLease,
     },
     crate::process::Node,
     clock::Instant,
-    h1::PooledConn,
     route::{PlacementOutcome, Silence, SilenceAction},
     std::{sync::Arc, time::Duration},
     types::EndpointId,
@@ -33,7 +33,7 @@
 pub(super) struct Relocation {
     /// A slot of the other endpoint, and a connection to it.
     pub(super) slot: SlotLease,
-    pub(super) opened: PooledConn,
+    pub(super) opened: Path,
     /// Why it is taken from the silent one.
     pub(super) cause: &'static str,
     /// What that says of the silent one.
@@ -126,7 +126,7 @@
         Silence {
             request: self.node.clock.now().since(self.since),
             activity: self.node.activity(self.slot),
-            accepts: self.node.accepts_connections(self.slot.addr),
+            accepts: self.node.accepts_connections(self.slot.target.addr),
             begun: self.begun,
             limit,
             patience: MIN_PATIENCE
--- a/crates/relay/src/request/slot_lease.rs
+++ b/crates/relay/src/request/slot_lease.rs
@@ -1,9 +1,10 @@
 //! The lease of an endpoint slot for one request.
 
 use {
+    super::endpoint_target::EndpointTarget,
     crate::{endpoints::Endpoint, process::Node},
     clock::Instant,
-    route::{EndpointStart, Placement, PlacementOutcome},
+    route::{Placement, PlacementOutcome},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     types::{Release, ServiceId},
 };
@@ -14,7 +15,6 @@
 /// A leased slot of an endpoint, which is released when it is dropped.
 pub(crate) struct SlotLease {
     node: Arc<Node>,
-    service: ServiceId,
     placement: Placement,
     outcome: PlacementOutcome,
     /// When the slot was leased.
@@ -23,10 +23,8 @@
     answered: Option<Instant>,
     /// Whether the request is known not to harm the endpoint.
     harmless: bool,
-    /// Address of the endpoint.
-    pub(crate) addr: SocketAddr,
-    /// Start time of the endpoint.
-    pub(crate) born: u64,
+    /// The endpoint.
+    pub(crate) target: EndpointTarget,
     /// Release of its software.
     pub(crate) release: Option<Release>,
     /// Address of an engine that probably has prompt parts cached that this endpoint lacks.
@@ -44,34 +42,28 @@
         let began = node.clock.now();
         Self {
             node,
-            service,
             placement,
             outcome: PlacementOutcome::Cancelled,
             began,
             answered: None,
             harmless: false,
-            addr: target.addr,
-            born: target.born,
+            target: EndpointTarget {
+                service,
+                id: target.id.clone(),
+                addr: target.addr,
+                born: target.born,
+            },
             release: target.release.clone(),
             kv_source,
         }
     }
 
     pub(crate) fn service(&self) -> &ServiceId {
-        &self.service
+        &self.target.service
     }
 
     pub(crate) fn endpoint(&self) -> &types::EndpointId {
-        &self.placement.id
-    }
-
-    /// The start of the endpoint that the request was meant for.
-    pub(crate) fn endpoint_start(&self) -> EndpointStart {
-        EndpointStart {
-            id: self.placement.id.clone(),
-            born: self.born,
-            addr: self.addr,
-        }
+        &self.target.id
     }
 
     /// Records the first event of a stream or a complete buffered response.
@@ -80,7 +72,7 @@
         let took = now.since(self.began);
         self.answered.get_or_insert(now);
         let mut placers = self.node.placers.lock();
-        if let Some(placer) = placers.get_mut(&self.service) {
+        if let Some(placer) = placers.get_mut(&self.target.service) {
             placer.record_first_response(now, &mut self.placement, took);
         }
     }
@@ -89,7 +81,7 @@
     pub(crate) fn next_event(&mut self) {
         let now = self.node.clock.now();
         let mut placers = self.node.placers.lock();
-        if let Some(placer) = placers.get_mut(&self.service) {
+        if let Some(placer) = placers.get_mut(&self.target.service) {
             placer.record_progress(now, &self.placement.id);
         }
     }
@@ -117,7 +109,7 @@
     fn drop(&mut self) {
         let now = self.node.clock.now();
         let mut placers = self.node.placers.lock();
-        if let Some(placer) = placers.get_mut(&self.service) {
+        if let Some(placer) = placers.get_mut(&self.target.service) {
             placer.finish(now, &self.placement, self.outcome);
         }
     }
--- a/crates/relay/src/request/start_proof.rs
+++ b/crates/relay/src/request/start_proof.rs
@@ -3,8 +3,8 @@
 //! connection.
 
 use {
-    super::{routed_request::RoutedRequest, slot_lease::SlotLease},
-    crate::{adapter::ResponseHeaders, process::Node},
+    super::endpoint_call::EndpointCall,
+    crate::adapter::ResponseHeaders,
     clock::timeout,
     h1::{BodyReader, Framing, PooledConn, response_framing},
     std::time::Duration,
@@ -12,7 +12,7 @@
 };
 
 /// Time for the answer of an endpoint: as long as for connecting.
-const ANSWER_TIMEOUT: Duration = super::attempt::CONNECT_TIMEOUT;
+const ANSWER_TIMEOUT: Duration = super::endpoint_call::CONNECT_TIMEOUT;
 /// Largest head of an answer.
 const MAX_HEAD: Bytes = Bytes(16 * 1024);
 /// Largest body of an answer.
@@ -32,42 +32,41 @@
     keeps_alive: bool,
 }
 
-/// Returns a connection on which the endpoint of a lease has said that it started when it is listed
+/// Returns a connection on which the endpoint of a call has said that it started when it is listed
 /// to have: `pooled`, or a new one. The error is why there is none.
 pub(super) async fn prove_start(
-    node: &Node,
-    request: &RoutedRequest,
-    slot: &SlotLease,
+    call: &EndpointCall<'_>,
     pooled: PooledConn,
 ) -> Result<PooledConn, &'static str> {
-    let proving = try_connections(node, request, slot, pooled);
-    let proven = timeout(&*node.clock, ANSWER_TIMEOUT, proving).await;
+    let target = call.target;
+    let proving = try_connections(call, pooled);
+    let proven = timeout(&*call.node.clock, ANSWER_TIMEOUT, proving).await;
     let proven = proven.unwrap_or(Err("endpoint doesn't say in time when it started"));
     if let Err(cause) = proven {
-        log::warn!(request:% = request.caller.id, endpoint:% = slot.endpoint(), addr:% = slot.addr, listed = slot.born, cause = cause; "endpoint is not proven to be the listed one");
+        log::warn!(request:% = call.attempt, endpoint:% = target.id, addr:% = target.addr, listed = target.born, cause = cause; "endpoint is not proven to be the listed one");
     }
     proven
 }
 
 async fn try_connections(
-    node: &Node,
-    request: &RoutedRequest,
-    slot: &SlotLease,
+    call: &EndpointCall<'_>,
     mut pooled: PooledConn,
 ) -> Result<PooledConn, &'static str> {
+    let target = call.target;
     let mut cause = "endpoint has another start time than listed";
     for tried in 1..=MAX_CONNECTIONS {
-        if pooled.proof == Some(slot.born) {
+        if pooled.proof == Some(target.born) {
             return Ok(pooled);
         }
         if pooled.proof.is_none() {
-            match ask(node, slot, &mut pooled).await {
-                Ok(answer) if answer.started != slot.born => {
-                    log::warn!(endpoint:% = slot.endpoint(), addr:% = slot.addr, listed = slot.born, started = answer.started; "endpoint has restarted");
+            match ask(call, &mut pooled).await {
+                Ok(answer) if answer.started != target.born => {
+                    log::warn!(endpoint:% = target.id, addr:% = target.addr, listed = target.born, started = answer.started; "endpoint has restarted");
                     return Err("endpoint has another start time than listed");
                 }
                 Ok(answer) => {
-                    node.note_response(slot, request, (answer.status, &answer.headers));
+                    call.node
+                        .note_response(target, call.attempt, (answer.status, &answer.headers));
                     if answer.keeps_alive {
                         pooled.proof = Some(answer.started);
                         return Ok(pooled);
@@ -75,13 +74,13 @@
                     cause = "endpoint closes its connections";
                 }
                 Err(failure) => {
-                    log::debug!(endpoint:% = slot.endpoint(), addr:% = slot.addr, reused = pooled.reused, cause = failure; "no start time on a connection");
+                    log::debug!(endpoint:% = target.id, addr:% = target.addr, reused = pooled.reused, cause = failure; "no start time on a connection");
                     cause = failure;
                 }
             }
         }
         if tried < MAX_CONNECTIONS {
-            let opened = PooledConn::connect(slot.addr).await;
+            let opened = PooledConn::connect(target.addr).await;
             pooled = opened.map_err(|_| "connection refused")?;
         }
     }
@@ -89,14 +88,11 @@
 }
 
 /// Asks the endpoint for its start time.
-async fn ask(
-    node: &Node,
-    slot: &SlotLease,
-    pooled: &mut PooledConn,
-) -> Result<Answer, &'static str> {
+async fn ask(call: &EndpointCall<'_>, pooled: &mut PooledConn) -> Result<Answer, &'static str> {
     const LOST: &str = "connection lost before the start time";
     const MALFORMED: &str = "malformed answer";
-    let query = node.codec.start_query(slot.addr);
+    let (node, target) = (call.node, call.target);
+    let query = node.codec.start_query(target.addr);
     let mut bytes = Vec::new();
     query.write(&mut bytes);
     let conn = &mut pooled.conn;
@@ -115,7 +111,7 @@
                 keeps_alive: written && framing != Framing::Close && head.keeps_alive(),
             });
         }
-        log::warn!(endpoint:% = slot.endpoint(), status = head.status; "skipped a late response to another request");
+        log::warn!(endpoint:% = target.id, status = head.status; "skipped a late response to another request");
         head = conn.response_head(MAX_HEAD).await.map_err(|_| LOST)?;
     }
     Err("too many answers to other requests")
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -5,6 +5,7 @@
         attempt::{AttemptSpec, attempt},
         buffered::{may_retry, may_retry_failure},
         caller_stream::{CallerStream, SegmentOutcome, Waited, WatchOutcome, leave, may_relocate},
+        path::Path,
         response::Response,
         routed_request::RoutedRequest,
         silence_watch::SilenceWatch,
@@ -12,7 +13,7 @@
     },
     crate::{configuration::RouteKind, process::Node},
     futures_lite::FutureExt,
-    h1::{Conn, PooledConn},
+    h1::Conn,
     route::PlacementOutcome,
     std::sync::Arc,
     types::{EndpointId, Refusal, Verdict},
@@ -56,7 +57,7 @@
         }
     }
     let mut avoid: Vec<EndpointId> = Vec::new();
-    let mut next: Option<(SlotLease, PooledConn)> = None;
+    let mut next: Option<(SlotLease, Path)> = None;
     loop {
         let (slot, opened) = match next.take() {
             Some((slot, opened)) => (slot, Some(opened)),
--- a/crates/route/src/placement/health.rs
+++ b/crates/route/src/placement/health.rs
@@ -52,6 +52,14 @@
         self.waiting_since = None;
     }
 
+    /// Forgets failures, backoff and silence.
+    pub(super) fn forgive(&mut self) {
+        self.failure_share = 0.0;
+        self.backoff = Duration::ZERO;
+        self.retry_at = None;
+        self.waiting_since = None;
+    }
+
     /// Records a completed or failed response.
     pub(super) fn record_result(&mut self, success: bool) {
         let failed = if success { 0.0 } else { 1.0 };
--- a/crates/route/src/placement/placer.rs
+++ b/crates/route/src/placement/placer.rs
@@ -279,6 +279,12 @@
         activity.map(|a| a.last).min()
     }
 
+    /// Forgets failures and silences that were not the endpoints' own.
+    pub fn reset_health(&mut self) {
+        let endpoints = self.endpoints.values_mut();
+        endpoints.for_each(|e| e.health.forgive());
+    }
+
     /// Whether there is an endpoint beside `avoid` that takes a request and isn't known to be silent.
     pub fn has_other(&self, now: Instant, avoid: &[EndpointId]) -> bool {
         let others = self.endpoints.iter().filter(|(id, _)| !avoid.contains(id));
