--- a/crates/detour/src/carrier_table.rs
+++ b/crates/detour/src/carrier_table.rs
@@ -92,9 +92,9 @@
         self.entries.retain(|_, e| used(e));
     }
 
-    /// Whether any carrier can be used now.
-    pub fn has_any(&self, now: Instant) -> bool {
-        self.usable(now, &[]).next().is_some()
+    /// Whether a VM is known as a carrier.
+    pub fn knows(&self, now: Instant, vm: &VmId) -> bool {
+        self.entries.get(vm).is_some_and(|e| e.is_known(now))
     }
 
     fn usable(&self, now: Instant, avoid: &[VmId]) -> impl Iterator<Item = &Entry> {
--- a/crates/relay/src/peers/peer_table.rs
+++ b/crates/relay/src/peers/peer_table.rs
@@ -70,6 +70,9 @@
 /// Time without a datagram after which a VM is no longer relied on as reader.
 pub(super) const READER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Rounds of datagrams without one after which a VM is no longer asked to carry requests.
+const MAX_MISSED_ROUNDS: u32 = 4;
+
 /// The other VMs, as known from their datagrams.
 #[derive(Debug)]
 pub(crate) struct PeerTable {
@@ -227,11 +230,10 @@
     /// The VMs heard from lately that take requests of others to their endpoints; they listen for them on
     /// `port`.
     pub(crate) fn carriers(&self, now: Instant, port: u16) -> Vec<Carrier> {
-        let timeout = READER_TIMEOUT.max(self.mesh_interval(now) * 3);
-        let recent = self
+        let carriers = self
             .live(now)
-            .filter(|(_, p)| p.carries && now.since(p.last_heard) < timeout);
-        recent
+            .filter(|(vm, p)| p.carries && self.hears(now, vm));
+        carriers
             .map(|(vm, p)| Carrier {
                 vm: vm.clone(),
                 addr: SocketAddr::new(p.addr.ip(), port),
@@ -241,6 +243,13 @@
             .collect()
     }
 
+    /// Whether a VM was heard from in the last few rounds of datagrams.
+    pub(crate) fn hears(&self, now: Instant, vm: &VmId) -> bool {
+        let timeout = self.mesh_interval(now) * MAX_MISSED_ROUNDS;
+        let peer = self.peers.get(vm);
+        peer.is_some_and(|p| now.since(p.last_heard) < timeout)
+    }
+
     /// A random sample of the addresses of live VMs.
     pub(crate) fn sample_addresses(&self, now: Instant) -> Vec<SocketAddr> {
         let live = self.live_peers(now).map(|p| p.addr);
--- a/crates/relay/src/process/links.rs
+++ b/crates/relay/src/process/links.rs
@@ -35,6 +35,10 @@
 const MAX_CARRIERS_NAMED: usize = 16;
 /// Hubs of other zones that are asked in one round.
 const MAX_HUBS_ASKED: usize = 6;
+/// Interval at which it is looked at whether a carrier is still one, and looks in a row without it after
+/// which it is given up.
+const CARRIER_POLL: Duration = Duration::from_millis(200);
+const MAX_MISSED_LOOKS: u32 = 3;
 /// Share of the file descriptors that carried requests may use.
 const CARRIED_FD_SHARE: f64 = 0.1;
 
@@ -199,15 +203,8 @@
             let registry = self.registry.lock();
             registry.get(endpoint).map(|e| e.zone.clone())
         };
-        let port = self.settings.control.port();
-        let known = {
-            let peers = self.peers.lock();
-            (!peers.uses_hubs(now)).then(|| peers.carriers(now, port))
-        };
+        self.refresh_carriers();
         let mut carriers = self.carriers.lock();
-        if let Some(known) = known {
-            carriers.replace(now, None, known);
-        }
         let zones: Vec<_> = [Some(&self.settings.zone), zone.as_ref()]
             .into_iter()
             .flatten()
@@ -220,6 +217,42 @@
         })
     }
 
+    /// Takes over which VMs carry requests, unless this VM asks hubs for them.
+    fn refresh_carriers(&self) {
+        let now = self.clock.now();
+        let port = self.settings.control.port();
+        let peers = self.peers.lock();
+        let known = (!peers.uses_hubs(now)).then(|| peers.carriers(now, port));
+        drop(peers);
+        if let Some(known) = known {
+            self.carriers.lock().replace(now, None, known);
+        }
+    }
+
+    /// Resolves when a carrier has not been heard of for a time in which it should have been.
+    pub(crate) async fn until_carrier_lost(&self, vm: &VmId) {
+        let mut missed = 0;
+        while missed < MAX_MISSED_LOOKS {
+            self.clock.sleep(CARRIER_POLL).await;
+            missed = if self.hears_carrier(vm) {
+                0
+            } else {
+                missed + 1
+            };
+        }
+    }
+
+    /// Whether a carrier was heard of lately: from itself, or in a large fleet from its hub.
+    fn hears_carrier(&self, vm: &VmId) -> bool {
+        let now = self.clock.now();
+        let peers = self.peers.lock();
+        if !peers.uses_hubs(now) {
+            return peers.hears(now, vm);
+        }
+        drop(peers);
+        self.carriers.lock().knows(now, vm)
+    }
+
     /// Counts a request of another VM; `None` if this one carries as many as it can.
     pub(crate) fn begin_carry(self: &Arc<Self>) -> Option<CarryPermit> {
         let most = (f64::from(self.settings.max_fds) * CARRIED_FD_SHARE) as usize;
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -149,7 +149,8 @@
         SendOutcome::Lost("no answer from the endpoint")
     };
     let call = endpoint_call(node, request, slot);
-    path.send(call, carried).or(dead).await
+    let may_repeat = request.route.kind.is_idempotent();
+    path.send(call, carried, may_repeat).or(dead).await
 }
 
 fn endpoint_call<'a>(
--- a/crates/relay/src/request/path.rs
+++ b/crates/relay/src/request/path.rs
@@ -11,6 +11,7 @@
     clock::timeout,
     compact_str::CompactString,
     detour::CarryRefusal,
+    futures_lite::FutureExt,
     h1::{
         BodyError, BodyReader, Framing, Headers, PooledConn, RequestHead, ResponseHead,
         response_framing,
@@ -103,9 +104,14 @@
         self.carrier.as_ref().map(CarrierLease::vm)
     }
 
-    /// Sends a request and reads the head of the response. `request` are its bytes as the endpoint gets
-    /// them.
-    pub(super) async fn send(self, call: EndpointCall<'_>, carried: CarriedRequest) -> SendOutcome {
+    /// Sends a request and reads the head of the response. One that may be repeated is given up when its
+    /// carrier is no longer heard of.
+    pub(super) async fn send(
+        self,
+        call: EndpointCall<'_>,
+        carried: CarriedRequest,
+        may_repeat: bool,
+    ) -> SendOutcome {
         let Some(lease) = self.carrier else {
             let CarriedRequest { method, bytes, .. } = carried;
             return match call.exchange(self.pooled, &method, &bytes).await {
@@ -113,7 +119,16 @@
                 Err(cause) => SendOutcome::Lost(cause),
             };
         };
-        send_to_carrier(call, self.pooled, lease, &carried).await
+        let (node, vm) = (call.node, lease.vm().clone());
+        let answer = send_to_carrier(call, self.pooled, lease, &carried);
+        if !may_repeat {
+            return answer.await;
+        }
+        let lost = async {
+            node.until_carrier_lost(&vm).await;
+            SendOutcome::Lost("carrying VM went silent")
+        };
+        answer.or(lost).await
     }
 }
 
--- a/crates/relay/tests/common/gate.rs
+++ b/crates/relay/tests/common/gate.rs
@@ -38,8 +38,7 @@
 pub(crate) struct Gate {
     pub(crate) addr: SocketAddr,
     state: Arc<Mutex<GateState>>,
-    /// Connections that it has forwarded.
-    pub(crate) accepted: Arc<AtomicUsize>,
+    accepted: Arc<AtomicUsize>,
 }
 
 impl Gate {
@@ -56,6 +55,11 @@
         gate
     }
 
+    /// Number of connections that it has forwarded.
+    pub(crate) fn forwarded(&self) -> usize {
+        self.accepted.load(SeqCst)
+    }
+
     pub(crate) fn set(&self, state: GateState) {
         *self.state.lock().unwrap() = state;
     }
