Don't take endpoints for crashed that refuse a VM which is cut off

What callers saw: after one VM had lost its connections, all VMs refused copies of the requests that had been in flight there (503, quarantined), although no endpoint had crashed.

Cause: an endpoint that refuses a new connection counted as crashed, without asking whether this VM reaches any endpoint. A VM whose links are reset is refused everywhere, and three such endpoints are enough for a quarantine of the whole fleet.

Change: a refusal counts only if another endpoint accepts a connection of this VM; otherwise another VM is asked to try.

--- a/crates/relay/src/process/crashes.rs
+++ b/crates/relay/src/process/crashes.rs
@@ -6,7 +6,7 @@
         Node,
         gossip::{DatagramKind, MAX_DATAGRAM_BYTES, send},
     },
-    crate::request::{EndpointTarget, RoutedRequest, SlotLease},
+    crate::request::{EndpointTarget, Probe, RoutedRequest, SlotLease, probe},
     async_io::Async,
     compact_str::{CompactString, ToCompactString},
     route::{CrashChange, CrashNews, EndpointStart, Suspect},
@@ -128,7 +128,20 @@
 async fn check_endpoint(node: Arc<Node>, target: EndpointTarget) {
     node.clock.sleep(CHECK_DELAY).await;
     let start = target.start();
-    let check = check_directly(&node, &target).await;
+    let direct = if node.is_connected() {
+        check_directly(&node, &target).await
+    } else {
+        Check::Unknown
+    };
+    let check = match direct {
+        // This VM may have lost its links to all endpoints.
+        Check::Refused | Check::Silent | Check::Unknown
+            if !node.is_connected() || !node.confirm_link().await =>
+        {
+            check_through_carrier(&node, &target).await
+        }
+        check => check,
+    };
     let crashed = matches!(check, Check::Restarted | Check::Refused | Check::Silent);
     log::info!(
         endpoint:% = start.id, born = start.born, check:? = check, crashed = crashed;
@@ -152,6 +165,15 @@
     }
 }
 
+async fn check_through_carrier(node: &Arc<Node>, target: &EndpointTarget) -> Check {
+    match probe(node, target).await {
+        Some(Probe::Accepts) => check_restart(node, target).await,
+        Some(Probe::Refuses) => Check::Refused,
+        Some(Probe::Silent) => Check::Silent,
+        None => Check::Unknown,
+    }
+}
+
 /// What an endpoint that accepts connections shows.
 async fn check_restart(node: &Node, target: &EndpointTarget) -> Check {
     if restarts(node, &target.start()).await {
