--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -218,16 +218,23 @@
     slot: &SlotLease,
     proven: bool,
 ) -> Result<Path, &'static str> {
-    let mut failure = OpenFailure::Cut;
-    if node.is_connected() {
-        match endpoint_call(node, request, slot).open(proven).await {
-            Ok(pooled) => return Ok(pooled.into()),
-            Err(e) if node.is_connected() => return Err(e.cause()),
-            Err(e) => failure = e,
+    let call = endpoint_call(node, request, slot);
+    if !node.is_connected() {
+        if let Some(path) = Path::through_carrier(node, slot, &[]).await {
+            return Ok(path);
+        }
+        // A suspicion may be wrong, and there may be no other VM.
+        let opened = call.open(proven).await;
+        return opened.map(Path::from).map_err(OpenFailure::cause);
+    }
+    match call.open(proven).await {
+        Ok(pooled) => Ok(pooled.into()),
+        Err(failure) if node.is_connected() => Err(failure.cause()),
+        Err(failure) => {
+            let carried = Path::through_carrier(node, slot, &[]).await;
+            carried.ok_or(failure.cause())
         }
     }
-    let carried = Path::through_carrier(node, slot, &[]).await;
-    carried.ok_or(failure.cause())
 }
 
 async fn connect(
--- a/crates/relay/tests/cut_vms.rs
+++ b/crates/relay/tests/cut_vms.rs
@@ -356,3 +356,16 @@
         );
     }
 }
+
+/// A VM without others suspected its links when one of its endpoints refused, and refused requests meanwhile.
+#[test]
+fn vm_without_others_goes_on_by_itself_while_it_suspects_its_links() {
+    let servers = start_endpoints();
+    let fleet = CutFleet::start(RouteKind::Once, &[1], &servers);
+    let zone = &fleet.zones[0];
+    for gate in &zone.gates[1..] {
+        gate.set(GateState::Refuses);
+        thread::sleep(Duration::from_millis(1_200));
+        assert_eq!(served(&zone.vms[0], "one-left"), REQUESTS);
+    }
+}
