Tests: streams taken up after all VMs were killed at once, beside two releases or right after one has left

Both hold on the present code: after the restart nobody knows which release began a stream, and it is refused.

--- a/crates/relay/tests/stream_releases_fleet.rs
+++ b/crates/relay/tests/stream_releases_fleet.rs
@@ -20,6 +20,9 @@
 const TWICE: usize = 12;
 /// Time from the first event of the last stream until VMs are stopped.
 const STREAM_TIME: Duration = Duration::from_millis(200);
+/// How often callers come back after all VMs were killed, and how long they wait in between.
+const RETURNS: usize = 8;
+const RETURN_INTERVAL: Duration = Duration::from_millis(700);
 /// Time from the end of a VM until its callers are back.
 const RETURN_TIME: Duration = Duration::from_millis(50);
 
@@ -138,3 +141,42 @@
     let responses = fleet.send(&resume(&streams), last..last + 1);
     assert_eq!(count_whole(&responses), STREAMS);
 }
+
+/// Kills all VMs of a fleet at once while two releases serve, or right after the older one has left, and
+/// checks that streams which callers take up at the new VMs get events of no other release.
+fn check_restart_of_all(has_left: bool) {
+    let log: Arc<ReleaseLog> = Arc::default();
+    let endpoints = start_endpoints(["r1", "r1", "r2", "r2"], &log);
+    let listed: Vec<_> = endpoints.iter().collect();
+    let mut fleet = Fleet::start(SMALL, &listed);
+    let vms = fleet.routers.len();
+    let mut streams = fleet.begin(STREAMS, 0..vms);
+    for release in ["r1", "r2"] {
+        assert!(streams.iter().any(|s| s.release() == Some(release)));
+    }
+    if has_left {
+        endpoints[..2].iter().for_each(|e| fleet.unlist(e));
+        thread::sleep(STREAM_TIME);
+    }
+    kill(&mut fleet, 0..vms, &mut streams);
+    (0..vms).for_each(|_| fleet.start_vm());
+    fleet.routers.iter().for_each(Router::wait_ready);
+    // Callers come back at once, and those that are refused again and again.
+    for _ in 0..RETURNS {
+        fleet.send(&resume(&streams), 0..vms);
+        log.check_unmixed();
+        thread::sleep(RETURN_INTERVAL);
+    }
+}
+
+/// All VMs had forgotten which release began a stream, and callers got the rest from another one.
+#[test]
+fn stream_taken_up_after_all_vms_were_killed_stays_at_its_release() {
+    check_restart_of_all(false);
+}
+
+/// As above, when only the newer release is left.
+#[test]
+fn stream_whose_release_left_before_all_vms_were_killed_is_not_joined() {
+    check_restart_of_all(true);
+}
