Carriers in a file of their own; a carrier returns the connection by the address that it was opened to

A carried response whose endpoint was unlisted meanwhile closed the connection between the VMs after it was complete; it is kept now. No change of decisions.

--- a/crates/detour/tests/carrier_fleet.rs
+++ b/crates/detour/tests/carrier_fleet.rs
@@ -84,7 +84,7 @@
             *load.get_mut(carrier).unwrap() -= 1;
             false
         });
-        for at in 0..tables.len() {
+        for (at, (own, table)) in tables.iter_mut().enumerate() {
             if rng.f64() > rate * STEP.as_secs_f64() {
                 continue;
             }
@@ -92,13 +92,12 @@
                 .iter()
                 .filter(|n| !dies(**n) || now < death + NEWS_AGE)
                 .map(|n| vm(*n));
-            let (own, table) = &mut tables[at];
             table.replace(now, None, known);
             let endpoint = zone(rng.u32(0..ZONES));
             result.total += 1;
             let mut avoid = Vec::new();
             loop {
-                let Some(carrier) = table.acquire(now, &[own, &endpoint], &avoid) else {
+                let Some(carrier) = table.acquire(now, &[&*own, &endpoint], &avoid) else {
                     result.failed += 1;
                     break;
                 };
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod accounting;
 mod capacity_planner;
+mod carriers;
 mod count_store;
 mod crashes;
 mod duty_worker;
@@ -25,9 +26,9 @@
 mod wall_clock;
 
 pub(crate) use {
+    carriers::CarrierLease,
     feed_reader::Freshness,
     lifecycle::{ConnectionGuard, Lifecycle},
-    links::CarrierLease,
     liveness::ConnectionChecks,
     node::Node,
     stream_origins::StreamOrigins,
--- a/crates/relay/src/process/run.rs
+++ b/crates/relay/src/process/run.rs
@@ -3,11 +3,12 @@
 use {
     super::{
         Node, NodeProcess,
+        carriers::{CARRIERS_PATH, follow_carriers, serve_carriers},
         count_store::store_counts,
         duty_worker::run_duties,
         feed_reader::follow_feed,
         gossip,
-        links::{CARRIERS_PATH, follow_carriers, serve_carriers, watch_links},
+        links::watch_links,
         origin_news::{expire_origins, send_origin_news},
         shutdown::shut_down,
         state_sync::{STATE_PATH, fetch_initial_state, follow_readers, serve_state},
--- a/crates/relay/src/request/carry.rs
+++ b/crates/relay/src/request/carry.rs
@@ -12,7 +12,7 @@
     detour::CarryRefusal,
     futures_lite::FutureExt,
     h1::{Conn, Framing, ResponseHead},
-    std::{sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     types::Bytes,
 };
 
@@ -26,7 +26,8 @@
     /// Whether the endpoint accepts connections was all that was asked.
     Probed,
     Refused(CarryRefusal),
-    Answered(EndpointResponse),
+    /// With the address of the endpoint.
+    Answered(EndpointResponse, SocketAddr),
     Lost(&'static str),
     /// The other VM has closed the connection.
     Left,
@@ -58,7 +59,7 @@
     let (status, result) = match &outcome {
         CarryOutcome::Probed => (200, "probed"),
         CarryOutcome::Refused(refusal) => (503, refusal.as_str()),
-        CarryOutcome::Answered(response) => (response.head.status, "answered"),
+        CarryOutcome::Answered(response, _) => (response.head.status, "answered"),
         CarryOutcome::Lost(cause) => (502, *cause),
         CarryOutcome::Left => (0, "left"),
     };
@@ -75,10 +76,10 @@
         }
         CarryOutcome::Lost(cause) => write_own(node, conn, status, Some((CARRY_LOSS, cause))).await,
         CarryOutcome::Left => None,
-        CarryOutcome::Answered(response) => {
+        CarryOutcome::Answered(response, addr) => {
             let end = began + limit;
             let remaining = end.since(node.clock.now());
-            let forwarding = forward(node, conn, response, &carried);
+            let forwarding = forward(node, conn, (response, addr), &carried);
             timeout(&*node.clock, remaining, forwarding).await.ok()?
         }
     }
@@ -113,7 +114,7 @@
         return CarryOutcome::Refused(CarryRefusal::Closed);
     }
     match call.exchange(pooled, &carried.method, &carried.bytes).await {
-        Ok(response) => CarryOutcome::Answered(response),
+        Ok(response) => CarryOutcome::Answered(response, target.addr),
         Err(cause) => CarryOutcome::Lost(cause),
     }
 }
@@ -174,7 +175,7 @@
 async fn forward(
     node: &Arc<Node>,
     conn: &mut Conn,
-    response: EndpointResponse,
+    (response, addr): (EndpointResponse, SocketAddr),
     carried: &CarriedRequest,
 ) -> Option<()> {
     let mut head = response.head.clone();
@@ -195,7 +196,6 @@
     if has_body {
         forward_body(node, conn, &mut pending, carried).await?;
     }
-    let addr = node.registry.lock().get(&carried.endpoint)?.addr;
     pending.return_connection(node, addr);
     Some(())
 }
