Brittle endpoints: leave more room for saved requests the more VMs there are

brittle_endpoints_seldom_fall_over failed once (300 VMs, 5 endpoints: 3 falls, 2 allowed) when its exchange of loads moved to the shared test code. It was not repeatable either: the rests after refusals draw from an unseeded generator, which the test now seeds.

--- a/crates/route/src/placement/brittleness.rs
+++ b/crates/route/src/placement/brittleness.rs
@@ -17,8 +17,11 @@
 const HOLD_TIME: Duration = Duration::from_secs(1);
 /// Interval at which rates are adapted to the time that requests take.
 const ADAPT_INTERVAL: Duration = Duration::from_millis(500);
-/// Share of the refusals that an endpoint bears which is aimed at.
-const REFUSAL_SHARE: f64 = 0.5;
+/// How much of the refusals that an endpoint bears is left for requests that VMs have saved up. Each may
+/// have saved one, and how many of them come at once varies with the square root of their number.
+const SAVED_WEIGHT: f64 = 0.35;
+/// Smallest number of refusals in a second that is aimed at.
+const MIN_REFUSALS: f64 = 0.1;
 /// Largest share of an endpoint's slots that is used on average.
 const MAX_UTILIZATION: f64 = 0.7;
 /// Factor by which a rate changes at least.
@@ -74,7 +77,7 @@
     }
 
     /// Requests a second that an endpoint with these slots takes from all VMs.
-    fn rate(&self, slots: u32) -> Option<PerSecond> {
+    fn rate(&self, slots: u32, vms: u32) -> Option<PerSecond> {
         let (borne, _) = self.named?;
         let work = if self.work > 0.0 {
             self.work
@@ -82,7 +85,8 @@
             DEFAULT_WORK.as_secs_f64()
         };
         let capacity = f64::from(slots.max(1)) / work;
-        let refusals = (f64::from(borne) * REFUSAL_SHARE).max(REFUSAL_SHARE);
+        let share = 1.0 / (1.0 + SAVED_WEIGHT * f64::from(vms).sqrt());
+        let refusals = (f64::from(borne) * share).max(MIN_REFUSALS);
         let step = MAX_UTILIZATION / f64::from(UTILIZATION_STEPS);
         let shares = (1..=UTILIZATION_STEPS).rev();
         let rates = shares.map(|n| capacity * step * f64::from(n));
@@ -120,7 +124,8 @@
         if self.brittleness.record(now, borne) {
             let rank = self.rank;
             for entry in self.endpoints.values_mut() {
-                let rate = self.brittleness.rate(entry.spec.slots);
+                let vms = rank.map_or(1, |r| r.vms);
+                let rate = self.brittleness.rate(entry.spec.slots, vms);
                 if is_new(entry.brittle_limit, rate) {
                     entry.brittle_limit = rate;
                     entry.apply_limits(now, rank);
--- a/crates/route/tests/brittle_endpoints.rs
+++ b/crates/route/tests/brittle_endpoints.rs
@@ -5,11 +5,9 @@
 
 use {
     clock::Instant,
-    common::{id, request, spec, start, zone},
+    common::{exchange_loads, id, request, spec, start, zone},
     fastrand::Rng,
-    route::{
-        EndpointSpec, FleetRank, Load, PeerLoad, Placement, PlacementOutcome, Placer, Reporter,
-    },
+    route::{EndpointSpec, FleetRank, Load, Placement, PlacementOutcome, Placer},
     std::{collections::BTreeMap, time::Duration},
     types::EndpointId,
 };
@@ -123,7 +121,7 @@
             self.end_requests();
             if self.next_gossip <= self.now {
                 self.next_gossip = self.now + GOSSIP_INTERVAL;
-                self.exchange_loads();
+                exchange_loads(&mut self.vms, &mut self.told, (self.now, GOSSIP_INTERVAL));
             }
             let mut expected = mean;
             while self.rng.f64() < expected {
@@ -213,28 +211,12 @@
             }
         }
     }
-
-    /// Each VM learns the sum over the others of what they told last.
-    fn exchange_loads(&mut self) {
-        let mut sums: BTreeMap<EndpointId, Load> = BTreeMap::new();
-        for (id, load) in self.told.iter().flatten() {
-            sums.entry(id.clone()).or_default().add(*load);
-        }
-        let until = self.now + GOSSIP_INTERVAL * 3;
-        for (placer, told) in self.vms.iter_mut().zip(&mut self.told) {
-            for id in self.servers.keys() {
-                let mut load = sums.get(id).copied().unwrap_or_default();
-                load.sub(told.get(id).copied().unwrap_or_default());
-                placer.set_peer_load(&Reporter::Fleet, id, PeerLoad { load, until });
-            }
-            let loads = placer.own_loads(self.now);
-            *told = loads.map(|(id, load)| (id.clone(), load)).collect();
-        }
-    }
 }
 
 /// Load as a share of the capacity: usual, far beyond it, usual.
 fn play(fleet: (usize, usize, u32, f64), seed: u64, says_so: bool) -> Fleet {
+    // The rests of VMs after a refusal are random.
+    fastrand::seed(seed);
     let mut fleet = Fleet::new(fleet, seed);
     fleet.says_so = says_so;
     fleet.run(Duration::from_secs(3), 0.2);
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -5,9 +5,10 @@
 use {
     clock::Instant,
     route::{
-        EndpointSpec, EngineProfile, Placement, PlacementOutcome, PlacementRequest, Placer, Prompt,
+        EndpointSpec, EngineProfile, Load, PeerLoad, Placement, PlacementOutcome, PlacementRequest,
+        Placer, Prompt, Reporter,
     },
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
     types::{EndpointId, PromptPartId, Tokens, Urgency, ZoneId},
 };
 
@@ -86,3 +87,26 @@
     placer.record_first_response(now + took, &mut placement, took);
     placer.finish(now + took, &placement, PlacementOutcome::Completed);
 }
+
+/// Lets each VM learn the sum over the others of what they told last, and tell its loads. The next exchange
+/// follows after `interval`.
+pub(crate) fn exchange_loads(
+    vms: &mut [Placer],
+    told: &mut [BTreeMap<EndpointId, Load>],
+    (now, interval): (Instant, Duration),
+) {
+    let mut sums: BTreeMap<EndpointId, Load> = BTreeMap::new();
+    for (id, load) in told.iter().flatten() {
+        sums.entry(id.clone()).or_default().add(*load);
+    }
+    let until = now + interval * 3;
+    for (placer, told) in vms.iter_mut().zip(told) {
+        for (id, sum) in &sums {
+            let mut load = *sum;
+            load.sub(told.get(id).copied().unwrap_or_default());
+            placer.set_peer_load(&Reporter::Fleet, id, PeerLoad { load, until });
+        }
+        let loads = placer.own_loads(now);
+        *told = loads.map(|(id, load)| (id.clone(), load)).collect();
+    }
+}
--- a/crates/route/tests/refusing_endpoints.rs
+++ b/crates/route/tests/refusing_endpoints.rs
@@ -5,9 +5,9 @@
 
 use {
     clock::Instant,
-    common::{complete, id, prompt, request, spec, start, zone},
+    common::{complete, exchange_loads, id, prompt, request, spec, start, zone},
     fastrand::Rng,
-    route::{EngineProfile, Load, PeerLoad, Placement, PlacementOutcome, Placer, Reporter},
+    route::{EngineProfile, Load, Placement, PlacementOutcome, Placer},
     std::{collections::BTreeMap, time::Duration},
     types::{EndpointId, Tokens},
 };
@@ -64,7 +64,7 @@
             self.end_requests();
             if self.next_gossip <= self.now {
                 self.next_gossip = self.now + GOSSIP_INTERVAL;
-                self.exchange_loads();
+                exchange_loads(&mut self.vms, &mut self.told, (self.now, GOSSIP_INTERVAL));
             }
             let mut expected = per_tick;
             while self.rng.f64() < expected {
@@ -102,24 +102,6 @@
             }
         }
     }
-
-    /// Each VM learns the sum over the others of what they told last.
-    fn exchange_loads(&mut self) {
-        let mut sums: BTreeMap<EndpointId, Load> = BTreeMap::new();
-        for (id, load) in self.told.iter().flatten() {
-            sums.entry(id.clone()).or_default().add(*load);
-        }
-        let until = self.now + GOSSIP_INTERVAL * 3;
-        for (placer, told) in self.vms.iter_mut().zip(&mut self.told) {
-            for (id, sum) in &sums {
-                let mut load = *sum;
-                load.sub(told.get(id).copied().unwrap_or_default());
-                placer.set_peer_load(&Reporter::Fleet, id, PeerLoad { load, until });
-            }
-            let loads = placer.own_loads(self.now);
-            *told = loads.map(|(id, load)| (id.clone(), load)).collect();
-        }
-    }
 }
 
 /// Endpoints that refused attracted requests, as their queues were short; each VM found out alone.
