--- a/crates/relay/tests/common/gate.rs
+++ b/crates/relay/tests/common/gate.rs
@@ -40,6 +40,8 @@
 pub(crate) struct Gate {
     pub(crate) addr: SocketAddr,
     state: Arc<Mutex<GateState>>,
+    /// The state that has taken effect.
+    applied: Arc<Mutex<GateState>>,
     /// Requests of callers that it has forwarded.
     requests: Arc<AtomicUsize>,
 }
@@ -50,11 +52,13 @@
         let gate = Self {
             addr,
             state: Arc::new(Mutex::new(GateState::Open)),
+            applied: Arc::new(Mutex::new(GateState::Open)),
             requests: Arc::default(),
         };
         let (state, requests) = (gate.state.clone(), gate.requests.clone());
+        let applied = gate.applied.clone();
         let listener = TcpListener::bind(addr).unwrap();
-        thread::spawn(move || run(listener, endpoint, &state, &requests));
+        thread::spawn(move || run(listener, endpoint, (&state, &applied), &requests));
         gate
     }
 
@@ -63,15 +67,19 @@
         self.requests.load(SeqCst)
     }
 
+    /// Changes the state and waits until that has taken effect.
     pub(crate) fn set(&self, state: GateState) {
         *self.state.lock().unwrap() = state;
+        while *self.applied.lock().unwrap() != state {
+            thread::sleep(POLL);
+        }
     }
 }
 
 fn run(
     listener: TcpListener,
     endpoint: SocketAddr,
-    state: &Arc<Mutex<GateState>>,
+    (state, applied): (&Arc<Mutex<GateState>>, &Mutex<GateState>),
     requests: &Arc<AtomicUsize>,
 ) {
     let addr = listener.local_addr().unwrap();
@@ -110,6 +118,7 @@
                 }
             }
         }
+        *applied.lock().unwrap() = current;
     }
 }
 
