--- a/crates/route/src/placement/brittleness.rs
+++ b/crates/route/src/placement/brittleness.rs
@@ -51,6 +51,15 @@
         self.named.is_some_and(|(_, until)| now < until)
     }
 
+    /// Forgets what was said long ago. Returns whether there was anything to forget.
+    fn expire(&mut self, now: Instant) -> bool {
+        let expired = self.named.is_some_and(|(_, until)| until <= now);
+        if expired {
+            self.named = None;
+        }
+        expired
+    }
+
     /// Records the word of a response. Returns whether the rates have to be adapted.
     fn record(&mut self, now: Instant, borne: Option<u32>) -> bool {
         let was_named = self.named.is_some();
@@ -135,6 +144,18 @@
         was_named != self.brittleness.is_named(now)
     }
 
+    /// Ends the rates of brittle endpoints of which nothing was heard for long: a VM without a share hears
+    /// nothing.
+    pub(super) fn expire_brittle(&mut self, now: Instant) {
+        if !self.brittleness.expire(now) {
+            return;
+        }
+        for entry in self.endpoints.values_mut() {
+            entry.brittle_limit = None;
+            entry.apply_limits(now, self.rank);
+        }
+    }
+
     /// Whether the endpoints have said that they are brittle.
     pub fn is_brittle(&self, now: Instant) -> bool {
         self.brittleness.is_named(now)
--- a/crates/route/src/placement/placer.rs
+++ b/crates/route/src/placement/placer.rs
@@ -158,6 +158,7 @@
     /// Chooses an endpoint and adds the request to its load.
     pub fn place(&mut self, now: Instant, request: &PlacementRequest<'_>) -> Option<Placement> {
         self.decay_failures(now);
+        self.expire_brittle(now);
         let Some(placement) = cost::cheapest(self, now, request) else {
             // Demand that no endpoint takes counts for the sizer as well.
             if let Some(prompt) = request.prompt.filter(|_| self.reopens_in(now).is_some()) {
--- a/crates/route/tests/brittle_endpoints.rs
+++ b/crates/route/tests/brittle_endpoints.rs
@@ -248,3 +248,28 @@
         }
     }
 }
+
+/// A VM without a share in any endpoint hears no response, and refused requests for good.
+#[test]
+fn vm_without_a_share_tries_again_after_a_while() {
+    let mut placer = Placer::new(None);
+    let spec = EndpointSpec {
+        slots: 1,
+        ..spec("e0", "a", false)
+    };
+    placer.upsert_endpoint(start(), spec);
+    let zone = zone("a");
+    let mut without_share = 0;
+    for rank in 0..300 {
+        placer.set_rank(start(), Some(FleetRank { rank, vms: 300 }));
+        placer.record_brittle(start(), Some(0));
+        let soon = start() + Duration::from_secs(5);
+        if placer.place(soon, &request(&zone, None, 400)).is_some() {
+            continue;
+        }
+        without_share += 1;
+        let later = start() + Duration::from_secs(11);
+        assert!(placer.place(later, &request(&zone, None, 400)).is_some());
+    }
+    assert!(without_share > 200);
+}
