Logs tell what a claim of the duties is based on, and how much of the permission is left at each call

New lines: what a claim is based on, a change of the holder, a duty log that doesn't continue where it was known to end, and for each call of the holder its fencing token and what is left of the hold.

--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -154,6 +154,22 @@
         self.holder.as_ref().map(|h| &h.vm)
     }
 
+    /// Returns the fencing token of the holder according to the log.
+    pub fn holder_epoch(&self) -> Option<Epoch> {
+        self.holder.as_ref().map(|h| h.epoch)
+    }
+
+    /// Time since the newest record was read.
+    pub fn record_age(&self, now: Instant) -> Duration {
+        now.since(self.last_record)
+    }
+
+    /// Time for which this process may still act as the holder.
+    pub fn hold_left(&self, now: Instant) -> Duration {
+        let until = self.renewed_at.map(|t| t + self.timing.hold);
+        until.map_or(Duration::ZERO, |until| until.since(now))
+    }
+
     /// Whether this process is the holder according to the log.
     pub fn is_holder(&self) -> bool {
         let holder = self.holder.as_ref();
--- a/crates/relay/src/process/capacity_planner.rs
+++ b/crates/relay/src/process/capacity_planner.rs
@@ -59,6 +59,12 @@
             let Some(epoch) = lease.epoch(self.node.clock.now()) else {
                 return;
             };
+            let left = lease.hold_left(self.node.clock.now());
+            log::info!(
+                service:% = order.service, zone:% = order.zone, cheap = order.cheap, count = order.count,
+                epoch = epoch.0, left_ms = left.as_millis() as u64;
+                "capacity order sent"
+            );
             self.send_order(FenceToken { epoch }, order).await;
         }
     }
--- a/crates/relay/src/process/duty_worker.rs
+++ b/crates/relay/src/process/duty_worker.rs
@@ -89,6 +89,9 @@
             return RETRY_PAUSE;
         }
         if let DutyStep::Append(record, at) = self.lease.next_step(self.node.clock.now()) {
+            if !self.lease.is_holder() {
+                self.log_claim(at);
+            }
             self.append_record(&record, at).await;
         }
         self.log_transition();
@@ -135,12 +138,24 @@
         self.planner.reset(self.node.clock.now());
     }
 
+    /// Logs what a claim of the lease is based on.
+    fn log_claim(&self, at: u64) {
+        let holder = self.lease.holder().map_or("", |vm| vm.as_str());
+        let epoch = self.lease.holder_epoch().map_or(0, |e| e.0);
+        let age = self.lease.record_age(self.node.clock.now());
+        log::info!(at = at, holder = holder, epoch = epoch, record_age_ms = age.as_millis() as u64; "duties claimed");
+    }
+
     /// Reads the lease's topic to its end; false if the read fails.
     async fn read_lease_log(&mut self) -> bool {
         let from = self.lease.end_offset();
         match self.log.read(Topic::Duty, from, Duration::ZERO).await {
             Ok(batch) => {
                 let now = self.node.clock.now();
+                if batch.first > from || batch.end < from {
+                    log::warn!(from = from, first = batch.first, end = batch.end; "duty log does not continue at the known end");
+                }
+                let holder = self.lease.holder_epoch();
                 for (offset, bytes) in &batch.records {
                     match rmp_serde::from_slice::<DutyRecord>(bytes) {
                         Ok(record) => self.lease.fold(now, *offset, &record),
@@ -150,6 +165,11 @@
                         }
                     }
                 }
+                if self.lease.holder_epoch() != holder {
+                    let vm = self.lease.holder().map_or("", |vm| vm.as_str());
+                    let epoch = self.lease.holder_epoch().map_or(0, |e| e.0);
+                    log::info!(holder = vm, epoch = epoch, end = batch.end; "duty holder changed");
+                }
                 let read = batch.records.last().map_or(batch.first, |(o, _)| o + 1);
                 if read.max(from) >= batch.end {
                     self.lease.read_to(batch.end);
@@ -201,6 +221,8 @@
             let (Some(counts), Some(fence)) = (counts, self.fence()) else {
                 return;
             };
+            let left = self.lease.hold_left(self.node.clock.now());
+            log::info!(window = window, epoch = fence.epoch.0, left_ms = left.as_millis() as u64; "usage report sent");
             if !self.usage.report(fence, window, &counts).await {
                 return;
             }
