Each record of the duty log names the holder and its token

Callers saw nothing; the platform got orders from two VMs. Cause: only the claim named the holder. Where it has expired or was dropped with the history, a VM that reads the log anew took the lease for one that was never held and claimed 0 to 0.6 s after the holder's newest renewal, with a higher token; the holder went on with the lower one until its next append.

Now whoever wrote the newest record is the holder. Each record carries the token of its tenure behind the bytes of before: releases up to ignore what follows a record. Renewals are written as claims, so that these releases know the holder too. A VM that finds the log emptied waits for the lease.

--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -1,7 +1,7 @@
 //! The duty lease as one VM sees it: a state machine without I/O.
 
 use {
-    super::{DutyRecord, SealedWindow},
+    super::{DutyEntry, DutyRecord, SealedWindow, Tenure},
     clock::Instant,
     std::{collections::BTreeMap, time::Duration},
     types::{Epoch, Incarnation, VmId},
@@ -27,8 +27,8 @@
 pub enum DutyStep {
     /// Do nothing for this long.
     Wait(Duration),
-    /// Append this record, on condition that the log ends at the offset.
-    Append(DutyRecord, u64),
+    /// Append this entry, on condition that the log ends at the offset.
+    Append(DutyEntry, u64),
 }
 
 /// The holder according to the log.
@@ -47,6 +47,8 @@
     timing: DutyTiming,
     end: u64,
     holder: Option<Holder>,
+    /// The highest fencing token in the log.
+    last_epoch: Option<Epoch>,
     /// When the newest record was read.
     last_record: Instant,
     /// When this VM sent its newest record that is in the log.
@@ -75,6 +77,7 @@
             timing,
             end: 0,
             holder: None,
+            last_epoch: None,
             last_record: now,
             renewed_at: None,
             sent_at: None,
@@ -89,32 +92,49 @@
         self.end
     }
 
-    /// Applies a record that was read or appended.
-    pub fn fold(&mut self, now: Instant, offset: u64, record: &DutyRecord) {
+    /// Applies an entry that was read or appended. Whoever wrote it held the lease.
+    pub fn fold(&mut self, now: Instant, offset: u64, entry: &DutyEntry) {
         if offset < self.end {
             return;
         }
         self.end = offset + 1;
         self.last_record = now;
-        let (vm, incarnation) = record.writer();
-        let is_own = *vm == self.vm && incarnation == self.incarnation;
-        match record {
-            DutyRecord::Claim(..) => {
-                self.holder = Some(Holder {
-                    vm: vm.clone(),
-                    incarnation,
-                    epoch: Epoch(offset),
-                });
-                self.renewed_at = None;
-            }
-            DutyRecord::Renew(..) => {}
-            DutyRecord::Seal(_, _, sealed) => self.remember_sealed(sealed.clone()),
+        let (vm, incarnation) = entry.record.writer();
+        let holder = Holder {
+            vm: vm.clone(),
+            incarnation,
+            epoch: self.epoch_of(offset, entry),
+        };
+        self.last_epoch = self.last_epoch.max(Some(holder.epoch));
+        if self.holder.as_ref() != Some(&holder) {
+            self.holder = Some(holder);
+            self.renewed_at = None;
         }
-        if is_own && let Some(sent_at) = self.sent_at.take() {
+        if let DutyRecord::Seal(_, _, sealed) = &entry.record {
+            self.remember_sealed(sealed.clone());
+        }
+        if self.is_holder()
+            && let Some(sent_at) = self.sent_at.take()
+        {
             self.renewed_at = Some(sent_at);
         }
     }
 
+    /// The fencing token of the tenure that an entry belongs to. Where the entry doesn't tell it, and
+    /// its claim is no longer in the log, the token is at most the offset.
+    fn epoch_of(&self, offset: u64, entry: &DutyEntry) -> Epoch {
+        if let Some(tenure) = entry.tenure {
+            return tenure.epoch;
+        }
+        let (vm, incarnation) = entry.record.writer();
+        let known = self.holder.as_ref();
+        let known = known.filter(|h| h.vm == *vm && h.incarnation == incarnation);
+        match (&entry.record, known) {
+            (DutyRecord::Claim(..), _) | (_, None) => Epoch(offset),
+            (DutyRecord::Renew(..) | DutyRecord::Seal(..), Some(holder)) => holder.epoch,
+        }
+    }
+
     /// Skips a record that cannot be decoded; it still moves the end of the log.
     pub fn skip(&mut self, now: Instant, offset: u64) {
         if offset >= self.end {
@@ -123,13 +143,24 @@
         }
     }
 
-    /// Handles a read that reached the end of the log, at offset `end`.
-    pub fn read_to(&mut self, end: u64) {
-        self.end = self.end.max(end);
+    /// Handles a read that reached the end of the log, at offset `end`. If the log has dropped its
+    /// newest records unread, their holder may still act.
+    pub fn read_to(&mut self, now: Instant, end: u64) {
+        if end > self.end {
+            self.forget_holder(now, end);
+        }
         self.caught_up = true;
         self.sent_at = None;
     }
 
+    /// Moves the end of the log past records whose writers are unknown.
+    fn forget_holder(&mut self, now: Instant, end: u64) {
+        self.end = end;
+        self.last_record = now;
+        self.holder = None;
+        self.renewed_at = None;
+    }
+
     /// Handles the start of an append at `now`.
     pub fn append_started(&mut self, now: Instant) {
         self.sent_at = Some(now);
@@ -186,35 +217,52 @@
         if !self.caught_up {
             return DutyStep::Wait(Duration::ZERO);
         }
-        let (vm, incarnation) = (self.vm.clone(), self.incarnation);
         if self.is_holder()
+            && let Some(holder) = &self.holder
             && let Some(renewed_at) = self.renewed_at
         {
             let due = renewed_at + self.timing.renew;
             if now >= due {
-                return DutyStep::Append(DutyRecord::Renew(vm, incarnation), self.end);
+                return self.append_claim(holder.epoch);
             }
             return DutyStep::Wait(due.since(now));
         }
-        let due = match self.holder {
-            Some(_) => self.last_record + self.timing.lease + self.jitter,
-            None => self.last_record + self.jitter,
+        let due = match self.end {
+            0 => self.last_record + self.jitter,
+            _ => self.last_record + self.timing.lease + self.jitter,
         };
         if now >= due {
-            return DutyStep::Append(DutyRecord::Claim(vm, incarnation), self.end);
+            return self.append_claim(self.next_epoch());
         }
         DutyStep::Wait(due.since(now))
     }
 
+    /// Renewals are claims with the same token: earlier releases need a claim to know the holder.
+    fn append_claim(&self, epoch: Epoch) -> DutyStep {
+        let record = DutyRecord::Claim(self.vm.clone(), self.incarnation);
+        DutyStep::Append(self.entry(record, epoch), self.end)
+    }
+
+    /// A token above all those of earlier tenures: the offset of the claim, as in earlier releases.
+    fn next_epoch(&self) -> Epoch {
+        let above = self.last_epoch.map_or(0, |e| e.0 + 1);
+        Epoch(self.end.max(above))
+    }
+
+    fn entry(&self, record: DutyRecord, epoch: Epoch) -> DutyEntry {
+        let tenure = Some(Tenure { epoch });
+        DutyEntry { record, tenure }
+    }
+
     /// Returns the record that fixes a window's figures and the offset to append it at, if this
     /// process may act and the window is not sealed yet.
-    pub fn seal(&self, now: Instant, sealed: SealedWindow) -> Option<(DutyRecord, u64)> {
-        self.epoch(now)?;
+    pub fn seal(&self, now: Instant, sealed: SealedWindow) -> Option<(DutyEntry, u64)> {
+        let epoch = self.epoch(now)?;
         if !self.caught_up || self.sealed.contains_key(&sealed.window) {
             return None;
         }
         let record = DutyRecord::Seal(self.vm.clone(), self.incarnation, sealed);
-        Some((record, self.end))
+        Some((self.entry(record, epoch), self.end))
     }
 
     /// Returns the figures that were fixed for a window.
--- a/crates/coord/src/duty/mod.rs
+++ b/crates/coord/src/duty/mod.rs
@@ -4,10 +4,12 @@
 //! thereby orders the holders, and no other message is needed. The offset of a claim is its fencing
 //! token.
 
+mod entry;
 mod lease;
 mod record;
 
 pub use {
+    entry::{DutyEntry, Tenure},
     lease::{DutyLease, DutyStep, DutyTiming},
     record::{DutyRecord, SealedWindow},
 };
--- a/crates/coord/src/duty/record.rs
+++ b/crates/coord/src/duty/record.rs
@@ -15,12 +15,12 @@
     pub counts: BTreeMap<OrgId, u64>,
 }
 
-/// A record of the duty log.
+/// A record of the duty log, in the form that all releases read.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DutyRecord {
-    /// A VM claims the lease.
+    /// A VM claims the lease, or renews it.
     Claim(VmId, Incarnation),
-    /// The holder renews the lease.
+    /// The holder renews the lease; earlier releases wrote it.
     Renew(VmId, Incarnation),
     /// The holder fixes the figures of a window, which renews the lease too.
     Seal(VmId, Incarnation, SealedWindow),
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,7 +7,7 @@
 mod newest;
 
 pub use {
-    duty::{DutyLease, DutyRecord, DutyStep, DutyTiming, SealedWindow},
+    duty::{DutyEntry, DutyLease, DutyRecord, DutyStep, DutyTiming, SealedWindow, Tenure},
     follower::{Follower, ReadOutcome},
     lease::{
         Contender, Holder, LeaseBase, LeaseDecision, LeaseHandle, LeaseId, LeaseManager,
--- a/crates/coord/tests/duty_holders.rs
+++ b/crates/coord/tests/duty_holders.rs
@@ -2,7 +2,7 @@
 
 use {
     clock::Instant,
-    coord::{DutyLease, DutyRecord, DutyStep, DutyTiming},
+    coord::{DutyEntry, DutyLease, DutyRecord, DutyStep, DutyTiming},
     std::time::Duration,
     types::{Epoch, Incarnation},
 };
@@ -23,18 +23,18 @@
     DutyLease::new(at(ms), vm.parse().unwrap(), INCARNATION, TIMING, jitter)
 }
 
-fn claim(vm: &str) -> DutyRecord {
-    DutyRecord::Claim(vm.parse().unwrap(), INCARNATION)
+fn claim(vm: &str) -> DutyEntry {
+    DutyRecord::Claim(vm.parse().unwrap(), INCARNATION).into()
 }
 
-fn renewal(vm: &str) -> DutyRecord {
-    DutyRecord::Renew(vm.parse().unwrap(), INCARNATION)
+fn renewal(vm: &str) -> DutyEntry {
+    DutyRecord::Renew(vm.parse().unwrap(), INCARNATION).into()
 }
 
 /// A lease of `vm` that claimed at `offset` at the time `ms`.
 fn holder(vm: &str, offset: u64, ms: u64) -> DutyLease {
     let mut lease = lease(vm, ms);
-    lease.read_to(offset);
+    lease.read_to(at(ms), offset);
     lease.append_started(at(ms));
     lease.fold(at(ms), offset, &claim(vm));
     lease
@@ -46,18 +46,27 @@
     let a = holder("a", 0, 0);
     let mut b = lease("b", 300_000);
     b.fold(at(300_000), 500, &renewal("a"));
-    b.read_to(501);
+    b.read_to(at(300_000), 501);
     assert_eq!(b.holder(), a.holder());
     assert!(matches!(b.next_step(at(302_999)), DutyStep::Wait(_)));
 }
 
+/// A VM whose log had dropped all records claimed at once, beside the holder that wrote them.
+#[test]
+fn vm_waits_for_the_lease_where_the_log_has_dropped_all_records() {
+    let mut b = lease("b", 0);
+    b.read_to(at(300_000), 501);
+    assert!(matches!(b.next_step(at(303_149)), DutyStep::Wait(_)));
+    assert!(matches!(b.next_step(at(303_150)), DutyStep::Append(_, 501)));
+}
+
 /// A former holder took a record that it could not decode for nothing, and acted again beside the
 /// new holder.
 #[test]
 fn former_holder_does_not_act_after_a_record_that_it_cannot_decode() {
     let mut a = holder("a", 0, 0);
     a.skip(at(10_000), 1);
-    a.read_to(2);
+    a.read_to(at(10_000), 2);
     if let DutyStep::Append(record, end) = a.next_step(at(10_000)) {
         a.append_started(at(10_000));
         a.fold(at(10_000), end, &record);
@@ -82,11 +91,11 @@
     let mut a = holder("a", 0, 0);
     a.append_started(at(600));
     a.require_read();
-    a.read_to(1);
+    a.read_to(at(1_300), 1);
     // The renewal sent at 600 ms takes effect right after this read; the VM pauses before its next append.
     a.append_started(at(3_000));
     a.require_read();
     a.fold(at(3_005), 1, &renewal("a"));
-    a.read_to(2);
+    a.read_to(at(3_005), 2);
     assert_eq!(a.epoch(at(3_005)), None);
 }
--- a/crates/coord/tests/duty_lease.rs
+++ b/crates/coord/tests/duty_lease.rs
@@ -3,7 +3,7 @@
 
 use {
     clock::Instant,
-    coord::{DutyLease, DutyRecord, DutyStep, DutyTiming, SealedWindow},
+    coord::{DutyEntry, DutyLease, DutyStep, DutyTiming, SealedWindow},
     std::{collections::BTreeMap, time::Duration},
     types::Epoch,
 };
@@ -22,7 +22,7 @@
 
 struct InFlight {
     arrives_at: u64,
-    record: DutyRecord,
+    record: DutyEntry,
     expected_end: u64,
 }
 
@@ -38,7 +38,7 @@
 struct Simulation {
     rng: fastrand::Rng,
     ms: u64,
-    log: Vec<DutyRecord>,
+    log: Vec<DutyEntry>,
     in_flight: Vec<InFlight>,
     vms: Vec<Vm>,
     /// VM that acted last, its fencing token, and until when its last call may still arrive.
@@ -74,7 +74,7 @@
         Instant::from_nanos(self.ms * 1_000_000)
     }
 
-    fn append(&mut self, record: DutyRecord, end: u64) -> Option<u64> {
+    fn append(&mut self, record: DutyEntry, end: u64) -> Option<u64> {
         if end != self.log.len() as u64 {
             return None;
         }
@@ -122,7 +122,7 @@
             for offset in vm.lease.end_offset()..self.log.len() as u64 {
                 vm.lease.fold(now, offset, &self.log[offset as usize]);
             }
-            vm.lease.read_to(self.log.len() as u64);
+            vm.lease.read_to(now, self.log.len() as u64);
         }
         if let DutyStep::Append(record, end) = self.vms[index].lease.next_step(now) {
             self.send(index, record, end);
@@ -134,7 +134,7 @@
 
     /// Sends an append. The request or the response may be lost, or the append may also arrive
     /// late.
-    fn send(&mut self, index: usize, record: DutyRecord, end: u64) {
+    fn send(&mut self, index: usize, record: DutyEntry, end: u64) {
         let now = self.now();
         self.vms[index].lease.append_started(now);
         let roll = self.rng.u32(..100);
@@ -237,7 +237,7 @@
 fn holder_stops_acting_before_others_may_claim() {
     let mut holder = new_lease(0, 0, 0);
     let at = |ms: u64| Instant::from_nanos((1_000_000 + ms) * 1_000_000);
-    holder.read_to(0);
+    holder.read_to(at(0), 0);
     let DutyStep::Append(claim, 0) = holder.next_step(at(0)) else {
         panic!("a lease that was never held is claimed at once");
     };
@@ -247,7 +247,7 @@
     assert_eq!(holder.epoch(at(1_200)), None);
     let mut other = new_lease(1, 0, 0);
     other.fold(at(5), 0, &claim);
-    other.read_to(1);
+    other.read_to(at(5), 1);
     assert!(matches!(other.next_step(at(3_004)), DutyStep::Wait(_)));
     assert!(matches!(other.next_step(at(3_005)), DutyStep::Append(..)));
 }
--- a/crates/relay/src/process/duty_worker.rs
+++ b/crates/relay/src/process/duty_worker.rs
@@ -4,7 +4,7 @@
     super::{Node, capacity_planner::CapacityPlanner, usage_reporter::UsageReporter},
     crate::adapter::{AppendOutcome, DutyApi, FenceToken, SharedLog, Topic},
     clock::Instant,
-    coord::{DutyLease, DutyRecord, DutyStep, DutyTiming, SealedWindow},
+    coord::{DutyEntry, DutyLease, DutyStep, DutyTiming, SealedWindow},
     std::{sync::Arc, time::Duration},
 };
 
@@ -88,11 +88,11 @@
             self.log_transition();
             return RETRY_PAUSE;
         }
-        if let DutyStep::Append(record, at) = self.lease.next_step(self.node.clock.now()) {
+        if let DutyStep::Append(entry, at) = self.lease.next_step(self.node.clock.now()) {
             if !self.lease.is_holder() {
                 self.log_claim(at);
             }
-            self.append_record(&record, at).await;
+            self.append_entry(&entry, at).await;
         }
         self.log_transition();
         if self.fence().is_some() {
@@ -157,8 +157,8 @@
                 }
                 let holder = self.lease.holder_epoch();
                 for (offset, bytes) in &batch.records {
-                    match rmp_serde::from_slice::<DutyRecord>(bytes) {
-                        Ok(record) => self.lease.fold(now, *offset, &record),
+                    match DutyEntry::decode(bytes) {
+                        Ok(entry) => self.lease.fold(now, *offset, &entry),
                         Err(e) => {
                             log::error!(offset = *offset, error:% = e; "cannot decode a duty record");
                             self.lease.skip(now, *offset);
@@ -172,7 +172,7 @@
                 }
                 let read = batch.records.last().map_or(batch.first, |(o, _)| o + 1);
                 if read.max(from) >= batch.end {
-                    self.lease.read_to(batch.end);
+                    self.lease.read_to(now, batch.end);
                 }
                 true
             }
@@ -183,16 +183,19 @@
         }
     }
 
-    /// Appends a record if the topic still ends at `at`; true only if it is known to be appended.
-    async fn append_record(&mut self, record: &DutyRecord, at: u64) -> bool {
-        let Ok(bytes) = rmp_serde::to_vec(record) else {
-            log::error!("cannot encode a duty record");
-            return false;
+    /// Appends an entry if the topic still ends at `at`; true only if it is known to be appended.
+    async fn append_entry(&mut self, entry: &DutyEntry, at: u64) -> bool {
+        let bytes = match entry.encode() {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                log::error!(error:% = e; "cannot encode a duty record");
+                return false;
+            }
         };
         self.lease.append_started(self.node.clock.now());
         match self.log.append(Topic::Duty, &bytes, Some(at)).await {
             Ok(AppendOutcome::Appended(offset)) => {
-                self.lease.fold(self.node.clock.now(), offset, record);
+                self.lease.fold(self.node.clock.now(), offset, entry);
                 true
             }
             Ok(AppendOutcome::Conflict(end)) => {
@@ -236,7 +239,7 @@
         };
         let now = self.node.clock.now();
         match self.lease.seal(now, SealedWindow { window, counts }) {
-            Some((record, at)) => self.append_record(&record, at).await,
+            Some((entry, at)) => self.append_entry(&entry, at).await,
             None => false,
         }
     }
