A VM doesn't act on the duties after a record that it can't decode

Cause: a record of another release or writer only moved the end of the log and left the holder as it was. A former holder whose hold was long over took another release's claim for nothing, renewed its own and acted again with its old token beside the new holder.

Now the holder is unknown after such a record: nobody who can't read it acts, and others claim once the log has been silent for the lease.

--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -135,11 +135,10 @@
         }
     }
 
-    /// Skips a record that cannot be decoded; it still moves the end of the log.
+    /// Handles a record that cannot be decoded: another release may hold the lease.
     pub fn skip(&mut self, now: Instant, offset: u64) {
         if offset >= self.end {
-            self.end = offset + 1;
-            self.last_record = now;
+            self.forget_holder(now, offset + 1);
         }
     }
 
