The hold counts from the send time of the record that is in the log

Cause: a holder kept only the send time of its last append. An append that took effect late, after a read that didn't show it, made the next one fail; the record that was then read counted from the later append, while other VMs counted the lease from when they read it. A pause of 1.2 s between the two was enough for two VMs to act.

Each record now has a serial number, and counts from when it was sent. Appends older than the hold are forgotten: their record gives no permission.

--- a/crates/coord/src/duty/entry.rs
+++ b/crates/coord/src/duty/entry.rs
@@ -1,4 +1,4 @@
-//! An entry of the duty log: a record, and the tenure that it belongs to.
+//! An entry of the duty log: a record, and a trailer that makes it understood by itself.
 
 use {
     super::DutyRecord,
@@ -7,12 +7,15 @@
     types::Epoch,
 };
 
-/// The tenure of a holder. Each of its records repeats it, so that one record is enough to know the
-/// holder, whatever the log has dropped before it.
+/// What each record tells of its writer's tenure, so that one record is enough to know the holder,
+/// whatever the log has dropped before it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Tenure {
+pub struct Trailer {
     /// Fencing token of the tenure.
     pub epoch: Epoch,
+    /// Number of the record among those of its process.
+    #[serde(default)]
+    pub serial: u64,
 }
 
 /// A record as it stands in the log.
@@ -20,28 +23,28 @@
 pub struct DutyEntry {
     /// The record.
     pub record: DutyRecord,
-    /// The tenure; `None` in records of releases that didn't write it.
-    pub tenure: Option<Tenure>,
+    /// The trailer; `None` in records of releases that didn't write it.
+    pub trailer: Option<Trailer>,
 }
 
 impl DutyEntry {
-    /// Encodes the entry. The tenure follows the record: earlier releases ignore what follows.
+    /// Encodes the entry. Earlier releases ignore what follows the record.
     pub fn encode(&self) -> Result<Vec<u8>> {
         let mut bytes = rmp_serde::to_vec(&self.record)?;
-        if let Some(tenure) = &self.tenure {
-            rmp_serde::encode::write_named(&mut bytes, tenure)?;
+        if let Some(trailer) = &self.trailer {
+            rmp_serde::encode::write_named(&mut bytes, trailer)?;
         }
         Ok(bytes)
     }
 
-    /// Decodes an entry; unknown fields of the tenure are skipped.
+    /// Decodes an entry; unknown fields of the trailer are skipped.
     pub fn decode(mut bytes: &[u8]) -> Result<Self> {
         let record = rmp_serde::from_read(&mut bytes)?;
-        let tenure = match bytes.is_empty() {
+        let trailer = match bytes.is_empty() {
             true => None,
             false => Some(rmp_serde::from_slice(bytes)?),
         };
-        Ok(Self { record, tenure })
+        Ok(Self { record, trailer })
     }
 }
 
@@ -49,7 +52,7 @@
     fn from(record: DutyRecord) -> Self {
         Self {
             record,
-            tenure: None,
+            trailer: None,
         }
     }
 }
--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -1,7 +1,7 @@
 //! The duty lease as one VM sees it: a state machine without I/O.
 
 use {
-    super::{DutyEntry, DutyRecord, SealedWindow, Tenure},
+    super::{DutyEntry, DutyRecord, SealedWindow, Trailer},
     clock::Instant,
     std::{collections::BTreeMap, time::Duration},
     types::{Epoch, Incarnation, VmId},
@@ -53,8 +53,9 @@
     last_record: Instant,
     /// When this VM sent its newest record that is in the log.
     renewed_at: Option<Instant>,
-    /// When the append that may still be in flight was sent.
-    sent_at: Option<Instant>,
+    /// Serial numbers of the appends that may still be in flight, and when they were sent.
+    in_flight: BTreeMap<u64, Instant>,
+    next_serial: u64,
     /// Whether the log was read to its end after the last append of unknown outcome.
     caught_up: bool,
     sealed: BTreeMap<u64, SealedWindow>,
@@ -80,7 +81,8 @@
             last_epoch: None,
             last_record: now,
             renewed_at: None,
-            sent_at: None,
+            in_flight: BTreeMap::new(),
+            next_serial: 0,
             caught_up: false,
             sealed: BTreeMap::new(),
             jitter,
@@ -114,17 +116,26 @@
             self.remember_sealed(sealed.clone());
         }
         if self.is_holder()
-            && let Some(sent_at) = self.sent_at.take()
+            && let Some(trailer) = entry.trailer
         {
-            self.renewed_at = Some(sent_at);
+            self.credit(trailer.serial);
         }
     }
 
+    /// Counts the hold from when the record with this serial number was sent. Those sent before it
+    /// can no longer take effect.
+    fn credit(&mut self, serial: u64) {
+        let later = self.in_flight.split_off(&(serial + 1));
+        let sent_at = self.in_flight.remove(&serial);
+        self.in_flight = later;
+        self.renewed_at = self.renewed_at.max(sent_at);
+    }
+
     /// The fencing token of the tenure that an entry belongs to. Where the entry doesn't tell it, and
     /// its claim is no longer in the log, the token is at most the offset.
     fn epoch_of(&self, offset: u64, entry: &DutyEntry) -> Epoch {
-        if let Some(tenure) = entry.tenure {
-            return tenure.epoch;
+        if let Some(trailer) = entry.trailer {
+            return trailer.epoch;
         }
         let (vm, incarnation) = entry.record.writer();
         let known = self.holder.as_ref();
@@ -149,7 +160,6 @@
             self.forget_holder(now, end);
         }
         self.caught_up = true;
-        self.sent_at = None;
     }
 
     /// Moves the end of the log past records whose writers are unknown.
@@ -160,9 +170,15 @@
         self.renewed_at = None;
     }
 
-    /// Handles the start of an append at `now`.
-    pub fn append_started(&mut self, now: Instant) {
-        self.sent_at = Some(now);
+    /// Handles the start of the append of an entry at `now`.
+    pub fn append_started(&mut self, now: Instant, entry: &DutyEntry) {
+        let hold = self.timing.hold;
+        self.in_flight
+            .retain(|_, sent_at| now.since(*sent_at) < hold);
+        if let Some(trailer) = entry.trailer {
+            self.in_flight.insert(trailer.serial, now);
+            self.next_serial = trailer.serial + 1;
+        }
     }
 
     /// Requires a read of the log before the next append, after one that failed or whose outcome is
@@ -249,8 +265,9 @@
     }
 
     fn entry(&self, record: DutyRecord, epoch: Epoch) -> DutyEntry {
-        let tenure = Some(Tenure { epoch });
-        DutyEntry { record, tenure }
+        let serial = self.next_serial;
+        let trailer = Some(Trailer { epoch, serial });
+        DutyEntry { record, trailer }
     }
 
     /// Returns the record that fixes a window's figures and the offset to append it at, if this
--- a/crates/coord/src/duty/mod.rs
+++ b/crates/coord/src/duty/mod.rs
@@ -9,7 +9,7 @@
 mod record;
 
 pub use {
-    entry::{DutyEntry, Tenure},
+    entry::{DutyEntry, Trailer},
     lease::{DutyLease, DutyStep, DutyTiming},
     record::{DutyRecord, SealedWindow},
 };
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,7 +7,7 @@
 mod newest;
 
 pub use {
-    duty::{DutyEntry, DutyLease, DutyRecord, DutyStep, DutyTiming, SealedWindow, Tenure},
+    duty::{DutyEntry, DutyLease, DutyRecord, DutyStep, DutyTiming, SealedWindow, Trailer},
     follower::{Follower, ReadOutcome},
     lease::{
         Contender, Holder, LeaseBase, LeaseDecision, LeaseHandle, LeaseId, LeaseManager,
--- a/crates/coord/tests/duty_format.rs
+++ b/crates/coord/tests/duty_format.rs
@@ -2,7 +2,7 @@
 //! read an entry with `rmp_serde::from_slice::<DutyRecord>`.
 
 use {
-    coord::{DutyEntry, DutyRecord, SealedWindow, Tenure},
+    coord::{DutyEntry, DutyRecord, SealedWindow, Trailer},
     types::{Epoch, Incarnation, VmId},
 };
 
@@ -11,6 +11,11 @@
 const RENEWAL: &[u8] = b"\x81\xa5Renew\x92\xa7front-1\xcd\x01\x2c";
 const SEAL: &[u8] = b"\x81\xa4Seal\x93\xa7front-1\xcd\x01\x2c\x92\x07\x81\xa3org\x09";
 
+const TRAILER: Trailer = Trailer {
+    epoch: Epoch(5),
+    serial: 2,
+};
+
 fn vm() -> VmId {
     "front-1".parse().unwrap()
 }
@@ -32,18 +37,18 @@
     for (bytes, record) in recorded {
         assert_eq!(rmp_serde::to_vec(&record).unwrap(), bytes);
         let entry = DutyEntry::decode(bytes).unwrap();
-        assert_eq!((entry.record, entry.tenure), (record, None));
+        assert_eq!((entry.record, entry.trailer), (record, None));
     }
 }
 
 #[test]
 fn earlier_releases_read_the_record_of_an_entry() {
-    let tenure = Some(Tenure { epoch: Epoch(5) });
+    let trailer = Some(TRAILER);
     for record in [
         DutyRecord::Claim(vm(), Incarnation(300)),
         DutyRecord::Seal(vm(), Incarnation(300), seal()),
     ] {
-        let entry = DutyEntry { record, tenure };
+        let entry = DutyEntry { record, trailer };
         let bytes = entry.encode().unwrap();
         let read: DutyRecord = rmp_serde::from_slice(&bytes).unwrap();
         assert_eq!(read, entry.record);
@@ -52,8 +57,12 @@
 }
 
 #[test]
-fn unknown_fields_of_a_tenure_are_skipped() {
-    let bytes = [CLAIM, b"\x82\xa5later\x93\x01\x02\x03\xa5epoch\x05"].concat();
+fn unknown_fields_of_a_trailer_are_skipped() {
+    let bytes = [
+        CLAIM,
+        b"\x83\xa5later\x93\x01\x02\x03\xa5epoch\x05\xa6serial\x02",
+    ]
+    .concat();
     let entry = DutyEntry::decode(&bytes).unwrap();
-    assert_eq!(entry.tenure, Some(Tenure { epoch: Epoch(5) }));
+    assert_eq!(entry.trailer, Some(TRAILER));
 }
--- a/crates/coord/tests/duty_holders.rs
+++ b/crates/coord/tests/duty_holders.rs
@@ -23,23 +23,35 @@
     DutyLease::new(at(ms), vm.parse().unwrap(), INCARNATION, TIMING, jitter)
 }
 
-fn claim(vm: &str) -> DutyEntry {
-    DutyRecord::Claim(vm.parse().unwrap(), INCARNATION).into()
-}
-
 fn renewal(vm: &str) -> DutyEntry {
     DutyRecord::Renew(vm.parse().unwrap(), INCARNATION).into()
 }
 
 /// A lease of `vm` that claimed at `offset` at the time `ms`.
 fn holder(vm: &str, offset: u64, ms: u64) -> DutyLease {
-    let mut lease = lease(vm, ms);
-    lease.read_to(at(ms), offset);
-    lease.append_started(at(ms));
-    lease.fold(at(ms), offset, &claim(vm));
+    let start = Instant::from_nanos((1_000_000 + ms - 10_000) * 1_000_000);
+    let jitter = Duration::from_millis(150);
+    let mut lease = DutyLease::new(start, vm.parse().unwrap(), INCARNATION, TIMING, jitter);
+    lease.read_to(start, offset);
+    append(&mut lease, ms);
     lease
 }
 
+/// Appends what is due at the time `ms`.
+fn append(lease: &mut DutyLease, ms: u64) {
+    let (entry, end) = send(lease, ms);
+    lease.fold(at(ms), end, &entry);
+}
+
+/// Sends what is due at the time `ms`.
+fn send(lease: &mut DutyLease, ms: u64) -> (DutyEntry, u64) {
+    let DutyStep::Append(entry, end) = lease.next_step(at(ms)) else {
+        panic!("nothing is due");
+    };
+    lease.append_started(at(ms), &entry);
+    (entry, end)
+}
+
 /// A VM that found only renewals in the log, because the claim had expired, claimed beside the holder.
 #[test]
 fn holder_is_respected_after_its_claim_has_expired() {
@@ -67,9 +79,8 @@
     let mut a = holder("a", 0, 0);
     a.skip(at(10_000), 1);
     a.read_to(at(10_000), 2);
-    if let DutyStep::Append(record, end) = a.next_step(at(10_000)) {
-        a.append_started(at(10_000));
-        a.fold(at(10_000), end, &record);
+    if let DutyStep::Append(..) = a.next_step(at(10_000)) {
+        append(&mut a, 10_000);
     }
     assert_eq!(a.epoch(at(10_000)), None);
 }
@@ -89,13 +100,13 @@
 #[test]
 fn late_append_counts_from_its_own_send_time() {
     let mut a = holder("a", 0, 0);
-    a.append_started(at(600));
+    let (renewal, end) = send(&mut a, 600);
     a.require_read();
-    a.read_to(at(1_300), 1);
-    // The renewal sent at 600 ms takes effect right after this read; the VM pauses before its next append.
-    a.append_started(at(3_000));
+    a.read_to(at(1_300), end);
+    // The renewal takes effect right after this read; the VM pauses before it appends again.
+    send(&mut a, 3_000);
     a.require_read();
-    a.fold(at(3_005), 1, &renewal("a"));
-    a.read_to(at(3_005), 2);
+    a.fold(at(3_005), end, &renewal);
+    a.read_to(at(3_005), end + 1);
     assert_eq!(a.epoch(at(3_005)), None);
 }
--- a/crates/coord/tests/duty_lease.rs
+++ b/crates/coord/tests/duty_lease.rs
@@ -136,7 +136,7 @@
     /// late.
     fn send(&mut self, index: usize, record: DutyEntry, end: u64) {
         let now = self.now();
-        self.vms[index].lease.append_started(now);
+        self.vms[index].lease.append_started(now, &record);
         let roll = self.rng.u32(..100);
         let partitioned = self.vms[index].partitioned;
         if !partitioned && roll < 5 {
@@ -241,7 +241,7 @@
     let DutyStep::Append(claim, 0) = holder.next_step(at(0)) else {
         panic!("a lease that was never held is claimed at once");
     };
-    holder.append_started(at(0));
+    holder.append_started(at(0), &claim);
     holder.fold(at(5), 0, &claim);
     assert_eq!(holder.epoch(at(1_199)), Some(Epoch(0)));
     assert_eq!(holder.epoch(at(1_200)), None);
--- a/crates/relay/src/process/duty_worker.rs
+++ b/crates/relay/src/process/duty_worker.rs
@@ -192,7 +192,7 @@
                 return false;
             }
         };
-        self.lease.append_started(self.node.clock.now());
+        self.lease.append_started(self.node.clock.now(), entry);
         match self.log.append(Topic::Duty, &bytes, Some(at)).await {
             Ok(AppendOutcome::Appended(offset)) => {
                 self.lease.fold(self.node.clock.now(), offset, entry);
