A store that comes back from an older copy starts the duty lease anew

Callers' usage could be reported twice and orders came from two VMs. Cause: the fencing token was the offset of the claim, and nothing read the era of the store.

A position in the log is now era and offset. A VM that hears of a new era forgets its view, reads the log from its first record, and acts only on a record that it wrote in that era; a claim waits for the lease, in which holders that don't know the era have stopped. Records that were sent for an earlier era and arrive late count for nothing.

Windows that may have been sealed before the loss keep their figures where a VM knows them, and are not reported otherwise.

It tells the lease the era now, which the store names in each answer.

--- a/crates/coord/src/duty/entry.rs
+++ b/crates/coord/src/duty/entry.rs
@@ -4,7 +4,7 @@
     super::DutyRecord,
     eyre::Result,
     serde::{Deserialize, Serialize},
-    types::Epoch,
+    types::{Epoch, Era},
 };
 
 /// What each record tells of its writer's tenure, so that one record is enough to know the holder,
@@ -16,6 +16,12 @@
     /// Number of the record among those of its process.
     #[serde(default)]
     pub serial: u64,
+    /// Era of the store that it was written for.
+    #[serde(default)]
+    pub era: Era,
+    /// Usage windows below this one may have been sealed.
+    #[serde(default)]
+    pub next_window: u64,
 }
 
 /// A record as it stands in the log.
--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -1,14 +1,18 @@
 //! The duty lease as one VM sees it: a state machine without I/O.
 
 use {
-    super::{DutyEntry, DutyRecord, SealedWindow, Trailer},
+    super::{
+        DutyEntry, DutyRecord, SealedWindow, Trailer, epoch_history::EpochHistory,
+        sealed_windows::SealedWindows,
+    },
     clock::Instant,
     std::{collections::BTreeMap, time::Duration},
-    types::{Epoch, Incarnation, VmId},
+    types::{Epoch, Era, Incarnation, LogPosition, VmId},
 };
 
-/// Sealed windows that are remembered; more than are ever due at once.
-const MAX_SEALED: usize = 16;
+/// Time for which reads may lag behind earlier ones. A log that stays behind for longer has lost
+/// records, even if the store names no new era.
+const MAX_READ_LAG: Duration = Duration::from_secs(6);
 
 /// Durations of the duty lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,6 +35,30 @@
     Append(DutyEntry, u64),
 }
 
+/// The process that contends for the lease.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DutyMember {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Spreads the claims of VMs that see the lease expire at the same time.
+    pub jitter: Duration,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
+}
+
+/// Whether an answer of the log continues what is known of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogChange {
+    /// It does.
+    Continues,
+    /// The log has lost its newest records: it must be read from its first one.
+    Restarted,
+    /// The answer is older than others that were seen, and must be ignored.
+    Outdated,
+}
+
 /// The holder according to the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Holder {
@@ -42,13 +70,20 @@
 /// One VM's view of the duty lease.
 #[derive(Debug, Clone)]
 pub struct DutyLease {
-    vm: VmId,
-    incarnation: Incarnation,
+    member: DutyMember,
     timing: DutyTiming,
+    started: Instant,
+    /// Era of the newest answer of the log.
+    era: Option<Era>,
+    /// Since when answers have been behind what was read.
+    behind_since: Option<Instant>,
+    /// Era of the first answer.
+    first_era: Era,
+    /// Newest era of the records that were read.
+    record_era: Era,
     end: u64,
     holder: Option<Holder>,
-    /// The highest fencing token in the log.
-    last_epoch: Option<Epoch>,
+    epochs: EpochHistory,
     /// When the newest record was read.
     last_record: Instant,
     /// When this VM sent its newest record that is in the log.
@@ -58,34 +93,32 @@
     next_serial: u64,
     /// Whether the log was read to its end after the last append of unknown outcome.
     caught_up: bool,
-    sealed: BTreeMap<u64, SealedWindow>,
-    jitter: Duration,
+    windows: SealedWindows,
+    /// The present window when the first answer of this era arrived.
+    era_window: u64,
 }
 
 impl DutyLease {
-    /// Creates the view before any record is read. `jitter` spreads the claims of VMs that see the
-    /// lease expire at the same time.
-    pub fn new(
-        now: Instant,
-        vm: VmId,
-        incarnation: Incarnation,
-        timing: DutyTiming,
-        jitter: Duration,
-    ) -> Self {
+    /// Creates the view before any record is read.
+    pub fn new(now: Instant, member: DutyMember, timing: DutyTiming) -> Self {
         Self {
-            vm,
-            incarnation,
+            member,
             timing,
+            started: now,
+            era: None,
+            behind_since: None,
+            first_era: Era::default(),
+            record_era: Era::default(),
             end: 0,
             holder: None,
-            last_epoch: None,
+            epochs: EpochHistory::default(),
             last_record: now,
             renewed_at: None,
             in_flight: BTreeMap::new(),
             next_serial: 0,
             caught_up: false,
-            sealed: BTreeMap::new(),
-            jitter,
+            windows: SealedWindows::default(),
+            era_window: 0,
         }
     }
 
@@ -94,32 +127,97 @@
         self.end
     }
 
-    /// Applies an entry that was read or appended. Whoever wrote it held the lease.
+    /// Compares the end of the log, as an answer tells it, with what is known. Must be called before
+    /// anything else of the answer is applied. `window` is the present usage window.
+    pub fn observe(&mut self, now: Instant, end: LogPosition, window: u64) -> LogChange {
+        self.windows.set_current(window);
+        let Some(era) = self.era else {
+            self.era = Some(end.era);
+            self.first_era = end.era;
+            self.era_window = window;
+            self.last_record = now;
+            return LogChange::Continues;
+        };
+        if end.era < era {
+            return LogChange::Outdated;
+        }
+        if end.era > era {
+            self.era = Some(end.era);
+            self.era_window = window;
+            self.restart_view(now);
+            return LogChange::Restarted;
+        }
+        if end.offset >= self.end {
+            self.behind_since = None;
+            return LogChange::Continues;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        if now.since(since) < MAX_READ_LAG {
+            return LogChange::Outdated;
+        }
+        self.restart_view(now);
+        self.windows.close_ended();
+        LogChange::Restarted
+    }
+
+    /// Forgets what was read. Holders that don't know yet that the log has lost records may act for
+    /// the rest of their hold.
+    fn restart_view(&mut self, now: Instant) {
+        self.forget_holder(now, 0);
+        self.record_era = Era::default();
+        self.in_flight.clear();
+        self.caught_up = false;
+        self.behind_since = None;
+        self.windows.lose_log();
+    }
+
+    fn era(&self) -> Era {
+        self.era.unwrap_or_default()
+    }
+
+    /// Applies an entry that was read or appended. Whoever wrote it held the lease, unless it was
+    /// written for an earlier era.
     pub fn fold(&mut self, now: Instant, offset: u64, entry: &DutyEntry) {
         if offset < self.end {
             return;
         }
+        let gap = offset > self.end;
         self.end = offset + 1;
         self.last_record = now;
+        match entry.trailer {
+            Some(trailer) if trailer.era < self.record_era => return,
+            Some(trailer) => {
+                self.record_era = trailer.era;
+                self.windows.raise(trailer.next_window);
+            }
+            None if gap => self.windows.close_ended(),
+            None => {}
+        }
+        self.set_holder(offset, entry);
+        if let DutyRecord::Seal(_, _, sealed) = &entry.record {
+            self.windows.add(sealed);
+        }
+        let trailer = entry.trailer.filter(|t| t.era == self.era());
+        if self.is_holder()
+            && let Some(trailer) = trailer
+        {
+            self.credit(trailer.serial);
+        }
+    }
+
+    fn set_holder(&mut self, offset: u64, entry: &DutyEntry) {
         let (vm, incarnation) = entry.record.writer();
         let holder = Holder {
             vm: vm.clone(),
             incarnation,
             epoch: self.epoch_of(offset, entry),
         };
-        self.last_epoch = self.last_epoch.max(Some(holder.epoch));
+        let era = entry.trailer.map_or(self.first_era, |t| t.era);
+        self.epochs.note(era, holder.epoch);
         if self.holder.as_ref() != Some(&holder) {
             self.holder = Some(holder);
             self.renewed_at = None;
         }
-        if let DutyRecord::Seal(_, _, sealed) = &entry.record {
-            self.remember_sealed(sealed.clone());
-        }
-        if self.is_holder()
-            && let Some(trailer) = entry.trailer
-        {
-            self.credit(trailer.serial);
-        }
     }
 
     /// Counts the hold from when the record with this serial number was sent. Those sent before it
@@ -150,6 +248,7 @@
     pub fn skip(&mut self, now: Instant, offset: u64) {
         if offset >= self.end {
             self.forget_holder(now, offset + 1);
+            self.windows.close_ended();
         }
     }
 
@@ -158,6 +257,7 @@
     pub fn read_to(&mut self, now: Instant, end: u64) {
         if end > self.end {
             self.forget_holder(now, end);
+            self.windows.close_ended();
         }
         self.caught_up = true;
     }
@@ -191,7 +291,7 @@
     pub fn epoch(&self, now: Instant) -> Option<Epoch> {
         let holder = self.holder.as_ref()?;
         let renewed_at = self.renewed_at?;
-        let is_own = holder.vm == self.vm && holder.incarnation == self.incarnation;
+        let is_own = self.is_own(holder);
         (is_own && now.since(renewed_at) < self.timing.hold).then_some(holder.epoch)
     }
 
@@ -219,7 +319,7 @@
     /// Whether this process is the holder according to the log.
     pub fn is_holder(&self) -> bool {
         let holder = self.holder.as_ref();
-        holder.is_some_and(|h| h.vm == self.vm && h.incarnation == self.incarnation)
+        holder.is_some_and(|h| self.is_own(h))
     }
 
     /// Whether the log must be read before anything is appended.
@@ -242,54 +342,86 @@
             }
             return DutyStep::Wait(due.since(now));
         }
-        let due = match self.end {
-            0 => self.last_record + self.jitter,
-            _ => self.last_record + self.timing.lease + self.jitter,
+        let due = if self.is_unused(now) {
+            self.started + self.member.jitter
+        } else {
+            self.last_record + self.timing.lease + self.member.jitter
         };
         if now >= due {
-            return self.append_claim(self.next_epoch());
+            return self.append_claim(self.next_epoch(now));
         }
         DutyStep::Wait(due.since(now))
     }
 
+    /// Whether nobody can have held the lease yet.
+    fn is_unused(&self, now: Instant) -> bool {
+        let is_new = self.member.first_start && now.since(self.started) < self.timing.lease;
+        is_new && self.end == 0 && self.era() == self.first_era
+    }
+
     /// Renewals are claims with the same token: earlier releases need a claim to know the holder.
     fn append_claim(&self, epoch: Epoch) -> DutyStep {
-        let record = DutyRecord::Claim(self.vm.clone(), self.incarnation);
-        DutyStep::Append(self.entry(record, epoch), self.end)
+        let record = DutyRecord::Claim(self.member.vm.clone(), self.member.incarnation);
+        let mut next = self.windows.next();
+        if self.end > 0 && self.epochs.lacks(self.era()) {
+            next = next.max(self.era_window);
+        }
+        DutyStep::Append(self.entry(record, epoch, next), self.end)
     }
 
-    /// A token above all those of earlier tenures: the offset of the claim, as in earlier releases.
-    fn next_epoch(&self) -> Epoch {
-        let above = self.last_epoch.map_or(0, |e| e.0 + 1);
-        Epoch(self.end.max(above))
+    fn next_epoch(&self, now: Instant) -> Epoch {
+        let end = LogPosition {
+            era: self.era(),
+            offset: self.end,
+        };
+        self.epochs.next(end, self.is_unused(now))
     }
 
-    fn entry(&self, record: DutyRecord, epoch: Epoch) -> DutyEntry {
-        let serial = self.next_serial;
-        let trailer = Some(Trailer { epoch, serial });
+    fn entry(&self, record: DutyRecord, epoch: Epoch, next_window: u64) -> DutyEntry {
+        let trailer = Some(Trailer {
+            epoch,
+            serial: self.next_serial,
+            era: self.era(),
+            next_window,
+        });
         DutyEntry { record, trailer }
     }
 
     /// Returns the record that fixes a window's figures and the offset to append it at, if this
-    /// process may act and the window is not sealed yet.
+    /// process may act and the window is not sealed yet. Figures that were sealed before stay.
     pub fn seal(&self, now: Instant, sealed: SealedWindow) -> Option<(DutyEntry, u64)> {
         let epoch = self.epoch(now)?;
-        if !self.caught_up || self.sealed.contains_key(&sealed.window) {
+        let window = sealed.window;
+        if !self.caught_up || self.windows.get(window).is_some() {
             return None;
         }
-        let record = DutyRecord::Seal(self.vm.clone(), self.incarnation, sealed);
-        Some((self.entry(record, epoch), self.end))
+        let sealed = match self.windows.lost(window) {
+            Some(lost) => lost.clone(),
+            None if self.windows.is_open(window) => sealed,
+            None => return None,
+        };
+        let (vm, incarnation) = (self.member.vm.clone(), self.member.incarnation);
+        let next = self.windows.next().max(window.saturating_add(1));
+        let record = DutyRecord::Seal(vm, incarnation, sealed);
+        Some((self.entry(record, epoch, next), self.end))
     }
 
     /// Returns the figures that were fixed for a window.
     pub fn sealed(&self, window: u64) -> Option<&SealedWindow> {
-        self.sealed.get(&window)
+        self.windows.get(window)
     }
 
-    fn remember_sealed(&mut self, sealed: SealedWindow) {
-        self.sealed.entry(sealed.window).or_insert(sealed);
-        while self.sealed.len() > MAX_SEALED {
-            self.sealed.pop_first();
-        }
+    /// Returns the figures of a window whose seal the log has lost.
+    pub fn lost_seal(&self, window: u64) -> Option<&SealedWindow> {
+        self.windows.lost(window)
+    }
+
+    /// Whether a window may be sealed with new figures: nobody can have sealed it before.
+    pub fn is_open(&self, window: u64) -> bool {
+        self.windows.is_open(window)
+    }
+
+    fn is_own(&self, holder: &Holder) -> bool {
+        holder.vm == self.member.vm && holder.incarnation == self.member.incarnation
     }
 }
--- a/crates/coord/src/duty/mod.rs
+++ b/crates/coord/src/duty/mod.rs
@@ -1,15 +1,21 @@
 //! The duty lease: a lease on a log with conditional appends.
 //!
 //! A record is appended only if the log still ends where the writer last saw it end. The log
-//! thereby orders the holders, and no other message is needed. The offset of a claim is its fencing
-//! token.
+//! thereby orders the holders, and no other message is needed. Each record names its writer as the
+//! holder, and the fencing token of its tenure.
+//!
+//! A store that comes back from an older copy starts a new era: records are lost, and offsets are
+//! given out again. A holder acts only on records of the era that it has read, and a claim waits
+//! for the holders that don't know of the new era yet.
 
 mod entry;
+mod epoch_history;
 mod lease;
 mod record;
+mod sealed_windows;
 
 pub use {
     entry::{DutyEntry, Trailer},
-    lease::{DutyLease, DutyStep, DutyTiming},
+    lease::{DutyLease, DutyMember, DutyStep, DutyTiming, LogChange},
     record::{DutyRecord, SealedWindow},
 };
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,7 +7,10 @@
 mod newest;
 
 pub use {
-    duty::{DutyEntry, DutyLease, DutyRecord, DutyStep, DutyTiming, SealedWindow, Trailer},
+    duty::{
+        DutyEntry, DutyLease, DutyMember, DutyRecord, DutyStep, DutyTiming, LogChange,
+        SealedWindow, Trailer,
+    },
     follower::{Follower, ReadOutcome},
     lease::{
         Contender, Holder, LeaseBase, LeaseDecision, LeaseHandle, LeaseId, LeaseManager,
--- a/crates/relay/src/adapter/shared_log.rs
+++ b/crates/relay/src/adapter/shared_log.rs
@@ -1,6 +1,10 @@
 //! The topics that the routers keep in the platform's shared log.
 
-use {ports::PlatformFuture, std::time::Duration};
+use {
+    ports::PlatformFuture,
+    std::time::Duration,
+    types::{Era, LogPosition},
+};
 
 /// A topic written by the routers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -24,15 +28,17 @@
 /// Result of an append.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AppendOutcome {
-    /// The record was appended at this offset.
-    Appended(u64),
+    /// The record was appended at this position.
+    Appended(LogPosition),
     /// The topic did not end at the expected offset, so nothing was appended; it ends at this one.
-    Conflict(u64),
+    Conflict(LogPosition),
 }
 
 /// Records of one read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogRecords {
+    /// Era of the store.
+    pub era: Era,
     /// Oldest offset that the log still keeps.
     pub first: u64,
     /// Offset after the newest record.
--- a/crates/relay/src/process/duty_worker.rs
+++ b/crates/relay/src/process/duty_worker.rs
@@ -4,8 +4,10 @@
     super::{Node, capacity_planner::CapacityPlanner, usage_reporter::UsageReporter},
     crate::adapter::{AppendOutcome, DutyApi, FenceToken, SharedLog, Topic},
     clock::Instant,
-    coord::{DutyEntry, DutyLease, DutyStep, DutyTiming, SealedWindow},
+    coord::{DutyEntry, DutyLease, DutyMember, DutyStep, DutyTiming, LogChange, SealedWindow},
     std::{sync::Arc, time::Duration},
+    types::LogPosition,
+    usage::window_at,
 };
 
 /// Polling interval while this VM holds the lease.
@@ -46,15 +48,13 @@
         hold: lease_time.saturating_sub(duty_api.call_limit() * 2) * 2 / 3,
         renew: RENEW_INTERVAL,
     };
-    let jitter = Duration::from_millis(fastrand::u64(..CLAIM_JITTER_MS));
-    let now = node.clock.now();
-    let lease = DutyLease::new(
-        now,
-        node.settings.vm.clone(),
-        node.incarnation,
-        timing,
-        jitter,
-    );
+    let member = DutyMember {
+        vm: node.settings.vm.clone(),
+        incarnation: node.incarnation,
+        jitter: Duration::from_millis(fastrand::u64(..CLAIM_JITTER_MS)),
+        first_start: node.settings.first_start,
+    };
+    let lease = DutyLease::new(node.clock.now(), member, timing);
     let mut worker = DutyWorker {
         planner: CapacityPlanner::new(node.clone(), duty_api.clone()),
         usage: UsageReporter::new(node.clone(), log.clone(), duty_api),
@@ -146,6 +146,26 @@
         log::info!(at = at, holder = holder, epoch = epoch, record_age_ms = age.as_millis() as u64; "duties claimed");
     }
 
+    /// Compares the end of the lease's topic, as an answer tells it, with what is known.
+    fn observe(&mut self, end: LogPosition) -> LogChange {
+        let now = self.node.clock.now();
+        let known = self.lease.end_offset();
+        let length = self.node.settings.bounds.usage_window;
+        let window = window_at(self.node.wall_clock.unix(now), length);
+        let change = self.lease.observe(now, end, window);
+        match change {
+            LogChange::Continues => {}
+            LogChange::Restarted => {
+                log::warn!(known = known, end:% = end; "duty log has lost records");
+                metrics::counter!("celerystage_duty_log_restarts_total").increment(1);
+            }
+            LogChange::Outdated => {
+                log::warn!(known = known, end:% = end; "outdated answer of the duty log ignored");
+            }
+        }
+        change
+    }
+
     /// Reads the lease's topic to its end; false if the read fails.
     async fn read_lease_log(&mut self) -> bool {
         let from = self.lease.end_offset();
@@ -155,6 +175,15 @@
                 if batch.first > from || batch.end < from {
                     log::warn!(from = from, first = batch.first, end = batch.end; "duty log does not continue at the known end");
                 }
+                let end = LogPosition {
+                    era: batch.era,
+                    offset: batch.end,
+                };
+                match self.observe(end) {
+                    LogChange::Continues => {}
+                    LogChange::Restarted => return true,
+                    LogChange::Outdated => return false,
+                }
                 let holder = self.lease.holder_epoch();
                 for (offset, bytes) in &batch.records {
                     match DutyEntry::decode(bytes) {
@@ -194,12 +223,22 @@
         };
         self.lease.append_started(self.node.clock.now(), entry);
         match self.log.append(Topic::Duty, &bytes, Some(at)).await {
-            Ok(AppendOutcome::Appended(offset)) => {
+            Ok(AppendOutcome::Appended(position)) => {
+                let LogPosition { era, offset } = position;
+                let end = LogPosition {
+                    era,
+                    offset: offset + 1,
+                };
+                if self.observe(end) != LogChange::Continues {
+                    self.lease.require_read();
+                    return false;
+                }
                 self.lease.fold(self.node.clock.now(), offset, entry);
                 true
             }
             Ok(AppendOutcome::Conflict(end)) => {
-                log::info!(at = at, end = end; "duty record not appended: another record came first");
+                log::info!(at = at, end:% = end; "duty record not appended: another record came first");
+                self.observe(end);
                 self.lease.require_read();
                 false
             }
@@ -217,8 +256,14 @@
             return;
         }
         for window in self.usage.open_windows() {
-            if self.lease.sealed(window).is_none() && !self.seal_window(window).await {
-                return;
+            if self.lease.sealed(window).is_none() {
+                if self.lease.lost_seal(window).is_none() && !self.lease.is_open(window) {
+                    self.usage.give_up(window);
+                    continue;
+                }
+                if !self.seal_window(window).await {
+                    return;
+                }
             }
             let counts = self.lease.sealed(window).map(|s| s.counts.clone());
             let (Some(counts), Some(fence)) = (counts, self.fence()) else {
@@ -234,7 +279,11 @@
 
     /// Fixes the counts of a window; false if it isn't time yet, or on failure.
     async fn seal_window(&mut self, window: u64) -> bool {
-        let Some(counts) = self.usage.final_counts(window).await else {
+        let counts = match self.lease.lost_seal(window) {
+            Some(lost) => Some(lost.counts.clone()),
+            None => self.usage.final_counts(window).await,
+        };
+        let Some(counts) = counts else {
             return false;
         };
         let now = self.node.clock.now();
--- a/crates/relay/src/process/usage_reporter.rs
+++ b/crates/relay/src/process/usage_reporter.rs
@@ -9,7 +9,7 @@
         sync::Arc,
         time::Duration,
     },
-    types::OrgId,
+    types::{Era, OrgId},
     usage::{SealTiming, WindowCountRecord, WindowTotals, window_at},
 };
 
@@ -24,6 +24,8 @@
     log: Arc<dyn SharedLog>,
     duty_api: Arc<dyn DutyApi>,
     totals: WindowTotals,
+    /// Era of the store in which the usage topic was read.
+    era: Era,
     /// Offset of the next record to read from the usage topic.
     next_offset: u64,
     /// The latest windows that this VM has reported.
@@ -45,6 +47,7 @@
             log,
             duty_api,
             totals: WindowTotals::default(),
+            era: Era::default(),
             next_offset: 0,
             reported: BTreeSet::new(),
             last_look: Instant::default(),
@@ -121,10 +124,7 @@
         match self.duty_api.report_usage(fence, window, counts).await {
             Ok(()) => {
                 log::info!(window = window, epoch = fence.epoch.0, requests = total; "usage reported");
-                self.reported.insert(window);
-                while self.reported.len() > 2 * MAX_OPEN_WINDOWS as usize {
-                    self.reported.pop_first();
-                }
+                self.close(window);
                 true
             }
             Err(e) => {
@@ -134,6 +134,20 @@
         }
     }
 
+    /// Leaves a window unreported: another holder may have reported figures that are lost.
+    pub(super) fn give_up(&mut self, window: u64) {
+        log::warn!(window = window; "usage window not reported: its figures are lost");
+        metrics::counter!("celerystage_usage_windows_lost_total").increment(1);
+        self.close(window);
+    }
+
+    fn close(&mut self, window: u64) {
+        self.reported.insert(window);
+        while self.reported.len() > 2 * MAX_OPEN_WINDOWS as usize {
+            self.reported.pop_first();
+        }
+    }
+
     /// Reads the usage topic to its end; false on failure.
     async fn read_counts(&mut self) -> bool {
         loop {
@@ -148,6 +162,19 @@
                     return false;
                 }
             };
+            if batch.era < self.era {
+                log::warn!(era:% = batch.era, known:% = self.era; "outdated answer of the usage log ignored");
+                return false;
+            }
+            if batch.era > self.era || batch.end < self.next_offset {
+                // Counts are cumulative, so that reading them again changes nothing.
+                let is_first = self.next_offset == 0;
+                self.era = batch.era;
+                self.next_offset = 0;
+                if !is_first {
+                    continue;
+                }
+            }
             self.next_offset = self.next_offset.max(batch.first);
             for (offset, bytes) in batch.records {
                 self.next_offset = offset + 1;
--- a/crates/types/src/id/mod.rs
+++ b/crates/types/src/id/mod.rs
@@ -1,6 +1,7 @@
 //! Identifiers: text ids, numeric ids and digests of callers' keys.
 
 mod digest;
+mod log_position;
 mod number;
 mod prompt_part;
 mod request;
@@ -8,7 +9,8 @@
 
 pub use {
     digest::KeyDigest,
-    number::{Epoch, Incarnation, Version},
+    log_position::{LogPosition, ParsePositionError},
+    number::{Epoch, Era, Incarnation, Version},
     prompt_part::PromptPartId,
     request::RequestId,
     text::{
--- a/crates/types/src/id/number.rs
+++ b/crates/types/src/id/number.rs
@@ -35,8 +35,10 @@
     Incarnation,
     /// Version of a state built from a log: the offset after the last applied record, 0 if none.
     Version,
-    /// Fencing token of a lease: the log offset of the claim that won the lease.
+    /// Fencing token of a lease; each later holder has a larger one.
     Epoch,
+    /// Era of the platform's store. It rises each time that the store comes back from an older copy.
+    Era,
 }
 
 impl Version {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,8 +6,9 @@
 
 pub use {
     id::{
-        AttemptId, ClassId, EndpointId, Epoch, Incarnation, KeyDigest, ModelId, OperatorId, OrgId,
-        ParseIdError, PromptPartId, Release, RequestId, RouteId, ServiceId, Version, VmId, ZoneId,
+        AttemptId, ClassId, EndpointId, Epoch, Era, Incarnation, KeyDigest, LogPosition, ModelId,
+        OperatorId, OrgId, ParseIdError, ParsePositionError, PromptPartId, Release, RequestId,
+        RouteId, ServiceId, Version, VmId, ZoneId,
     },
     outcome::{Attempts, Reason, Refusal, Verdict},
     quantity::{Bytes, ParseQuantityError, PerSecond, Tier, Tokens, Urgency},
