A duty call isn't sent once the permission has run out

The platform got a call with a lower token from a VM that had paused. Cause: the permission was checked before the connection was taken or opened, which may take 0.6 s, and a VM that is slow or pauses takes as long as it likes; a slow VM isn't excused as one that has thawed is.

The permission now has an end, and goes with the call down to the write: the request is sent before that or not at all, and then counts as not run.

--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -48,6 +48,15 @@
     pub first_start: bool,
 }
 
+/// Permission to act as the holder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DutyPermit {
+    /// Fencing token of the calls.
+    pub epoch: Epoch,
+    /// When it runs out: no call may be sent from then on.
+    pub until: Instant,
+}
+
 /// Whether an answer of the log continues what is known of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogChange {
@@ -289,10 +298,17 @@
 
     /// Returns the fencing token while this process may act as the holder.
     pub fn epoch(&self, now: Instant) -> Option<Epoch> {
-        let holder = self.holder.as_ref()?;
-        let renewed_at = self.renewed_at?;
-        let is_own = self.is_own(holder);
-        (is_own && now.since(renewed_at) < self.timing.hold).then_some(holder.epoch)
+        self.permit(now).map(|p| p.epoch)
+    }
+
+    /// Returns the permission to act as the holder, while this process has it.
+    pub fn permit(&self, now: Instant) -> Option<DutyPermit> {
+        let holder = self.holder.as_ref().filter(|h| self.is_own(h))?;
+        let permit = DutyPermit {
+            epoch: holder.epoch,
+            until: self.renewed_at? + self.timing.hold,
+        };
+        (now < permit.until).then_some(permit)
     }
 
     /// Returns the VM that holds the lease according to the log.
@@ -310,12 +326,6 @@
         now.since(self.last_record)
     }
 
-    /// Time for which this process may still act as the holder.
-    pub fn hold_left(&self, now: Instant) -> Duration {
-        let until = self.renewed_at.map(|t| t + self.timing.hold);
-        until.map_or(Duration::ZERO, |until| until.since(now))
-    }
-
     /// Whether this process is the holder according to the log.
     pub fn is_holder(&self) -> bool {
         let holder = self.holder.as_ref();
--- a/crates/coord/src/duty/mod.rs
+++ b/crates/coord/src/duty/mod.rs
@@ -16,6 +16,6 @@
 
 pub use {
     entry::{DutyEntry, Trailer},
-    lease::{DutyLease, DutyMember, DutyStep, DutyTiming, LogChange},
+    lease::{DutyLease, DutyMember, DutyPermit, DutyStep, DutyTiming, LogChange},
     record::{DutyRecord, SealedWindow},
 };
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -8,7 +8,7 @@
 
 pub use {
     duty::{
-        DutyEntry, DutyLease, DutyMember, DutyRecord, DutyStep, DutyTiming, LogChange,
+        DutyEntry, DutyLease, DutyMember, DutyPermit, DutyRecord, DutyStep, DutyTiming, LogChange,
         SealedWindow, Trailer,
     },
     follower::{Follower, ReadOutcome},
--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{BodyError, BodyReader, Pool, RequestHead, ResponseHead, response_framing},
-    clock::{Clock, timeout},
+    clock::{Clock, Instant, timeout},
     std::{error::Error, fmt, net::SocketAddr, time::Duration},
     types::{Bytes, Verdict},
 };
@@ -19,6 +19,27 @@
     pub body: Vec<u8>,
 }
 
+/// Limits of a call.
+#[derive(Debug, Clone, Copy)]
+pub struct CallLimits {
+    /// Timeout, which applies to connecting and again to the rest of the call.
+    pub timeout: Duration,
+    /// Largest accepted response body.
+    pub max_body: Bytes,
+    /// When the permission to send the request runs out.
+    pub send_by: Option<Instant>,
+}
+
+impl From<(Duration, Bytes)> for CallLimits {
+    fn from((timeout, max_body): (Duration, Bytes)) -> Self {
+        Self {
+            timeout,
+            max_body,
+            send_by: None,
+        }
+    }
+}
+
 /// A call that did not return a complete response.
 #[derive(Debug)]
 pub struct CallError {
@@ -43,35 +64,44 @@
     }
 }
 
-/// Sends a request with a body and reads the response. `limits` are a timeout, which applies to
-/// connecting and again to the rest of the call, and the largest accepted response body.
+/// Sends a request with a body and reads the response.
 pub async fn call(
     clock: &dyn Clock,
     pool: &Pool,
     addr: SocketAddr,
     request: (RequestHead, &[u8]),
-    limits: (Duration, Bytes),
+    limits: impl Into<CallLimits>,
 ) -> Result<Response, CallError> {
+    let limits = limits.into();
     let (mut head, body) = request;
     head.headers.push("Host", addr.to_string());
     head.headers.push("Content-Length", body.len().to_string());
     let mut bytes = Vec::with_capacity(256 + body.len());
     head.write(&mut bytes);
     bytes.extend_from_slice(body);
-    let (time_limit, max_body) = limits;
-    let opened = timeout(clock, time_limit, pool.take_or_connect(clock.now(), addr)).await;
+    let opened = timeout(
+        clock,
+        limits.timeout,
+        pool.take_or_connect(clock.now(), addr),
+    )
+    .await;
     let mut pooled = opened
         .map_err(|_| CallError::timed_out(Verdict::NotRun))?
         .map_err(|e| CallError {
             verdict: Verdict::NotRun,
             cause: e.into(),
         })?;
+    if limits.send_by.is_some_and(|by| clock.now() >= by) {
+        return Err(CallError::timed_out(Verdict::NotRun));
+    }
     let exchange = async {
         let conn = &mut pooled.conn;
         let (response, fully_sent) = conn.exchange(&bytes, MAX_HEAD_SIZE).await?;
         let framing =
             response_framing(&response, &head.method).map_err(|_| BodyError::Malformed)?;
-        let body = BodyReader::new(framing).read_all(conn, max_body).await?;
+        let body = BodyReader::new(framing)
+            .read_all(conn, limits.max_body)
+            .await?;
         Ok((
             Response {
                 head: response,
@@ -80,7 +110,7 @@
             fully_sent,
         ))
     };
-    let outcome = timeout(clock, time_limit, exchange).await;
+    let outcome = timeout(clock, limits.timeout, exchange).await;
     let (response, fully_sent) = outcome
         .map_err(|_| CallError::timed_out(Verdict::MayHaveRun))?
         .map_err(|cause| CallError {
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use {
     body::{BodyError, BodyReader},
-    call::{CallError, Response, call, get},
+    call::{CallError, CallLimits, Response, call, get},
     conn::Conn,
     framing::{Framing, FramingError, request_framing, response_framing},
     head::{HeadError, Headers, MAX_HEADERS, RequestHead, ResponseHead},
--- a/crates/relay/src/adapter/duty_api.rs
+++ b/crates/relay/src/adapter/duty_api.rs
@@ -1,18 +1,12 @@
 //! Calls to the platform that only the duty holder may send.
 
 use {
+    coord::DutyPermit,
     ports::PlatformFuture,
     std::{collections::BTreeMap, time::Duration},
-    types::{Epoch, OrgId, ServiceId, ZoneId},
+    types::{OrgId, ServiceId, ZoneId},
 };
 
-/// Fencing token of a call: the platform rejects calls of an earlier holder.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct FenceToken {
-    /// Epoch of the lease; each later holder has a larger one.
-    pub epoch: Epoch,
-}
-
 /// The desired number of endpoints of one kind in one availability zone.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CapacityOrder {
@@ -26,12 +20,12 @@
     pub count: u32,
 }
 
-/// The platform's calls for the duty holder.
+/// The platform's calls for the duty holder. None is sent once its permission has run out.
 pub trait DutyApi: Send + Sync {
     /// Reports, for each organisation, the number of requests that began in usage window `window`.
     fn report_usage<'a>(
         &'a self,
-        fence: FenceToken,
+        permit: DutyPermit,
         window: u64,
         counts: &'a BTreeMap<OrgId, u64>,
     ) -> PlatformFuture<'a, ()>;
@@ -39,7 +33,7 @@
     /// Orders a number of endpoints. Status 409 means that no capacity is available at present.
     fn order_capacity<'a>(
         &'a self,
-        fence: FenceToken,
+        permit: DutyPermit,
         order: &'a CapacityOrder,
     ) -> PlatformFuture<'a, ()>;
 
--- a/crates/relay/src/adapter/mod.rs
+++ b/crates/relay/src/adapter/mod.rs
@@ -9,7 +9,7 @@
 mod shared_log;
 
 pub use {
-    duty_api::{CapacityOrder, DutyApi, FenceToken},
+    duty_api::{CapacityOrder, DutyApi},
     feed::{Feed, FeedChange, FeedKind, FeedUpdate},
     header_codec::{CallerHeaders, ForwardHeaders, HeaderCodec, InvalidHeader, ResponseHeaders},
     settings::{NodeSettings, PlatformBounds},
--- a/crates/relay/src/process/capacity_planner.rs
+++ b/crates/relay/src/process/capacity_planner.rs
@@ -3,12 +3,12 @@
 use {
     super::Node,
     crate::{
-        adapter::{CapacityOrder, DutyApi, FenceToken},
+        adapter::{CapacityOrder, DutyApi},
         configuration::Scaling,
         peers::MIN_SEND_INTERVAL,
     },
     clock::Instant,
-    coord::DutyLease,
+    coord::{DutyLease, DutyPermit},
     fleet::{EngineCounts, ScaleOrder, ScalingBounds, ServiceSizer, ServiceView},
     ports::PlatformError,
     std::{collections::BTreeMap, sync::Arc, time::Duration},
@@ -56,16 +56,17 @@
             self.decide(now);
         }
         while let Some(order) = self.pending.pop() {
-            let Some(epoch) = lease.epoch(self.node.clock.now()) else {
+            let now = self.node.clock.now();
+            let Some(permit) = lease.permit(now) else {
                 return;
             };
-            let left = lease.hold_left(self.node.clock.now());
+            let left = permit.until.since(now);
             log::info!(
                 service:% = order.service, zone:% = order.zone, cheap = order.cheap, count = order.count,
-                epoch = epoch.0, left_ms = left.as_millis() as u64;
+                epoch = permit.epoch.0, left_ms = left.as_millis() as u64;
                 "capacity order sent"
             );
-            self.send_order(FenceToken { epoch }, order).await;
+            self.send_order(permit, order).await;
         }
     }
 
@@ -132,8 +133,8 @@
         }
     }
 
-    async fn send_order(&mut self, fence: FenceToken, order: CapacityOrder) {
-        let sent = self.duty_api.order_capacity(fence, &order).await;
+    async fn send_order(&mut self, permit: DutyPermit, order: CapacityOrder) {
+        let sent = self.duty_api.order_capacity(permit, &order).await;
         let now = self.node.clock.now();
         let Err(e) = sent else {
             return;
--- a/crates/relay/src/process/duty_worker.rs
+++ b/crates/relay/src/process/duty_worker.rs
@@ -2,9 +2,11 @@
 
 use {
     super::{Node, capacity_planner::CapacityPlanner, usage_reporter::UsageReporter},
-    crate::adapter::{AppendOutcome, DutyApi, FenceToken, SharedLog, Topic},
+    crate::adapter::{AppendOutcome, DutyApi, SharedLog, Topic},
     clock::Instant,
-    coord::{DutyEntry, DutyLease, DutyMember, DutyStep, DutyTiming, LogChange, SealedWindow},
+    coord::{
+        DutyEntry, DutyLease, DutyMember, DutyPermit, DutyStep, DutyTiming, LogChange, SealedWindow,
+    },
     std::{sync::Arc, time::Duration},
     types::LogPosition,
     usage::window_at,
@@ -95,7 +97,7 @@
             self.append_entry(&entry, at).await;
         }
         self.log_transition();
-        if self.fence().is_some() {
+        if self.permit().is_some() {
             self.process_usage().await;
             if self.node.settings.orders_capacity {
                 self.planner.run(&self.lease).await;
@@ -115,15 +117,14 @@
         preceding < MAX_CONTENDERS && self.node.reads_platform(now)
     }
 
-    /// The fencing token, if this VM holds the lease.
-    fn fence(&self) -> Option<FenceToken> {
-        let epoch = self.lease.epoch(self.node.clock.now())?;
-        Some(FenceToken { epoch })
+    /// The permission to act, if this VM has it.
+    fn permit(&self) -> Option<DutyPermit> {
+        self.lease.permit(self.node.clock.now())
     }
 
     /// Logs when this VM gains or loses the lease, and resets the capacity planner then.
     fn log_transition(&mut self) {
-        let epoch = self.fence().map(|f| f.epoch.0);
+        let epoch = self.permit().map(|p| p.epoch.0);
         if self.holding == epoch.is_some() {
             return;
         }
@@ -266,12 +267,12 @@
                 }
             }
             let counts = self.lease.sealed(window).map(|s| s.counts.clone());
-            let (Some(counts), Some(fence)) = (counts, self.fence()) else {
+            let (Some(counts), Some(permit)) = (counts, self.permit()) else {
                 return;
             };
-            let left = self.lease.hold_left(self.node.clock.now());
-            log::info!(window = window, epoch = fence.epoch.0, left_ms = left.as_millis() as u64; "usage report sent");
-            if !self.usage.report(fence, window, &counts).await {
+            let left = permit.until.since(self.node.clock.now());
+            log::info!(window = window, epoch = permit.epoch.0, left_ms = left.as_millis() as u64; "usage report sent");
+            if !self.usage.report(permit, window, &counts).await {
                 return;
             }
         }
--- a/crates/relay/src/process/usage_reporter.rs
+++ b/crates/relay/src/process/usage_reporter.rs
@@ -2,8 +2,9 @@
 
 use {
     super::Node,
-    crate::adapter::{DutyApi, FenceToken, SharedLog, Topic},
+    crate::adapter::{DutyApi, SharedLog, Topic},
     clock::Instant,
+    coord::DutyPermit,
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -116,19 +117,19 @@
     /// Reports a sealed window; false on failure.
     pub(super) async fn report(
         &mut self,
-        fence: FenceToken,
+        permit: DutyPermit,
         window: u64,
         counts: &BTreeMap<OrgId, u64>,
     ) -> bool {
         let total: u64 = counts.values().sum();
-        match self.duty_api.report_usage(fence, window, counts).await {
+        match self.duty_api.report_usage(permit, window, counts).await {
             Ok(()) => {
-                log::info!(window = window, epoch = fence.epoch.0, requests = total; "usage reported");
+                log::info!(window = window, epoch = permit.epoch.0, requests = total; "usage reported");
                 self.close(window);
                 true
             }
             Err(e) => {
-                log::warn!(window = window, epoch = fence.epoch.0, error:% = e; "usage report failed");
+                log::warn!(window = window, epoch = permit.epoch.0, error:% = e; "usage report failed");
                 false
             }
         }
--- a/crates/relay/tests/common/fakes.rs
+++ b/crates/relay/tests/common/fakes.rs
@@ -1,12 +1,13 @@
 //! In-memory fakes of the platform.
 
 use {
+    coord::DutyPermit,
     h1::{Headers, RequestHead, ResponseHead},
     ports::{PlatformError, PlatformFuture},
     relay::{
         AppendOutcome, CallerHeaders, CapacityOrder, DutyApi, Feed, FeedChange, FeedKind,
-        FeedUpdate, FenceToken, ForwardHeaders, HeaderCodec, InvalidHeader, LogRecords,
-        ResponseHeaders, SharedLog, Topic,
+        FeedUpdate, ForwardHeaders, HeaderCodec, InvalidHeader, LogRecords, ResponseHeaders,
+        SharedLog, Topic,
     },
     route::{Notice, Prompt},
     std::{
@@ -213,37 +214,37 @@
     }
 }
 
-/// A usage report: fence, window, counts.
-pub(crate) type Report = (FenceToken, u64, BTreeMap<OrgId, u64>);
+/// A usage report: permission, window, counts.
+pub(crate) type Report = (DutyPermit, u64, BTreeMap<OrgId, u64>);
 
 /// Records the calls of the duty holder.
 #[derive(Default)]
 pub(crate) struct FakeDutyApi {
     pub(crate) reports: Mutex<Vec<Report>>,
-    pub(crate) orders: Mutex<Vec<(FenceToken, CapacityOrder)>>,
+    pub(crate) orders: Mutex<Vec<(DutyPermit, CapacityOrder)>>,
 }
 
 impl DutyApi for FakeDutyApi {
     fn report_usage<'a>(
         &'a self,
-        fence: FenceToken,
+        permit: DutyPermit,
         window: u64,
         counts: &'a BTreeMap<OrgId, u64>,
     ) -> PlatformFuture<'a, ()> {
         Box::pin(async move {
             let mut reports = self.reports.lock().unwrap();
-            reports.push((fence, window, counts.clone()));
+            reports.push((permit, window, counts.clone()));
             Ok(())
         })
     }
 
     fn order_capacity<'a>(
         &'a self,
-        fence: FenceToken,
+        permit: DutyPermit,
         order: &'a CapacityOrder,
     ) -> PlatformFuture<'a, ()> {
         Box::pin(async move {
-            self.orders.lock().unwrap().push((fence, order.clone()));
+            self.orders.lock().unwrap().push((permit, order.clone()));
             Ok(())
         })
     }
