VMs of earlier releases read the gossip of this one

Cause: a message is an array, each release appended fields, and readers accept no longer array than they know.

A message now names as many fields as its receiver has shown to read, and 17, which reads, to a VM not heard from; all fields follow, and readers ignore what is behind the array they expect. A message of a later release is read up to the fields that are known.

earlier_releases_read_the_messages_for_them: a strict reader of 17 fields refuses the message as it was sent before. Size of a datagram: at most two bytes more.

--- a/crates/relay/src/peers/gossip_message.rs
+++ b/crates/relay/src/peers/gossip_message.rs
@@ -1,7 +1,9 @@
 //! The gossip datagram.
 
 use {
+    super::MessageFormat,
     crate::endpoints::ReadAges,
+    rmp_serde::{decode, encode},
     route::{LimitNotice, Load},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -59,3 +61,21 @@
     #[serde(default)]
     pub(crate) carries: bool,
 }
+
+impl GossipMessage {
+    /// Encodes the message for the latest format.
+    pub(crate) fn encode(&self) -> Result<Vec<u8>, encode::Error> {
+        rmp_serde::to_vec(self)
+    }
+
+    /// Decodes a message of any format, and tells the latest one that its sender reads.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<(Self, MessageFormat), decode::Error> {
+        let named = MessageFormat::of(bytes);
+        // A message to a VM whose format isn't known has more fields than it names.
+        let complete = MessageFormat::LATEST.apply(bytes);
+        match rmp_serde::from_slice(&complete) {
+            Ok(message) => Ok((message, MessageFormat::LATEST)),
+            Err(_) => Ok((rmp_serde::from_slice(bytes)?, named)),
+        }
+    }
+}
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -6,9 +6,12 @@
 //! the fleet to the VMs of its zone.
 
 mod fleet_roster;
+#[cfg(test)]
+mod format_tests;
 mod gossip_message;
 mod hubs;
 mod load_summary;
+mod message_format;
 mod origin_targets;
 mod peer_table;
 #[cfg(test)]
@@ -19,5 +22,6 @@
     gossip_message::GossipMessage,
     hubs::MessageParts,
     load_summary::{LoadSummary, Scope},
+    message_format::MessageFormat,
     peer_table::{MIN_SEND_INTERVAL, PEER_TIMEOUT, PeerTable},
 };
--- a/crates/relay/src/peers/peer_table.rs
+++ b/crates/relay/src/peers/peer_table.rs
@@ -1,7 +1,9 @@
 //! The VMs that gossip is received from, and the interval at which this one sends its own.
 
 use {
-    super::{FleetRoster, GossipMessage, gossip_message::MAX_ADDRS, hubs::HUBS_PER_ZONE},
+    super::{
+        FleetRoster, GossipMessage, MessageFormat, gossip_message::MAX_ADDRS, hubs::HUBS_PER_ZONE,
+    },
     crate::endpoints::ReadSpan,
     clock::Instant,
     detour::Carrier,
@@ -51,6 +53,8 @@
     pub(super) hub: bool,
     /// Whether it takes requests of others to their endpoints.
     carries: bool,
+    /// Format of the datagrams that it reads.
+    format: MessageFormat,
 }
 
 /// Effect of a received datagram.
@@ -134,6 +138,11 @@
         ranked(eligible).map(|(_, p)| p.addr).collect()
     }
 
+    /// The formats of the datagrams to the VMs that were heard from.
+    pub(crate) fn formats(&self) -> BTreeMap<SocketAddr, MessageFormat> {
+        self.peers.values().map(|p| (p.addr, p.format)).collect()
+    }
+
     /// Whether a live VM of this zone is known that precedes this one as reader, however short it
     /// has been known.
     pub(crate) fn knows_stronger(&self, now: Instant) -> bool {
@@ -158,7 +167,7 @@
         &mut self,
         now: Instant,
         from: SocketAddr,
-        message: &GossipMessage,
+        (message, format): (&GossipMessage, MessageFormat),
         own_addr: SocketAddr,
         own_ms: i64,
     ) -> Option<Received> {
@@ -191,6 +200,7 @@
             vms: message.vms,
             hub: message.hub,
             carries: message.carries,
+            format,
         };
         let cleared = previously_loaded
             .difference(&peer.loaded_endpoints)
--- a/crates/relay/src/peers/tests.rs
+++ b/crates/relay/src/peers/tests.rs
@@ -1,7 +1,9 @@
 //! Fleets of peer tables that exchange gossip messages over a lossy network in simulated time.
 
 use {
-    super::{FleetRoster, GossipMessage, LoadSummary, MessageParts, PeerTable, Scope},
+    super::{
+        FleetRoster, GossipMessage, LoadSummary, MessageFormat, MessageParts, PeerTable, Scope,
+    },
     clock::Instant,
     fastrand::Rng,
     route::{Load, Outcomes},
@@ -128,7 +130,9 @@
         let (now, own, sender) = (self.now, addr_of(to), addr_of(from));
         let vm = &mut self.vms[to];
         vm.received_bytes += size;
-        let received = vm.table.receive(now, sender, &message, own, 0);
+        let received = vm
+            .table
+            .receive(now, sender, (&message, MessageFormat::LATEST), own, 0);
         if let Some(addrs) = received.and_then(|r| r.reply) {
             let message = self.message(to, MessageParts::REPLY, &addrs);
             self.sent.push_back(Datagram {
--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -9,7 +9,9 @@
     },
     crate::{
         endpoints::ReadAges,
-        peers::{FleetRoster, GossipMessage, LoadSummary, MessageParts, PEER_TIMEOUT},
+        peers::{
+            FleetRoster, GossipMessage, LoadSummary, MessageFormat, MessageParts, PEER_TIMEOUT,
+        },
     },
     async_io::Async,
     clock::Instant,
@@ -75,10 +77,11 @@
         .collect();
     loop {
         let now = node.clock.now();
-        let (targets, interval, offsets, is_first_hub, is_hub, rank) = {
+        let (targets, formats, interval, offsets, is_first_hub, is_hub, rank) = {
             let mut peers = node.peers.lock();
             (
                 peers.targets(now, &seeds),
+                peers.formats(),
                 peers.send_interval(now),
                 peers.clock_offsets(now),
                 peers.is_first_hub(now),
@@ -103,7 +106,9 @@
                 }
                 bytes
             });
-            send(&socket, target.addr, bytes, DatagramKind::Round).await;
+            let format = formats.get(&target.addr);
+            let bytes = format.unwrap_or(&MessageFormat::COMMON).apply(bytes);
+            send(&socket, target.addr, &bytes, DatagramKind::Round).await;
         }
         if is_first_hub {
             send_summaries(&node, &socket).await;
@@ -179,7 +184,7 @@
             limits: limits.to_vec(),
             carries,
         };
-        let Ok(bytes) = rmp_serde::to_vec(&message) else {
+        let Ok(bytes) = message.encode() else {
             log::error!("cannot encode a gossip datagram");
             return (Vec::new(), SentLoads::default());
         };
@@ -262,9 +267,13 @@
 
 /// Applies a gossip message to the peer table and the placers.
 fn apply_message(node: &Node, from: SocketAddr, bytes: &[u8]) -> Option<Vec<u8>> {
-    let Ok(message) = rmp_serde::from_slice::<GossipMessage>(bytes) else {
-        log::debug!(peer:% = from; "cannot decode a datagram");
-        return None;
+    let (message, format) = match GossipMessage::decode(bytes) {
+        Ok(decoded) => decoded,
+        Err(e) => {
+            metrics::counter!("celerystage_gossip_unreadable_total").increment(1);
+            log::debug!(peer:% = from, error:% = e; "cannot decode a datagram");
+            return None;
+        }
     };
     if message.vm == node.settings.vm {
         return None;
@@ -273,12 +282,12 @@
     let own_ms = i64::try_from(node.wall_clock.uncorrected(now).as_millis()).unwrap_or(i64::MAX);
     let (received, count, uses_loads) = {
         let mut peers = node.peers.lock();
-        let received = peers.receive(now, from, &message, node.settings.peers, own_ms)?;
+        let received = peers.receive(now, from, (&message, format), node.settings.peers, own_ms)?;
         let uses_loads = !peers.uses_hubs(now) || peers.is_first_hub(now);
         (received, peers.vm_count(now), uses_loads)
     };
     if received.is_new {
-        log::info!(peer:% = message.vm, addr:% = from, vms = count; "peer VM discovered");
+        log::info!(peer:% = message.vm, addr:% = from, vms = count, format:% = format; "peer VM discovered");
         node.set_budget_reserves(count);
     }
     for (id, born) in &message.departures {
@@ -300,7 +309,7 @@
     }
     let addrs = received.reply?;
     let (bytes, _) = encode(node, MessageParts::REPLY, &addrs, &[]);
-    Some(bytes)
+    Some(format.apply(&bytes))
 }
 
 fn apply_loads(node: &Node, now: Instant, message: &GossipMessage, cleared: &[EndpointId]) {
