A copy without any record of the duties doesn't make the lease look unused

The platform got two reports of one window with different figures. Cause: the windows that had ended were taken for sealed only where the log had an end above 0. Where the copy held no record at all, a VM that knew no seal sealed the windows before the loss again.

Found by the drills over processes; window_is_not_sealed_again_after_a_copy_without_any_record fails without the change.

--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -348,7 +348,7 @@
         {
             let due = renewed_at + self.timing.renew;
             if now >= due {
-                return self.append_claim(holder.epoch);
+                return self.append_claim(holder.epoch, self.windows.next());
             }
             return DutyStep::Wait(due.since(now));
         }
@@ -358,7 +358,7 @@
             self.last_record + self.timing.lease + self.member.jitter
         };
         if now >= due {
-            return self.append_claim(self.next_epoch(now));
+            return self.claim_anew(now);
         }
         DutyStep::Wait(due.since(now))
     }
@@ -370,21 +370,24 @@
     }
 
     /// Renewals are claims with the same token: earlier releases need a claim to know the holder.
-    fn append_claim(&self, epoch: Epoch) -> DutyStep {
+    fn append_claim(&self, epoch: Epoch, next_window: u64) -> DutyStep {
         let record = DutyRecord::Claim(self.member.vm.clone(), self.member.incarnation);
-        let mut next = self.windows.next();
-        if self.end > 0 && self.epochs.lacks(self.era()) {
-            next = next.max(self.era_window);
-        }
-        DutyStep::Append(self.entry(record, epoch, next), self.end)
+        DutyStep::Append(self.entry(record, epoch, next_window), self.end)
     }
 
-    fn next_epoch(&self, now: Instant) -> Epoch {
+    /// Begins a tenure. Where records of earlier eras may be lost, so may the seals of all windows
+    /// that had ended by then.
+    fn claim_anew(&self, now: Instant) -> DutyStep {
+        let unused = self.is_unused(now);
         let end = LogPosition {
             era: self.era(),
             offset: self.end,
         };
-        self.epochs.next(end, self.is_unused(now))
+        let mut next = self.windows.next();
+        if !unused && self.epochs.lacks(end.era) {
+            next = next.max(self.era_window);
+        }
+        self.append_claim(self.epochs.next(end, unused), next)
     }
 
     fn entry(&self, record: DutyRecord, epoch: Epoch, next_window: u64) -> DutyEntry {
--- a/crates/coord/tests/duty_holders.rs
+++ b/crates/coord/tests/duty_holders.rs
@@ -188,6 +188,17 @@
     }
 }
 
+/// A copy from before the first claim made the lease look unused, and windows were sealed again.
+#[test]
+fn window_is_not_sealed_again_after_a_copy_without_any_record() {
+    let mut b = lease("b", 0);
+    b.observe(at(500), position(2, 0), WINDOW);
+    b.read_to(at(510), 0);
+    assert!(matches!(b.next_step(at(3_649)), DutyStep::Wait(_)));
+    append(&mut b, 3_650);
+    assert!(!b.is_open(WINDOW - 1) && b.is_open(WINDOW));
+}
+
 /// An answer that was older than another one made the VM forget what it had read.
 #[test]
 fn answer_of_an_earlier_era_is_ignored() {
