Feed reader: an entry that becomes unreadable names no endpoint

Callers: requests went on to the endpoint that the entry had named, for as long as the entry stayed unreadable, although the endpoint may have left and its address may be in use again.

Cause: a change that can't be decoded was skipped, so that the entry before it stayed in force.

Evidence: endpoint_whose_entry_becomes_odd_gets_no_requests failed before: 20 of 20 requests reached the endpoint. It passes now, and the next heartbeat lists the endpoint again.

--- a/crates/relay/src/process/feed_reader.rs
+++ b/crates/relay/src/process/feed_reader.rs
@@ -8,6 +8,7 @@
     },
     clock::Instant,
     std::{sync::Arc, time::Duration},
+    types::EndpointId,
 };
 
 /// Time that a read waits for changes. Together with the timeout of the call and one more read it
@@ -124,7 +125,7 @@
                         _ => None,
                     })
                     .collect();
-                apply_changes(&self.node, changes);
+                self.apply_changes(changes);
                 if self.kind == FeedKind::Endpoints {
                     let absent = self.node.absent_endpoints(&listed);
                     absent.iter().for_each(|id| self.node.remove_endpoint(id));
@@ -153,7 +154,7 @@
             Ok(FeedUpdate::Changes(changes, next)) => {
                 self.record_success();
                 let changed = !changes.is_empty();
-                apply_changes(&self.node, changes);
+                self.apply_changes(changes);
                 if self.kind == FeedKind::Endpoints {
                     self.node.registry.lock().read_applied();
                     // A read that waits in vain tells that nothing has changed until its end.
@@ -219,19 +220,32 @@
         };
         self.retry_pause = (self.retry_pause * 2).min(max_pause);
     }
-}
 
-fn apply_changes(node: &Node, changes: Vec<FeedChange>) {
-    for change in changes {
-        match change {
-            FeedChange::Config(config) => {
-                node.apply_config(config);
-            }
-            FeedChange::Listed(endpoint) => node.upsert_endpoint(endpoint),
-            FeedChange::Unlisted(id) => node.remove_endpoint(&id),
-            FeedChange::Undecodable(key, cause) => {
-                log::warn!(key = key.as_str(), cause = cause.as_str(); "entry skipped: cannot be decoded");
+    fn apply_changes(&self, changes: Vec<FeedChange>) {
+        let node = &self.node;
+        for change in changes {
+            match change {
+                FeedChange::Config(config) => {
+                    node.apply_config(config);
+                }
+                FeedChange::Listed(endpoint) => node.upsert_endpoint(endpoint),
+                FeedChange::Unlisted(id) => node.remove_endpoint(&id),
+                FeedChange::Undecodable(key, cause) => {
+                    log::warn!(key = key.as_str(), cause = cause.as_str(); "entry skipped: cannot be decoded");
+                    self.remove_undecodable(&key);
+                }
             }
         }
     }
+
+    /// Removes the endpoint that an entry named before it became unreadable.
+    fn remove_undecodable(&self, key: &str) {
+        let Ok(id) = key.parse::<EndpointId>() else {
+            return;
+        };
+        let listed = self.node.registry.lock().get(&id).is_some();
+        if listed && self.kind == FeedKind::Endpoints {
+            self.node.remove_endpoint(&id);
+        }
+    }
 }
