Feed reader: log an unreadable entry once, and at most 200 characters of it

Callers: none seen. An odd entry that is written again with each heartbeat logged a line each time on each VM that reads the list; the line held the whole text of a field, up to a record's size, as the decoder quotes it.

--- a/crates/relay/src/process/feed_reader.rs
+++ b/crates/relay/src/process/feed_reader.rs
@@ -7,7 +7,8 @@
         endpoints::ReadSpan,
     },
     clock::Instant,
-    std::{sync::Arc, time::Duration},
+    compact_str::CompactString,
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
     types::EndpointId,
 };
 
@@ -28,6 +29,10 @@
 const MAX_ENDPOINTS_PAUSE: Duration = Duration::from_millis(200);
 /// Nanoseconds in a millisecond.
 const NANOS_PER_MILLI: u64 = 1_000_000;
+/// Longest cause in a log line about an entry that can't be decoded, in characters.
+const MAX_LOGGED_CAUSE: usize = 200;
+/// Most keys whose unreadable entries are logged; further ones are only counted.
+const MAX_LOGGED_KEYS: usize = 32;
 /// Interval between two checks of whether this VM has to read the platform.
 const ROLE_POLL: Duration = Duration::from_millis(100);
 /// Age from which the state of a VM counts as stale: covers a read that waits for changes, and a
@@ -86,6 +91,8 @@
     available: bool,
     /// Pause after the next failed read.
     retry_pause: Duration,
+    /// Keys whose entries were logged as unreadable.
+    logged_keys: BTreeSet<CompactString>,
 }
 
 /// Reads a feed until it is dropped, whenever this VM has to read the platform.
@@ -96,6 +103,7 @@
         kind,
         available: true,
         retry_pause: MIN_RETRY_PAUSE,
+        logged_keys: BTreeSet::new(),
     };
     let mut from = None;
     loop {
@@ -221,18 +229,17 @@
         self.retry_pause = (self.retry_pause * 2).min(max_pause);
     }
 
-    fn apply_changes(&self, changes: Vec<FeedChange>) {
-        let node = &self.node;
+    fn apply_changes(&mut self, changes: Vec<FeedChange>) {
         for change in changes {
             match change {
                 FeedChange::Config(config) => {
-                    node.apply_config(config);
+                    self.node.apply_config(config);
                 }
-                FeedChange::Listed(endpoint) => node.upsert_endpoint(endpoint),
-                FeedChange::Unlisted(id) => node.remove_endpoint(&id),
+                FeedChange::Listed(endpoint) => self.node.upsert_endpoint(endpoint),
+                FeedChange::Unlisted(id) => self.node.remove_endpoint(&id),
                 FeedChange::Undecodable(key, cause) => {
-                    log::warn!(key = key.as_str(), cause = cause.as_str(); "entry skipped: cannot be decoded");
                     self.remove_undecodable(&key);
+                    self.log_undecodable(key, &cause);
                 }
             }
         }
@@ -248,4 +255,16 @@
             self.node.remove_endpoint(&id);
         }
     }
+
+    /// Logs an entry that can't be decoded, once for each key: it may be written again with each heartbeat.
+    fn log_undecodable(&mut self, key: CompactString, cause: &str) {
+        let feed = self.kind.as_str();
+        metrics::counter!("celerystage_undecodable_entries_total", "feed" => feed).increment(1);
+        if self.logged_keys.len() >= MAX_LOGGED_KEYS || self.logged_keys.contains(&key) {
+            return;
+        }
+        let cause: String = cause.chars().take(MAX_LOGGED_CAUSE).collect();
+        log::warn!(feed = feed, key = key.as_str(), cause = cause.as_str(); "entry skipped: cannot be decoded");
+        self.logged_keys.insert(key);
+    }
 }
--- a/crates/relay/tests/odd_entries.rs
+++ b/crates/relay/tests/odd_entries.rs
@@ -4,10 +4,12 @@
 
 use {
     common::{FakeEndpoint, Router, Script, endpoint, response_head},
+    log::{Log, Metadata, Record},
     relay::{FeedChange, FeedKind, RouteKind},
     std::{
         io::{Read, Write},
         net::{TcpStream, UdpSocket},
+        sync::{Mutex, Once},
         thread,
         time::Duration,
     },
@@ -18,6 +20,28 @@
 /// Time in which a change of the feed is applied.
 const APPLY_TIME: Duration = Duration::from_millis(900);
 
+/// Logger that keeps the lines about entries that are skipped.
+struct SkipLines(Mutex<Vec<String>>);
+
+static SKIP_LINES: SkipLines = SkipLines(Mutex::new(Vec::new()));
+static INSTALL_ONCE: Once = Once::new();
+
+impl Log for SkipLines {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let message = record.args().to_string();
+        if message.starts_with("entry skipped") {
+            let fields = format!("{:?}", record.key_values().get("cause".into()));
+            self.0.lock().unwrap().push(fields);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
 fn serving() -> FakeEndpoint {
     FakeEndpoint::start(|_, _| {
         let response = format!("{}ok", response_head("q1", "Content-Length: 2\r\n"));
@@ -54,6 +78,29 @@
     });
 }
 
+/// Each heartbeat of an odd entry logged a line of any length.
+#[test]
+fn odd_entries_are_logged_once_and_shortened() {
+    INSTALL_ONCE.call_once(|| {
+        log::set_logger(&SKIP_LINES).unwrap();
+        log::set_max_level(log::LevelFilter::Info);
+    });
+    let server = serving();
+    let router = Router::with(RouteKind::Idempotent, vec![endpoint("e1", server.addr)]);
+    let cause = "ä".repeat(1 << 19);
+    for round in 0..4 {
+        for entry in 0..200 {
+            let key = format!("logged-{entry}");
+            router.feed.push(FeedKind::Endpoints, odd(&key, &cause));
+        }
+        thread::sleep(APPLY_TIME / 3);
+        assert!(!SKIP_LINES.0.lock().unwrap().is_empty(), "{round}");
+    }
+    let lines = SKIP_LINES.0.lock().unwrap();
+    assert!(lines.len() <= 100, "{} lines", lines.len());
+    assert!(lines.iter().all(|l| l.len() < 1_000));
+}
+
 /// Bodies and datagrams of other VMs that are nested without end.
 #[test]
 fn deeply_nested_messages_end_no_process() {
