Placement: an endpoint with absurdly many slots is rated at once

Callers: while the endpoints of a service say that they are brittle, a VM that reads an entry with billions of slots stands still: nothing is served, and it fails its readiness checks.

Cause: the Erlang B formula takes a step for each slot, up to 28 times.

Evidence: endpoint_with_more_slots_than_any_has_is_rated_at_once failed before: not done after 2 s. Change: beyond 10,000 slots the probability is zero at the largest utilization that is rated.

--- a/crates/route/src/placement/brittleness.rs
+++ b/crates/route/src/placement/brittleness.rs
@@ -28,6 +28,8 @@
 const RATE_CHANGE: f64 = 1.5;
 /// Steps in which the utilization is looked for.
 const UTILIZATION_STEPS: u32 = 28;
+/// Number of slots beyond which arrivals up to the largest utilization never find all slots taken.
+const MAX_RATED_SLOTS: u32 = 10_000;
 /// Time of a request that is assumed before one has been completed.
 const DEFAULT_WORK: Duration = Duration::from_millis(50);
 /// Weight of a new sample in the mean time of requests.
@@ -110,6 +112,9 @@
 /// Share of random arrivals that find all slots taken (the Erlang B formula); `load` is the mean number of
 /// requests at work if none were refused.
 fn blocking_probability(slots: u32, load: f64) -> f64 {
+    if slots > MAX_RATED_SLOTS {
+        return 0.0;
+    }
     let inverse = (1..=slots).fold(1.0, |inverse, n| 1.0 + inverse * f64::from(n) / load);
     1.0 / inverse
 }
--- a/crates/route/tests/brittle_endpoints.rs
+++ b/crates/route/tests/brittle_endpoints.rs
@@ -273,3 +273,22 @@
     }
     assert!(without_share > 200);
 }
+
+/// A VM stood still for many seconds after an entry that named four thousand million slots.
+#[test]
+fn endpoint_with_more_slots_than_any_has_is_rated_at_once() {
+    let (done, waiting) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let mut placer = Placer::new(None);
+        let spec = EndpointSpec {
+            slots: u32::MAX,
+            ..spec("e0", "a", false)
+        };
+        placer.upsert_endpoint(start(), spec);
+        placer.record_brittle(start(), Some(4));
+        let placed = placer.place(start(), &request(&zone("a"), None, 400));
+        done.send(placed.is_some()).unwrap();
+    });
+    let placed = waiting.recv_timeout(Duration::from_secs(2));
+    assert_eq!(placed, Ok(true));
+}
