Endpoint calls: a response without an id answers no request on a kept connection

Callers: told 'not run, try again' for requests that an endpoint was running, and requests that may run once ran at a second endpoint.

Cause: a faulty endpoint writes an earlier refusal once more on a kept connection. If the copy arrives after the check of the idle connection, it is read as the response to the next request. A copy with the id of another request was skipped, but one without an id and with a status from 300 on was taken for the response: 503, 429, 421 and 408 with the 'not run' field became a verdict of 'not run'. Carriers did the same and passed the copy on.

Evidence (repeated_responses.rs, on the code before): all four tests failed. 'Once q1: 2 runs', 'Stream q1: 2 runs', 503 for requests that ran for all four kinds of route and for carried ones, and a copied 500 as the response to another request. Copies with another id, good responses, copies that came before the connection was taken, in pieces and behind interim responses did no harm.

Change: on a connection that has had another response, a response that names no request ends the attempt with the verdict 'may have run', and the connection is closed. On a new connection there can be no copy, so a refusal without an id is still believed there.

Result: all four pass. An endpoint whose refusals never carry an id, on a kept connection, now costs a request that may run once: it gets 502.

--- a/crates/h1/src/pool.rs
+++ b/crates/h1/src/pool.rs
@@ -35,6 +35,11 @@
             proof: None,
         })
     }
+
+    /// Whether the peer may have answered an earlier request on it, so that a copy of that answer may arrive.
+    pub fn has_answered(&self) -> bool {
+        self.reused || self.proof.is_some()
+    }
 }
 
 struct IdleConn {
--- a/crates/relay/src/request/endpoint_call.rs
+++ b/crates/relay/src/request/endpoint_call.rs
@@ -20,6 +20,9 @@
 /// Largest number of late responses to earlier requests that are skipped on one connection.
 const MAX_STALE_RESPONSES: usize = 3;
 
+/// Cause of a failed attempt: the response may belong to an earlier request on the connection.
+pub(super) const UNNAMED: &str = "answer names no request";
+
 /// Why there is no connection to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum OpenFailure {
@@ -134,6 +137,7 @@
         request: &[u8],
     ) -> Result<EndpointResponse, &'static str> {
         let node = self.node;
+        let kept = pooled.has_answered();
         node.record_send();
         let conn = &mut pooled.conn;
         let first = conn.exchange(request, MAX_HEAD).await;
@@ -144,7 +148,12 @@
             let parsed = node.codec.parse_response(&head);
             node.note_response(self.target, self.attempt, (head.status, &parsed));
             let matches_request = parsed.id.as_ref() == Some(self.attempt);
-            if matches_request || (parsed.id.is_none() && head.status >= 300) {
+            let unnamed = parsed.id.is_none() && head.status >= 300;
+            if unnamed && kept {
+                log::warn!(request:% = self.attempt, endpoint:% = self.target.id, status = head.status; "response names no request on a connection that had others");
+                return Err(UNNAMED);
+            }
+            if matches_request || unnamed {
                 return Ok(EndpointResponse {
                     pooled,
                     head,
