Streams: only an event stream goes on with a stream

Callers found the text of an error in the middle of their stream.

Cause: a stream that breaks off goes on at another endpoint. Any success was taken for its continuation, and text between empty lines for events.

Evidence: success_that_is_no_event_stream_is_no_part_of_the_stream failed before for text and JSON with status 200: 'id: 3, data: upstream-failed' arrived as the third event. error_of_the_next_endpoint_is_no_part_of_the_stream passed before: 503, 500, 404, 421, 502 and 204, with and without the 'not run' field or the type of an event stream, framed by length, chunks or close, and with the head in pieces.

Change: a response that names another media type doesn't go on with a stream. The next endpoint is tried, or the stream is broken off. A response that names no type is still taken.

Result: both pass.

--- a/crates/relay/src/request/caller_stream.rs
+++ b/crates/relay/src/request/caller_stream.rs
@@ -24,6 +24,9 @@
 /// Most bytes of events that the caller already has: more than a resumed stream repeats.
 const MAX_REPEATED_BYTES: usize = 1024 * 1024;
 
+/// Media type of streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// The caller's side of a stream.
 pub(super) struct CallerStream<'a> {
     pub(super) conn: &'a mut Conn,
@@ -83,6 +86,13 @@
     slot.finish(relocation.outcome);
 }
 
+/// Whether a response says that its body is no event stream.
+fn names_other_type(head: &ResponseHead) -> bool {
+    let named = head.headers.get("content-type");
+    let essence = named.and_then(|t| t.split(';').next());
+    essence.is_some_and(|t| !t.trim().eq_ignore_ascii_case(EVENT_STREAM))
+}
+
 impl CallerStream<'_> {
     /// Runs `work` until it is done, the caller leaves or the request times out.
     pub(super) async fn watch<T>(&mut self, work: impl Future<Output = T>) -> WatchOutcome<T> {
@@ -150,7 +160,11 @@
         let mut splitter = EventSplitter::default();
         let mut bytes = Vec::new();
         let mut has_events = false;
+        let is_misfit = self.last_event.is_some() && names_other_type(&pending.head);
         let outcome = loop {
+            if is_misfit {
+                break SegmentOutcome::Broken("no event stream", PlacementOutcome::Failed);
+            }
             bytes.clear();
             let node = self.node.clone();
             let watch = SilenceWatch {
