Streams: events without an id don't go on with a stream

Callers found the text of an error, or a whole head, in the middle of their stream.

Cause: only events with an id were checked for their order; a block of text without one was forwarded as it came, with a success of another endpoint that named no media type or that of a stream.

Evidence: event_without_an_id_is_no_part_of_a_resumed_stream failed before, among others for 'event: error', for a head with status 500 in the body and for HTML with empty lines.

Change: where a stream goes on, each event needs an id, except comments and [DONE]; otherwise the next endpoint is tried or the stream is broken off. Events of the endpoint that began the stream aren't checked.

--- a/crates/h1/src/sse.rs
+++ b/crates/h1/src/sse.rs
@@ -31,6 +31,12 @@
         std::str::from_utf8(value.trim_ascii()).ok()?.parse().ok()
     }
 
+    /// Whether it holds comments only, which keep the connection alive.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.raw.split(|b| *b == b'\n').map(<[u8]>::trim_ascii);
+        lines.all(|line| line.is_empty() || line.starts_with(b":"))
+    }
+
     /// Whether this event marks the end of the stream.
     pub fn is_done(&self) -> bool {
         self.data() == Some(b"[DONE]")
--- a/crates/relay/src/request/caller_stream.rs
+++ b/crates/relay/src/request/caller_stream.rs
@@ -160,7 +160,8 @@
         let mut splitter = EventSplitter::default();
         let mut bytes = Vec::new();
         let mut has_events = false;
-        let is_misfit = self.last_event.is_some() && names_other_type(&pending.head);
+        let resumed = self.last_event.is_some();
+        let is_misfit = resumed && names_other_type(&pending.head);
         let outcome = loop {
             if is_misfit {
                 break SegmentOutcome::Broken("no event stream", PlacementOutcome::Failed);
@@ -248,7 +249,8 @@
                     .first_event
                     .get_or_insert(self.node.clock.now().since(request.arrived));
             }
-            match self.write_events(request, &pending.head, events).await {
+            let written = self.write_events(request, &pending.head, events, resumed);
+            match written.await {
                 Ok(()) => {}
                 Err(outcome) => break outcome,
             }
@@ -281,18 +283,26 @@
         outcome
     }
 
-    /// Writes the events that the caller does not have yet.
+    /// Writes the events that the caller does not have yet. Those of a resumed stream need ids: anything else
+    /// may be the text of an error.
     async fn write_events(
         &mut self,
         request: &RoutedRequest,
         head: &ResponseHead,
         events: Vec<Event>,
+        resumed: bool,
     ) -> Result<(), SegmentOutcome> {
         let mut out = Vec::new();
         let mut body = Vec::new();
         let mut count = 0;
         for event in events {
             let id = event.id();
+            if resumed && id.is_none() && !event.is_done() && !event.is_comment() {
+                return Err(SegmentOutcome::Broken(
+                    "event without an id",
+                    PlacementOutcome::Failed,
+                ));
+            }
             let already_sent = id.zip(self.last_event).is_some_and(|(id, last)| id <= last);
             if already_sent {
                 self.repeated_bytes += event.raw.len();
--- a/crates/relay/tests/resumed_streams.rs
+++ b/crates/relay/tests/resumed_streams.rs
@@ -182,3 +182,22 @@
         }
     }
 }
+
+/// Text without an id went to the caller as an event of its stream.
+#[test]
+fn event_without_an_id_is_no_part_of_a_resumed_stream() {
+    let head = format!("HTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\n\r\n{ERROR}\n\n");
+    let bodies = [
+        format!("data: {ERROR}\n\n"),
+        format!("event: error\r\ndata: {ERROR}\r\n\r\n"),
+        format!("{head}id: 3\ndata: e3\n\n"),
+    ];
+    for body in bodies.iter().chain(&errors()) {
+        for framing in ALL_FRAMINGS {
+            for fields in ["", EVENT_STREAM] {
+                let case = format!("{fields:?} {framing:?} {body:?}");
+                check_break(&case, &answer("200 OK", fields, body, framing));
+            }
+        }
+    }
+}
