Streams: events that arrive with an invalid one are not lost

Callers found a stream that ended as complete with an event missing in its middle.

Cause: events that come in one read are checked one after the other and written together. At the first invalid one nothing was written, but those before it counted as sent, so that the next endpoint went on after them.

Change: the events before an invalid one are written first; checking and writing are separate functions.

--- a/crates/relay/src/request/caller_stream.rs
+++ b/crates/relay/src/request/caller_stream.rs
@@ -292,44 +292,55 @@
         events: Vec<Event>,
         resumed: bool,
     ) -> Result<(), SegmentOutcome> {
-        let mut out = Vec::new();
         let mut body = Vec::new();
         let mut count = 0;
+        let mut invalid = None;
         for event in events {
-            let id = event.id();
-            if resumed && id.is_none() && !event.is_done() && !event.is_comment() {
-                return Err(SegmentOutcome::Broken(
-                    "event without an id",
-                    PlacementOutcome::Failed,
-                ));
-            }
-            let already_sent = id.zip(self.last_event).is_some_and(|(id, last)| id <= last);
-            if already_sent {
-                self.repeated_bytes += event.raw.len();
-                continue;
-            }
-            let gap = id
-                .zip(self.last_event)
-                .is_some_and(|(id, last)| id != last + 1);
-            if gap {
-                return Err(SegmentOutcome::Broken(
-                    "event missing",
-                    PlacementOutcome::Failed,
-                ));
+            match self.check_event(&event, resumed) {
+                Ok(true) => {
+                    self.last_event = event.id().or(self.last_event);
+                    body.extend_from_slice(&event.raw);
+                    count += 1;
+                }
+                Ok(false) => {}
+                Err(cause) => {
+                    invalid = Some(SegmentOutcome::Broken(cause, PlacementOutcome::Failed));
+                    break;
+                }
             }
-            self.last_event = id.or(self.last_event);
-            body.extend_from_slice(&event.raw);
-            count += 1;
         }
-        if self.repeated_bytes > MAX_REPEATED_BYTES {
-            return Err(SegmentOutcome::Broken(
-                "too many repeated events",
-                PlacementOutcome::Failed,
-            ));
+        if !body.is_empty() {
+            request.progress.lock().events += count;
+            self.write_body(head, &body).await?;
         }
-        if body.is_empty() {
-            return Ok(());
+        invalid.map_or(Ok(()), Err)
+    }
+
+    /// Whether an event is the next one; `false` if the caller has it.
+    fn check_event(&mut self, event: &Event, resumed: bool) -> Result<bool, &'static str> {
+        let id = event.id();
+        if resumed && id.is_none() && !event.is_done() && !event.is_comment() {
+            return Err("event without an id");
+        }
+        let Some((id, last)) = id.zip(self.last_event) else {
+            return Ok(true);
+        };
+        if id <= last {
+            self.repeated_bytes += event.raw.len();
+            if self.repeated_bytes > MAX_REPEATED_BYTES {
+                return Err("too many repeated events");
+            }
+            return Ok(false);
         }
+        if id != last + 1 {
+            return Err("event missing");
+        }
+        Ok(true)
+    }
+
+    /// Writes a chunk of the stream, after its head if that wasn't sent.
+    async fn write_body(&mut self, head: &ResponseHead, body: &[u8]) -> Result<(), SegmentOutcome> {
+        let mut out = Vec::new();
         if !self.started {
             self.started = true;
             let mut head = head.clone();
@@ -339,9 +350,8 @@
             head.write(&mut out);
         }
         out.extend_from_slice(format!("{:x}\r\n", body.len()).as_bytes());
-        out.extend_from_slice(&body);
+        out.extend_from_slice(body);
         out.extend_from_slice(b"\r\n");
-        request.progress.lock().events += count;
         let written = timeout(&*self.node.clock, WRITE_TIMEOUT, self.conn.write_all(&out)).await;
         match written {
             Ok(Ok(())) => Ok(()),
--- a/crates/relay/tests/resumed_streams.rs
+++ b/crates/relay/tests/resumed_streams.rs
@@ -201,3 +201,17 @@
         }
     }
 }
+
+/// Events that arrived together with an invalid one were lost: the next endpoint went on after them.
+#[test]
+fn events_before_a_gap_are_not_lost() {
+    for last in [event(5), format!("data: {ERROR}\n\n")] {
+        let body = event(3) + &last;
+        let response = run(1, &answer("200 OK", EVENT_STREAM, &body, Framing::Length));
+        assert_eq!(ids(&response), [1, 2, 3, 4, 5], "{response}");
+        assert!(
+            is_complete(&response) && !response.contains(ERROR),
+            "{response}"
+        );
+    }
+}
