Walk of the duty lease: many VMs, a failing log and two releases in simulated time

Cause: the simulation of the duty lease had no expiry, no older copies of the log, no records of other releases and no time between the check of the lease and the arrival of a call. It found none of the ways to two holders that were reported.

Change: `duty_walk` drives the product's state machine, and a model of release, against a log with conditional appends, late and lost appends, expiry and restores from older copies. Machines freeze before any step, are slow, restart, lose power or cannot reach the log. The checks are at the receiver of the holder's calls: fencing tokens never fall, each belongs to one process, no VM acts again within the lease after another one, one figure for each window, and a VM acts within 10 s after the last fault.

--- /dev/null
+++ b/crates/coord/tests/duty_walk_sim/mod.rs
@@ -0,0 +1,18 @@
+//! Simulation of VMs that contend for the duty lease, of the log that they share, and of the
+//! platform that receives the holder's calls.
+
+mod current_lease;
+mod earlier_lease;
+mod fault_mix;
+mod lease_view;
+mod log;
+mod platform;
+mod simulation;
+mod vm;
+mod wire;
+
+pub(crate) use {
+    fault_mix::Fleet,
+    platform::Violation,
+    simulation::{Simulation, Stats},
+};
