A claim after missed records takes no token that was given out

Callers saw: two holders with one fencing token, or a lower token after a higher one.

Cause: once tokens had moved to the range of an era, a claim took the highest known token plus one, without the offset of the claim. VMs that had missed records, because they couldn't decode them or because the log had dropped them, gave out the same tokens again.

Change: a claim takes the start of the era's range plus its offset as soon as a known token is in that range. Offsets are given out once in an era, so the token is new whatever was missed.

--- a/crates/coord/src/duty/epoch_history.rs
+++ b/crates/coord/src/duty/epoch_history.rs
@@ -30,8 +30,9 @@
     /// log was never written to.
     pub(super) fn next(&self, end: LogPosition, unused: bool) -> Epoch {
         let above = self.last.map_or(0, |e| e.0 + 1);
-        let base = match self.lacks(end.era) && !unused {
-            true => end.era.0.saturating_mul(ERA_STEP),
+        let start = end.era.0.saturating_mul(ERA_STEP);
+        let base = match self.lacks(end.era) && !unused || above > start {
+            true => start,
             false => 0,
         };
         Epoch(above.max(base.saturating_add(end.offset)))
