The lease counts as unused only if the store has never come back from an older copy

Callers saw: a lower fencing token after a higher one, or two holders with the same one, where the store had come back from older copies before.

Cause: at the first start of the system a claim took its offset as its token, in any era. Other VMs then took tokens of the era's range and, after the log had dropped those records, the VM that knew only the first ones took an offset again. A restore in the first three seconds also made the lease look unused beside its holder.

Change: only in era 0 may the first claim come at once, with its offset as the token.

--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -366,7 +366,7 @@
     /// Whether nobody can have held the lease yet.
     fn is_unused(&self, now: Instant) -> bool {
         let is_new = self.member.first_start && now.since(self.started) < self.timing.lease;
-        is_new && self.end == 0 && self.era() == self.first_era
+        is_new && self.end == 0 && self.era() == Era::default()
     }
 
     /// Renewals are claims with the same token: earlier releases need a claim to know the holder.
