A seal that was written for an earlier era of the log doesn't fix a window's figures

Callers saw: two reports of one window with different counts.

Cause: a seal that takes effect late, or that a VM sends after a freeze, may land in a restored log whose end is the offset that it was written for. The window was sealed with other figures in the era that was lost, and these had been reported.

Change: such a seal closes its window, and its figures are not reported. VMs that read the seal in its own era still know its figures.

--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -204,7 +204,12 @@
         }
         self.set_holder(offset, entry);
         if let DutyRecord::Seal(_, _, sealed) = &entry.record {
-            self.windows.add(sealed);
+            match entry.trailer {
+                Some(trailer) if trailer.era < self.era() => {
+                    self.windows.raise(sealed.window.saturating_add(1));
+                }
+                _ => self.windows.add(sealed),
+            }
         }
         let trailer = entry.trailer.filter(|t| t.era == self.era());
         if self.is_holder()
