Streams: one that begins anew is not joined to the one before

Callers found events of two runs in one stream, and a stream that ended as complete although the endpoint that should go on with it sent nothing that was new.

Cause: events up to the last one that the caller has were skipped, whichever endpoint sent them. One that ignores Last-Event-Id is a new run from the first event, not one that goes on.

Evidence: stream_that_begins_anew_is_not_joined failed before: the second run's events 3 to 5 followed those of the first one.

Change: in a stream that goes on, an event up to the last one that the caller had when the endpoint was asked ends the attempt; the next endpoint is tried, or the stream is broken off. An endpoint that sends the named event itself again isn't followed either. Result: the test passes.

--- a/crates/relay/src/request/caller_stream.rs
+++ b/crates/relay/src/request/caller_stream.rs
@@ -160,8 +160,8 @@
         let mut splitter = EventSplitter::default();
         let mut bytes = Vec::new();
         let mut has_events = false;
-        let resumed = self.last_event.is_some();
-        let is_misfit = resumed && names_other_type(&pending.head);
+        let resumes_after = self.last_event;
+        let is_misfit = resumes_after.is_some() && names_other_type(&pending.head);
         let outcome = loop {
             if is_misfit {
                 break SegmentOutcome::Broken("no event stream", PlacementOutcome::Failed);
@@ -249,7 +249,7 @@
                     .first_event
                     .get_or_insert(self.node.clock.now().since(request.arrived));
             }
-            let written = self.write_events(request, &pending.head, events, resumed);
+            let written = self.write_events(request, &pending.head, events, resumes_after);
             match written.await {
                 Ok(()) => {}
                 Err(outcome) => break outcome,
@@ -290,13 +290,13 @@
         request: &RoutedRequest,
         head: &ResponseHead,
         events: Vec<Event>,
-        resumed: bool,
+        resumes_after: Option<u64>,
     ) -> Result<(), SegmentOutcome> {
         let mut body = Vec::new();
         let mut count = 0;
         let mut invalid = None;
         for event in events {
-            match self.check_event(&event, resumed) {
+            match self.check_event(&event, resumes_after) {
                 Ok(true) => {
                     self.last_event = event.id().or(self.last_event);
                     body.extend_from_slice(&event.raw);
@@ -317,14 +317,21 @@
     }
 
     /// Whether an event is the next one; `false` if the caller has it.
-    fn check_event(&mut self, event: &Event, resumed: bool) -> Result<bool, &'static str> {
+    fn check_event(
+        &mut self,
+        event: &Event,
+        resumes_after: Option<u64>,
+    ) -> Result<bool, &'static str> {
         let id = event.id();
-        if resumed && id.is_none() && !event.is_done() && !event.is_comment() {
+        if resumes_after.is_some() && id.is_none() && !event.is_done() && !event.is_comment() {
             return Err("event without an id");
         }
         let Some((id, last)) = id.zip(self.last_event) else {
             return Ok(true);
         };
+        if resumes_after.is_some_and(|after| id <= after) {
+            return Err("stream began anew");
+        }
         if id <= last {
             self.repeated_bytes += event.raw.len();
             if self.repeated_bytes > MAX_REPEATED_BYTES {
--- a/crates/relay/tests/resumed_streams.rs
+++ b/crates/relay/tests/resumed_streams.rs
@@ -215,3 +215,11 @@
         );
     }
 }
+
+/// A stream that began anew was joined to the one before where its ids went on.
+#[test]
+fn stream_that_begins_anew_is_not_joined() {
+    check_break("anew", &Script::Send(vec![rest(1).into()], Duration::ZERO));
+    let known = response_head("q1", EVENT_STREAM) + &event(1) + &event(2);
+    check_break("nothing new", &Script::SendAndClose(known.into()));
+}
