Streams: an error of the next endpoint doesn't end the stream

Callers: a stream that had begun was broken off at the first error of another endpoint, though its route allowed more attempts.

Cause: an error was read to its end as if it were to be forwarded, and then the stream was given up.

Evidence: stream_goes_on_at_the_endpoint_after_an_error failed before for '503 Full' without the 'not run' field (events 1 and 2, then a break). Nothing of the error reached the caller.

Change: the attempt counts as run, and the next endpoint is tried as after a break, within the route's attempts and the retry budget.

Result: the test passes for 503, 500, 404, 502 and a success that is no stream.

--- a/crates/relay/src/request/caller_stream.rs
+++ b/crates/relay/src/request/caller_stream.rs
@@ -16,7 +16,7 @@
     h1::{Conn, Event, EventSplitter, ResponseHead},
     route::PlacementOutcome,
     std::{future::Future, sync::Arc, time::Duration},
-    types::{EndpointId, Reason, Refusal, Verdict},
+    types::{EndpointId, Refusal, Verdict},
 };
 
 /// Timeout of a write to the caller.
@@ -113,7 +113,7 @@
         StreamOutcome::NotStarted(Response::refusal(refusal))
     }
 
-    /// Forwards a response that is not a stream, such as an error.
+    /// Forwards a response that is not a stream, such as an error, to a caller that has nothing yet.
     pub(super) async fn forward_response(
         &mut self,
         request: &RoutedRequest,
@@ -136,14 +136,6 @@
             WatchOutcome::Done(Ok((head, body))) => {
                 request.end_send(Verdict::Ran, None);
                 slot.finish(PlacementOutcome::Failed);
-                if self.started {
-                    let failed = Refusal::with_verdict(
-                        Verdict::Ran,
-                        Reason::EndpointFailed,
-                        "stream could not go on",
-                    );
-                    return StreamOutcome::Broken(failed);
-                }
                 StreamOutcome::NotStarted(Response::forwarded(head, body))
             }
         }
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -106,7 +106,17 @@
             }
             WatchOutcome::Done(Waited::Arrived(Ok(pending))) => {
                 if !(200..300).contains(&pending.head.status) {
-                    return stream.forward_response(request, slot, pending).await;
+                    if !stream.started {
+                        return stream.forward_response(request, slot, pending).await;
+                    }
+                    drop(pending);
+                    node.count_usage(request);
+                    request.end_send(Verdict::Ran, Some("stream could not go on"));
+                    slot.finish(PlacementOutcome::Failed);
+                    if !may_retry(request, Verdict::Ran) {
+                        return stream.fail(request.unavailable("stream could not go on"));
+                    }
+                    continue;
                 }
                 match stream
                     .forward_events(request, slot, pending, (&avoid, spec))
--- a/crates/relay/tests/resumed_streams.rs
+++ b/crates/relay/tests/resumed_streams.rs
@@ -223,3 +223,26 @@
     let known = response_head("q1", EVENT_STREAM) + &event(1) + &event(2);
     check_break("nothing new", &Script::SendAndClose(known.into()));
 }
+
+/// A stream ended although another endpoint could go on with it.
+#[test]
+fn stream_goes_on_at_the_endpoint_after_an_error() {
+    let error = &errors()[0];
+    for status in ["503 Full", "500 Failed", "404 None", "502 Bad", "200 OK"] {
+        for fields in ["", "not-run: 1\r\n"] {
+            if status == "200 OK" && !fields.is_empty() {
+                continue;
+            }
+            let response = run(1, &answer(status, fields, error, Framing::Length));
+            assert_eq!(
+                ids(&response),
+                [1, 2, 3, 4, 5],
+                "{status} {fields:?}: {response}"
+            );
+            assert!(
+                is_complete(&response) && !response.contains(ERROR),
+                "{status}"
+            );
+        }
+    }
+}
