Streams: a stalled stream that sends a byte now and then goes on elsewhere

Callers: a stream that may be resumed stood still until its timeout, although another endpoint could go on with it.

Cause: each byte counted as a sign of life of the stream, and the watch for silence began anew with each read.

Evidence: stalled_stream_that_sends_a_byte_now_and_then_goes_on_elsewhere failed before: events 1 to 3, then a break at the timeout of 6 s with one byte each 200 ms. stalled_stream_ends_at_its_timeout and slow_streams_are_not_cut_beside_quick_ones passed before: a stream that can't go on elsewhere ends visibly at its timeout, and gaps of 0.9 s beside quick streams of the same endpoint cut nothing.

Change: only complete events count, and the watch counts from the last one. Result: all seven tests of the file pass.

--- a/crates/relay/src/request/caller_stream.rs
+++ b/crates/relay/src/request/caller_stream.rs
@@ -152,6 +152,8 @@
         let mut splitter = EventSplitter::default();
         let mut bytes = Vec::new();
         let mut has_events = false;
+        // Bytes that complete no event don't count: a stalled stream may send some now and then.
+        let mut since = self.node.clock.now();
         let resumes_after = self.last_event;
         let is_misfit = resumes_after.is_some() && names_other_type(&pending.head);
         let outcome = loop {
@@ -167,7 +169,7 @@
                 avoid,
                 begun: has_events,
                 proven: spec.proven || self.last_event.is_some(),
-                since: node.clock.now(),
+                since,
             };
             let reading = async {
                 let next = pending
@@ -223,6 +225,7 @@
             if events.is_empty() {
                 continue;
             }
+            since = self.node.clock.now();
             if has_events {
                 slot.next_event();
                 if slot.passes_trial() {
--- a/crates/relay/src/request/silence_watch.rs
+++ b/crates/relay/src/request/silence_watch.rs
@@ -51,7 +51,7 @@
     pub(super) begun: bool,
     /// Whether another endpoint must prove that it hasn't restarted since it was listed.
     pub(super) proven: bool,
-    /// When the last bytes came, or the wait began.
+    /// When the last event came, or the wait began.
     pub(super) since: Instant,
 }
 
@@ -64,7 +64,11 @@
     /// Resolves when the request may leave its endpoint and there is another one for it. Until then it
     /// waits, as the endpoint may go on.
     pub(super) async fn until_relocated(&self) -> Box<Relocation> {
-        self.node.clock.sleep(FIRST_LOOK).await;
+        let silent = self.node.clock.now().since(self.since);
+        self.node
+            .clock
+            .sleep(FIRST_LOOK.saturating_sub(silent))
+            .await;
         loop {
             if let Some(relocation) = self.relocate().await {
                 return Box::new(relocation);
--- a/crates/relay/tests/silent_endpoints.rs
+++ b/crates/relay/tests/silent_endpoints.rs
@@ -5,7 +5,10 @@
 use {
     common::{FakeEndpoint, Router, Script, endpoint, response_head},
     relay::{Endpoint, RouteKind},
-    std::{thread, time::Duration},
+    std::{
+        thread,
+        time::{Duration, Instant},
+    },
 };
 
 /// Callers at the same time: more than the retry budget lets move to another endpoint.
@@ -129,3 +132,68 @@
     let response = router.exchange(request.as_bytes());
     assert!(response.ends_with("ok"), "{response}");
 }
+
+/// A stream that stalls and sends a byte now and then.
+fn trickles_after(events: u64) -> FakeEndpoint {
+    FakeEndpoint::start(move |_, seen| {
+        let id = seen.field("id").unwrap_or_default();
+        let last = seen.field("last-event").and_then(|v| v.parse::<u64>().ok());
+        let first = last.unwrap_or_default() + 1;
+        let mut begun = response_head(&id, "Transfer-Encoding: chunked\r\n").into_bytes();
+        if last.is_some() {
+            (first..=EVENTS).for_each(|id| begun.extend(chunk(id)));
+            begun.extend(b"0\r\n\r\n");
+            return Script::Send(vec![begun], Duration::ZERO);
+        }
+        (first..=events).for_each(|id| begun.extend(chunk(id)));
+        let mut pieces = vec![begun];
+        pieces.extend(std::iter::repeat_n(b"1\r\n:\r\n".to_vec(), 40));
+        Script::Send(pieces, Duration::from_millis(200))
+    })
+}
+
+/// A stream that stalled went on nowhere as long as a byte came now and then.
+#[test]
+fn stalled_stream_that_sends_a_byte_now_and_then_goes_on_elsewhere() {
+    let (first, second) = (trickles_after(3), trickles_after(3));
+    let endpoints = vec![large("e1", &first), large("e2", &second)];
+    let router = Router::with(RouteKind::Resumable, endpoints);
+    let request = "POST /a HTTP/1.1\r\nHost: h\r\nid: q1\r\ntimeout-ms: 6000\r\nprompt: 100\r\n\
+         Connection: close\r\nContent-Length: 0\r\n\r\n";
+    let begun = Instant::now();
+    assert_whole(&[router.exchange(request.as_bytes())]);
+    assert!(begun.elapsed() < Duration::from_secs(4));
+}
+
+/// A stalled stream that can't go on elsewhere ends at its timeout, visibly.
+#[test]
+fn stalled_stream_ends_at_its_timeout() {
+    let server = trickles_after(3);
+    let router = Router::with(RouteKind::Stream, vec![large("e1", &server)]);
+    let request = "POST /a HTTP/1.1\r\nHost: h\r\nid: q1\r\ntimeout-ms: 2000\r\nprompt: 100\r\n\
+         Connection: close\r\nContent-Length: 0\r\n\r\n";
+    let begun = Instant::now();
+    let response = router.exchange(request.as_bytes());
+    assert!(begun.elapsed() < Duration::from_millis(2_600));
+    assert_eq!(ids(&response), [1, 2, 3]);
+    assert!(!response.ends_with("0\r\n\r\n"));
+}
+
+/// Slow streams are whole beside quick ones of the same endpoint.
+#[test]
+fn slow_streams_are_not_cut_beside_quick_ones() {
+    let server = FakeEndpoint::start(|number, seen| {
+        let id = seen.field("id").unwrap_or_default();
+        let mut pieces = vec![response_head(&id, "Transfer-Encoding: chunked\r\n").into_bytes()];
+        pieces.extend((1..=EVENTS).map(chunk));
+        pieces.last_mut().unwrap().extend(b"0\r\n\r\n");
+        let slow = number % 2 == 0;
+        Script::Send(pieces, Duration::from_millis(if slow { 900 } else { 60 }))
+    });
+    for kind in [RouteKind::Stream, RouteKind::Resumable] {
+        let router = Router::with(kind, vec![large("e1", &server)]);
+        let before = server.count();
+        assert_whole(&stream_all(&router));
+        assert_eq!(server.count() - before, CALLERS);
+    }
+}
