Tell VMs that take a large fleet for a small one; count zones without hubs

Seen: cut_zone_of_a_large_fleet_is_served_through_the_vms_of_other_zones had 0 of 80 requests through zone 1.

Ruled out: an answer of a hub that hears few VMs of its zone. In a failed run (with the answers printed) all hubs that were asked named their carriers, 12 each, but those of zones 0 and 2 named only each other's hubs: zone 1 had none.

Cause: when the fleet became too large for all VMs to send to all others, the VMs of zones 0 and 2 noticed and sent to their hubs only. Those of zone 1 hadn't counted 41 yet, heard no more of the others, and went on as a small fleet of their own ("large false, known 16" in each round until the end of the run; zones 0 and 2: "large true, known 32"). Nobody told them: a reply is only sent to a VM that seeks hubs, and the first hubs summed up 32 VMs, as zone 1 had no hub that reports its number.

Change: a VM that knows of more VMs than exchange loads with each other replies to one that tells of fewer, with the same reply as to one that seeks hubs. First hubs count another zone by the VMs that they hear of it if these are more than its hub told. No message changes, so builds read and write the same.

--- a/crates/relay/src/peers/hubs.rs
+++ b/crates/relay/src/peers/hubs.rs
@@ -112,6 +112,12 @@
         }
     }
 
+    /// Whether the sender of a message takes the fleet for a small one and this VM knows better. It has to be
+    /// told, as the VMs that use hubs no longer send to it.
+    pub(super) fn knows_larger_fleet(&self, now: Instant, message: &GossipMessage) -> bool {
+        !message.leaving && message.vms <= MAX_MESH_VMS && self.known_vms(now) > MAX_MESH_VMS
+    }
+
     /// Notes whether the fleet is large now.
     pub(super) fn update_size(&mut self, now: Instant) {
         if self.is_large(now) {
@@ -212,17 +218,25 @@
 
     /// Number of live VMs of the fleet, as known by a first hub.
     pub(crate) fn summed_vms(&self, now: Instant) -> u32 {
-        let others: u32 = self.other_zones(now).map(|(_, vms)| vms).sum();
+        let others: u32 = self.other_zones(now).into_values().sum();
         self.own_zone_vms(now) + others
     }
 
-    /// The other zones with the number of their live VMs, as known by a first hub.
-    pub(super) fn other_zones(&self, now: Instant) -> impl Iterator<Item = (&ZoneId, u32)> {
-        let current = self
-            .zone_vms
-            .iter()
-            .filter(move |(zone, (_, at))| **zone != self.zone && now.since(*at) < PEER_TIMEOUT);
-        current.map(|(zone, (vms, _))| (zone, *vms))
+    /// The other zones with the number of their live VMs, as known by a first hub: as told by their first
+    /// hubs, or as heard from if these are more, since a zone may not have a hub yet.
+    pub(super) fn other_zones(&self, now: Instant) -> BTreeMap<&ZoneId, u32> {
+        let mut zones: BTreeMap<&ZoneId, u32> = BTreeMap::new();
+        for peer in self.live_peers(now).filter(|p| !p.leaving) {
+            *zones.entry(&peer.zone).or_default() += 1;
+        }
+        for (zone, (vms, at)) in &self.zone_vms {
+            if now.since(*at) < PEER_TIMEOUT {
+                let known = zones.entry(zone).or_default();
+                *known = (*known).max(*vms);
+            }
+        }
+        zones.remove(&self.zone);
+        zones
     }
 
     /// The addresses to send to now, and what is sent there.
--- a/crates/relay/src/peers/peer_table.rs
+++ b/crates/relay/src/peers/peer_table.rs
@@ -64,7 +64,7 @@
     pub(crate) is_new: bool,
     /// Endpoints at which the sender no longer has any load.
     pub(crate) cleared: Vec<EndpointId>,
-    /// Addresses to reply with, if the sender asks for those of hubs.
+    /// Addresses to reply with, if the sender asks for those of hubs or doesn't know that there are any.
     pub(crate) reply: Option<Vec<SocketAddr>>,
 }
 
@@ -227,9 +227,8 @@
             self.follow_shrinking(message);
         }
         self.update_size(now);
-        let reply = message
-            .seeks
-            .then(|| self.hub_addresses(now, &message.zone, message.hub));
+        let replies = message.seeks || self.knows_larger_fleet(now, message);
+        let reply = replies.then(|| self.hub_addresses(now, &message.zone, message.hub));
         Some(Received {
             is_new,
             cleared,
@@ -314,7 +313,10 @@
             .filter(|(_, p)| p.zone == self.zone && !p.leaving);
         let mut members: BTreeSet<_> = in_zone.map(|(vm, _)| vm).collect();
         members.insert(&self.vm);
-        let preceding = self.other_zones(now).filter(|(zone, _)| **zone < self.zone);
+        let preceding = self
+            .other_zones(now)
+            .into_iter()
+            .filter(|(zone, _)| **zone < self.zone);
         let before = preceding.map(|(_, vms)| vms).sum();
         let counts = (before, self.summed_vms(now));
         FleetRoster::new(self.zone.clone(), counts, members.into_iter())
--- a/crates/relay/src/peers/tests.rs
+++ b/crates/relay/src/peers/tests.rs
@@ -8,7 +8,7 @@
     fastrand::Rng,
     route::{Load, Outcomes},
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         net::{IpAddr, Ipv4Addr, SocketAddr},
         time::Duration,
     },
@@ -91,6 +91,20 @@
         }
     }
 
+    /// VMs of zones of these sizes, none of which has started.
+    fn of_zones(zones: &[usize], seed: u64) -> Self {
+        let mut fleet = Self::with_seed(zones.iter().sum(), seed);
+        let numbers = zones.iter().enumerate();
+        let numbers = numbers.flat_map(|(zone, size)| vec![zone; *size]);
+        for (at, (vm, zone)) in fleet.vms.iter_mut().zip(numbers).enumerate() {
+            vm.zone = zone_of(zone);
+            let name = format!("vm-{at:04}").parse().unwrap();
+            vm.table = PeerTable::new(name, vm.zone.clone(), vm.millicores);
+            vm.alive = false;
+        }
+        fleet
+    }
+
     fn message(&mut self, at: usize, parts: MessageParts, reply: &[SocketAddr]) -> GossipMessage {
         let now = self.now;
         let vm = &mut self.vms[at];
@@ -380,3 +394,33 @@
     assert_eq!(loads, summary.loads);
     assert!(LoadSummary::decode(&rmp_serde::to_vec(&summary).unwrap()).is_none());
 }
+
+/// A zone that exchanged its loads with all VMs when the fleet became large heard no more of the other zones, and
+/// took itself for the whole fleet.
+#[test]
+fn zones_that_start_one_after_the_other_know_each_others_hubs() {
+    for (zones, interval_ms) in [
+        ([20, 12, 12], 0),
+        ([20, 12, 12], 50),
+        ([20, 12, 12], 100),
+        ([12, 20, 12], 100),
+        ([8, 30, 6], 100),
+    ] {
+        for seed in 1..=8 {
+            let mut fleet = Fleet::of_zones(&zones, seed);
+            for at in 0..fleet.vms.len() {
+                fleet.vms[at].alive = true;
+                fleet.run(Duration::from_millis(interval_ms));
+            }
+            fleet.run(Duration::from_secs(5));
+            let case = format!("{zones:?}, {interval_ms} ms, seed {seed}");
+            assert_eq!(using_hubs(&fleet), fleet.vms.len(), "{case}");
+            for vm in fleet.vms.iter().filter(|vm| vm.table.is_hub(fleet.now)) {
+                let hubs = vm.table.other_hubs(fleet.now);
+                let known = fleet.vms.iter().filter(|vm| hubs.contains(&vm.addr));
+                let known: BTreeSet<_> = known.map(|vm| &vm.zone).collect();
+                assert_eq!(known.len(), zones.len() - 1, "{case}: {known:?}");
+            }
+        }
+    }
+}
