Answer requests on connections that were open when a server stopped

Seen: in rolling-restart-cuts-nothing.scene one of 438 requests got no response; users: "During a planned stop under load, requests that had just been accepted were cut off without an answer".

Ruled out: a reused idle connection. The load opens a connection for each request.

Cause, two ways: a server that stopped closed its listener while connections waited in the listener's queue, which resets them; and a connection that had been accepted was closed at the stop although its request was on the way, or had arrived and wasn't read yet. Beside load the balancer of the scenario learns late that an entry is no longer ready, and sends it connections up to the stop.

Change: a server that stops accepts what waits in the queue before it closes the listener, and reads a request head for 500 ms more on each open connection; the response asks to close. Idle connections end after these 500 ms.

Measured: stop_answers_requests_that_were_sent_before_it and stop_answers_the_first_request_of_a_connection_that_was_just_opened fail without the change and pass with it.

--- a/crates/wire/src/server/listen.rs
+++ b/crates/wire/src/server/listen.rs
@@ -101,6 +101,8 @@
                 }
             }
         }
+        // Closing the listener resets the connections that wait in its queue.
+        self.accept_waiting(ex);
         drop(self.listener);
         loop {
             let changed = self.open.changed.listen();
@@ -111,6 +113,21 @@
         }
     }
 
+    /// Accepts the connections that callers have opened already.
+    fn accept_waiting(&self, ex: &Executor<'static>) {
+        loop {
+            let accepted = self.listener.get_ref().accept();
+            match accepted.and_then(|(stream, _)| Async::new(stream)) {
+                Ok(stream) => self.spawn(ex, stream),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) => {
+                    log::warn!(error:% = e; "cannot accept the last connections");
+                    return;
+                }
+            }
+        }
+    }
+
     fn spawn(&self, ex: &Executor<'static>, stream: Async<TcpStream>) {
         if self.open.count.load(Ordering::SeqCst) >= self.limits.max_connections {
             metrics::counter!("celerystage_connections_refused_total").increment(1);
--- a/crates/wire/src/server/session.rs
+++ b/crates/wire/src/server/session.rs
@@ -10,7 +10,7 @@
         io::{AsyncRead, AsyncReadExt, AsyncWriteExt},
     },
     http_types::{Method, Request, Response, headers::CONNECTION},
-    std::{io, sync::Arc},
+    std::{io, sync::Arc, time::Duration},
     types::{Reason, Refusal},
 };
 
@@ -18,6 +18,9 @@
 /// Most unread body bytes that are discarded to reuse a connection; if there are more, it is
 /// closed.
 const MAX_DISCARD_BYTES: usize = 64 * 1024;
+/// Time after the stop signal in which a request head may still arrive. Callers may have sent one
+/// before they could know of the stop.
+const LAST_HEAD_TIME: Duration = Duration::from_millis(500);
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// What happens to the connection after a response.
@@ -57,13 +60,11 @@
 
     /// Reads the next request head; `None` if the connection ends without one.
     async fn read_head(&mut self, leftover: &mut Vec<u8>) -> Result<Option<Head>, Refusal> {
-        if self.stop.is_set() {
-            return Ok(None);
-        }
         let idle = leftover.is_empty();
-        let stop = self.stop.clone();
+        let (stop, clock) = (self.stop.clone(), self.clock.clone());
         let stopped = async {
             stop.wait().await;
+            clock.sleep(LAST_HEAD_TIME).await;
             Ok(Err(HeadError::Closed))
         };
         let read = timeout(
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -120,6 +120,11 @@
 
 /// Starts a server on its own thread.
 pub(crate) fn serve() -> TestServer {
+    serve_with(HEAD_TIMEOUT)
+}
+
+/// As above, with this timeout for request heads.
+pub(crate) fn serve_with(head_timeout: Duration) -> TestServer {
     let clock = SystemClock::shared();
     let ex = Arc::new(Executor::new());
     let (notifier, dropped) = channel();
@@ -131,7 +136,7 @@
         proceed: proceeded,
     });
     let limits = ServerLimits {
-        head_timeout: HEAD_TIMEOUT,
+        head_timeout,
         write_timeout: HEAD_TIMEOUT,
         ..ServerLimits::default()
     };
--- a/crates/wire/tests/server.rs
+++ b/crates/wire/tests/server.rs
@@ -5,11 +5,21 @@
 use {
     common::{
         HEAD_TIMEOUT, MAX_BODY, TIMEOUT, connect, exchange, read_to_close, read_until, serve,
-        status,
+        serve_with, status,
+    },
+    std::{
+        io::Write,
+        net::Shutdown,
+        thread,
+        time::{Duration, Instant},
     },
-    std::{io::Write, net::Shutdown},
 };
 
+/// Time in which a server reaches its next wait.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Longest time of a stop without open requests.
+const STOP_TIME: Duration = Duration::from_secs(2);
+
 const VALID_REQUEST: &[u8] = b"POST /echo HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\ngood";
 
 /// Checks that `bytes` are refused with status `expected` and verdict `not_run`, and that the
@@ -253,3 +263,54 @@
     new.write_all(request).unwrap();
     assert!(read_to_close(&mut new).contains("connection: close"));
 }
+
+/// A planned stop reset connections that were open but not accepted, or whose request was unread.
+#[test]
+fn stop_answers_requests_that_were_sent_before_it() {
+    const ROUNDS: usize = 20;
+    const CALLERS: usize = 40;
+    for round in 0..ROUNDS {
+        let server = serve();
+        let mut streams: Vec<_> = (0..CALLERS).map(|_| connect(server.addr)).collect();
+        for stream in &mut streams {
+            stream.write_all(VALID_REQUEST).unwrap();
+        }
+        server.stop.trigger();
+        let answers = streams.iter_mut().map(read_to_close);
+        let served = answers.filter(|a| status(a) == Some(200) && a.ends_with("good"));
+        assert_eq!(served.count(), CALLERS, "round {round}");
+        server.ended.recv_timeout(TIMEOUT).unwrap();
+    }
+}
+
+/// A planned stop closed a connection while its first request was on the way.
+#[test]
+fn stop_answers_the_first_request_of_a_connection_that_was_just_opened() {
+    let server = serve();
+    let mut stream = connect(server.addr);
+    // The server accepts the connection and waits for its request.
+    thread::sleep(PAUSE);
+    server.stop.trigger();
+    thread::sleep(PAUSE);
+    stream.write_all(VALID_REQUEST).unwrap();
+    let answer = read_to_close(&mut stream);
+    assert_eq!(status(&answer), Some(200), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    server.ended.recv_timeout(TIMEOUT).unwrap();
+}
+
+/// Connections without a request must not delay a stop until their timeout.
+#[test]
+fn stop_closes_idle_connections() {
+    let server = serve_with(TIMEOUT);
+    let mut streams = [connect(server.addr), connect(server.addr)];
+    streams[0].write_all(VALID_REQUEST).unwrap();
+    read_until(&mut streams[0], "good");
+    let begun = Instant::now();
+    server.stop.trigger();
+    server.ended.recv_timeout(TIMEOUT).unwrap();
+    assert!(begun.elapsed() < STOP_TIME, "{:?}", begun.elapsed());
+    for stream in &mut streams {
+        assert_eq!(read_to_close(stream), "");
+    }
+}
