Let requests of a zone without endpoints wait for a slot in another zone

Seen: zones::a_zone_without_engines_is_served_by_another had one to three of about 40 streams refused (503 unavailable, not_run) beside load.

Cause: a zone without endpoints sent a request to another zone only while a free slot was known there. On a busy machine streams take longer, the 16 slots fill, and a request that should have waited was refused. A second way: when the home in the other zone was lost, or was met for the first time, all requests that waited there were refused; in the own zone such requests are sent again. Ruled out: headroom that is told late.

Change: such a request is sent to the zone with the most free slots or, if none is free, the one with the fewest waiting requests, among the zones that have endpoints; it waits there in the queue of the home, which decides on its refusal, and is sent again if the home is lost. Messages stay as they are. A request of a zone that has endpoints still goes to others only if they have free slots.

--- a/crates/entry/src/sched/lease_client.rs
+++ b/crates/entry/src/sched/lease_client.rs
@@ -107,6 +107,19 @@
         ranked.iter().find(|vm| self.node.is_usable(vm)).cloned()
     }
 
+    /// The home VMs of a model in the other availability zones that have endpoints of it.
+    fn other_homes(&self, serves: &ModelId) -> BTreeMap<ZoneId, VmId> {
+        let homes = self.homes.read();
+        let others = homes
+            .iter()
+            .filter(|((zone, s), _)| *zone != self.zone && s == serves);
+        let home = |((zone, _), ranked): (&(ZoneId, ModelId), &Vec<VmId>)| {
+            let vm = ranked.iter().find(|vm| self.node.is_usable(vm))?;
+            Some((zone.clone(), vm.clone()))
+        };
+        others.filter_map(home).collect()
+    }
+
     /// The home VM of a model in this availability zone; this VM if no candidate is reachable.
     fn local_home(&self, serves: &ModelId) -> VmId {
         self.home_in_zone(&self.zone, serves)
@@ -142,9 +155,8 @@
             Err(refusal) => refusal,
         };
         match refusal.reason {
-            Reason::Overloaded | Reason::Unavailable => {
-                self.acquire_in_other_zone(&request).await.ok_or(refusal)
-            }
+            Reason::Overloaded => self.acquire_in_other_zone(&request).await.ok_or(refusal),
+            Reason::Unavailable => self.wait_in_other_zone(request, refusal).await,
             _ => Err(refusal),
         }
     }
@@ -177,6 +189,37 @@
         }
     }
 
+    /// Waits for a slot in another availability zone, as this one has no endpoint. Ends with `refusal` if no
+    /// other one has.
+    async fn wait_in_other_zone(
+        self: &Arc<Self>,
+        mut request: SlotRequest,
+        refusal: Refusal,
+    ) -> Result<SlotLease, Refusal> {
+        for _ in 0..MAX_HOMES {
+            let (now, mut homes) = (self.clock.now(), self.other_homes(&request.serves));
+            let zone = {
+                let headroom = self.node.headroom();
+                headroom
+                    .best_of(now, &request.serves, homes.keys())
+                    .cloned()
+            };
+            let Some((zone, home)) = zone.and_then(|z| homes.remove_entry(&z)) else {
+                break;
+            };
+            metrics::counter!("celerystage_spilled_total").increment(1);
+            match self.request_from_home(&request, zone, home).await {
+                SlotOutcome::Granted(lease) => return Ok(lease),
+                SlotOutcome::Refused(refusal) => return Err(refusal),
+                SlotOutcome::Lost => {
+                    metrics::counter!("celerystage_homes_lost_total").increment(1);
+                    request.resumed = true;
+                }
+            }
+        }
+        Err(refusal)
+    }
+
     async fn acquire_in_zone(
         self: &Arc<Self>,
         mut request: SlotRequest,
--- a/crates/entry/tests/failures/zones.rs
+++ b/crates/entry/tests/failures/zones.rs
@@ -30,6 +30,22 @@
     Ok(())
 }
 
+/// Streams of a zone without engines were refused while no slot of the other zone was free.
+#[test]
+fn a_zone_without_engines_waits_for_the_slots_of_another() -> Result<()> {
+    let cluster = start_zones(vec![zone("ernakulam", 2, 1)?, zone("calicut", 2, 0)?], "")?;
+    let vms = cluster.vms.iter().filter(|v| v.zone.as_str() == "calicut");
+    let entries: Vec<_> = vms.map(|v| v.callers).collect();
+    let probe = streams(entries.clone(), 20.0, 0.2)?;
+    wait_until("the other zone's headroom is known", || {
+        run_with(&probe, || Ok(())).is_ok_and(|s| !s.is_empty() && incomplete(&s).is_empty())
+    })?;
+    // More streams at once than the engine has slots.
+    let samples = run_with(&streams(entries, 60.0, 1.0)?, || Ok(()))?;
+    assert_eq!(incomplete(&samples), Vec::<&Outcome>::new());
+    Ok(())
+}
+
 #[test]
 fn streams_move_off_evicted_endpoints_before_those_are_cut_off() -> Result<()> {
     let mut spec = zone("ernakulam", 2, 4)?;
--- a/crates/mesh/src/headroom_table.rs
+++ b/crates/mesh/src/headroom_table.rs
@@ -4,7 +4,7 @@
 use {
     super::Headroom,
     clock::Instant,
-    std::{collections::BTreeMap, time::Duration},
+    std::{cmp::Reverse, collections::BTreeMap, time::Duration},
     types::{ModelId, ZoneId},
 };
 
@@ -76,4 +76,20 @@
         let best = others.max_by_key(|(_, c)| c.free)?;
         Some(best.0.0.clone())
     }
+
+    /// The one of `zones` with the most free slots for `serves`, or with the fewest waiting requests if none
+    /// is free. Zones without known counts come last.
+    pub fn best_of<'a>(
+        &self,
+        now: Instant,
+        serves: &ModelId,
+        zones: impl IntoIterator<Item = &'a ZoneId>,
+    ) -> Option<&'a ZoneId> {
+        let rank = |zone: &ZoneId| {
+            let counts = self.known.get(&(zone.clone(), serves.clone()));
+            let fresh = counts.filter(|c| now.since(c.at) < MAX_AGE);
+            fresh.map_or((0, Reverse(u32::MAX)), |c| (c.free, Reverse(c.waiting)))
+        };
+        zones.into_iter().max_by_key(|zone| rank(zone))
+    }
 }
