Publish fewer unsealed requests as soon as a window is sealed

Cause: the test waits until unsealed and reported requests add up to all, then kills the entry. The steward published the number of unsealed requests only after a collection, and sealed and reported right after that: until the next collection the requests of a window that had been reported were in both numbers, in whatever order they were read, and the entry was killed before its last requests were collected. The order of the reads was one half of this.

Change: the number is published again when a seal is read back from the log, before its report is sent. The test takes the largest number of all stewards instead of their sum: one that has just lost the lease still collects, and has copies of the same requests. Both can only make the test wait longer.

--- a/crates/steward/tests/billing/mod.rs
+++ b/crates/steward/tests/billing/mod.rs
@@ -76,13 +76,14 @@
             .control_platform(&PlatformCommand::Fault(fault))
     }
 
-    /// Returns the number of collected requests that are not sealed, over all stewards.
+    /// Returns the number of collected requests that are not sealed. Each steward that collects has copies of
+    /// the same requests, also one that has just lost the lease.
     pub(crate) fn unsealed_requests(&self) -> u64 {
         let http = &self.cluster.http;
         let stewards = self.cluster.vms.iter().filter_map(|v| v.steward.as_ref());
         let admins = stewards.filter_map(|s| s.wait_addr("admin").ok());
         let unsealed = admins.map(|a| http.metric(a, "celerystage_usage_held_requests"));
-        unsealed.flatten().sum::<f64>() as u64
+        unsealed.flatten().fold(0.0, f64::max) as u64
     }
 
     /// Sends load to `entries` in the background for `seconds`. The thread returns the number of
--- a/crates/usage/src/sealer.rs
+++ b/crates/usage/src/sealer.rs
@@ -133,6 +133,7 @@
             }
             if page.records.is_empty() || self.state.next_offset() >= page.next {
                 self.unsealed.drop_sealed(&self.context.zone, &self.state);
+                self.publish_unsealed();
                 return Ok(());
             }
         }
@@ -160,6 +161,12 @@
                 .sealed_through(&self.context.zone, &response.source);
             self.unsealed.accept(response, sealed);
         }
+        self.publish_unsealed();
+    }
+
+    /// Publishes how many requests wait to be sealed. A window that is sealed leaves the number before its
+    /// report is sent, so that no reader of both counts it twice.
+    fn publish_unsealed(&self) {
         let unsealed = self.unsealed.requests() as f64;
         metrics::gauge!("celerystage_usage_held_requests").set(unsealed);
     }
--- a/crates/usage/tests/world/mod.rs
+++ b/crates/usage/tests/world/mod.rs
@@ -1,6 +1,8 @@
 //! Simulation of two VMs, each with an entry and a sealer, on a log, a lease and a platform that
 //! fail on demand.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use {
     async_io::block_on,
     clock::TestClock,
@@ -11,7 +13,10 @@
     },
     std::{
         collections::BTreeMap,
-        sync::{Arc, Mutex, MutexGuard},
+        sync::{
+            Arc, Mutex, MutexGuard,
+            atomic::{AtomicU64, Ordering::SeqCst},
+        },
         time::Duration,
     },
     types::{Epoch, Incarnation, OrgId, Tokens, Verdict, VmId},
@@ -49,6 +54,10 @@
     entries: Vec<UsageCounter>,
     pub(crate) unreachable: [bool; 2],
     pub(crate) reports: Vec<UsageReport>,
+    /// The published number of unsealed requests, as the bits of a float.
+    pub(crate) unsealed: Arc<AtomicU64>,
+    /// That number at each report.
+    pub(crate) unsealed_at_reports: Vec<f64>,
     counted: BTreeMap<OrgId, u64>,
     entry_crashed: bool,
     violation: Option<String>,
@@ -128,6 +137,8 @@
     fn report<'a>(&'a self, report: &'a UsageReport) -> PlatformFuture<'a, ()> {
         Box::pin(async move {
             let mut world = locked(&self.0);
+            let unsealed = f64::from_bits(world.unsealed.load(SeqCst));
+            world.unsealed_at_reports.push(unsealed);
             if world.holder != Some(self.1) {
                 world.violation = Some(format!("{} reported without the lease", report.sender));
             }
@@ -197,6 +208,8 @@
                 .collect(),
             unreachable: [false; 2],
             reports: Vec::new(),
+            unsealed: Arc::default(),
+            unsealed_at_reports: Vec::new(),
             counted: BTreeMap::new(),
             entry_crashed: false,
             violation: None,
