Await the first request of connections that are opened late in a shutdown

Such a connection now gets 500 ms for a request, which is served or refused as before, with `Connection: close`.

Not changed: the listener is closed when the process ends, after 300 ms without open connections, and resets what waits in its queue at that moment.

--- a/crates/relay/src/connection/session.rs
+++ b/crates/relay/src/connection/session.rs
@@ -20,6 +20,10 @@
 /// would reset it, and the caller might lose the response.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
+/// Time for which a request is still awaited once idle connections are closed. Callers may have opened the
+/// connection just now.
+const LAST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
 /// What happens to a connection after a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Disposition {
@@ -39,6 +43,7 @@
         let readable = async { matches!(conn.fill().await, Ok(size) if size > 0) };
         let closing = async {
             node.lifecycle.idle_closing().await;
+            node.clock.sleep(LAST_REQUEST_TIME).await;
             false
         };
         let first = timeout(&*node.clock, limits.idle, readable.or(closing)).await;
--- a/crates/relay/tests/shutdown_and_sync.rs
+++ b/crates/relay/tests/shutdown_and_sync.rs
@@ -68,6 +68,28 @@
     router.join();
 }
 
+/// A connection that was accepted late in a shutdown was closed while its request was on the way.
+#[test]
+fn request_of_a_connection_that_is_opened_late_in_a_shutdown_is_answered() {
+    let server = responding("hello");
+    let router = Router::with(RouteKind::Once, vec![endpoint("e1", server.addr)]);
+    let mut kept = router.connect();
+    kept.write_all(&request("")).unwrap();
+    let mut buf = [0; 1024];
+    assert!(kept.read(&mut buf).unwrap() > 0);
+    router.stop.trigger();
+    // The idle connection is closed first, as it would be beside a new one.
+    assert_eq!(kept.read(&mut buf).unwrap(), 0);
+    let mut socket = router.connect();
+    thread::sleep(Duration::from_millis(50));
+    socket.write_all(&request("")).unwrap();
+    let mut response = String::new();
+    socket.read_to_string(&mut response).unwrap();
+    assert!(response.starts_with("HTTP/1.1 "), "{response:?}");
+    assert!(response.contains("Connection: close"), "{response}");
+    router.join();
+}
+
 #[test]
 fn leaving_endpoint_gets_no_more_requests() {
     let (first, second) = (responding("one"), responding("two"));
