Send a request for a slot again when its home doesn't know it

Seen: rolling-restart-cuts-nothing.scene beside load: "timed out after 60 s waiting for: celery-entry ends" at the last stop, or one request without a response after 120 s. The entry that didn't end had closed its listener and had two callers' connections open, no request waiting for its own scheduler and nothing to read on any connection.

Cause: a request that waits at the home VM of another entry waits without a limit for a grant or a refusal. Two ways lose it: a home that stops answers the last requests with "moved" in an outbox that ends with the process; and its successor, which listens within 50 ms in the scenario, sends a message of its own before it is called again. That message makes its new incarnation known, so that the next call doesn't count as a restart, upon which waiting requests would be sent again. Heartbeats listed running requests only.

Change: heartbeats list the requests that wait at a VM, too, and one that the VM doesn't know is sent again. Older entries reply to such a list in the same way, and ignore replies for requests that wait.

Measured: request_that_its_home_does_not_know_is_sent_again fails without the change and passes with it.

--- a/crates/entry/src/sched/lease_client.rs
+++ b/crates/entry/src/sched/lease_client.rs
@@ -345,7 +345,10 @@
             LinkMsg::Moved(ticket) => {
                 self.resolve(ticket, HomeReply::Lost);
             }
-            LinkMsg::Unknown(tickets) => self.send_adoptions(from, &tickets),
+            LinkMsg::Unknown(tickets) => {
+                self.fail_over_unknown(from, &tickets);
+                self.send_adoptions(from, &tickets);
+            }
             LinkMsg::Ask(_)
             | LinkMsg::Cancel(_)
             | LinkMsg::Progress(_)
@@ -390,13 +393,14 @@
         }
     }
 
-    /// Sends the tickets of running requests to the VMs that are now home to their models. VMs at
-    /// which requests wait get a message too, so that they know this entry is alive, and so do
-    /// suspected VMs, to find out whether they are reachable again.
+    /// Sends the tickets of running requests to the VMs that are now home to their models, and those of
+    /// waiting requests to the VMs at which they wait, which tell the ones that they don't know. Suspected
+    /// VMs get a message too, to find out whether they are reachable again.
     pub(crate) fn send_heartbeats(&self) {
         let mut lists: BTreeMap<VmId, Vec<TicketNo>> = BTreeMap::new();
-        for pending in self.pending.lock().values() {
-            lists.entry(pending.home.clone()).or_default();
+        for (ticket, pending) in self.pending.lock().iter() {
+            let list = lists.entry(pending.home.clone()).or_default();
+            list.push(*ticket);
         }
         for (ticket, zone, serves) in self.running_places() {
             if let Some(home) = self.current_home(&zone, &serves) {
@@ -418,6 +422,20 @@
         running.iter().map(place).collect()
     }
 
+    /// Makes requests that wait at `home` without its knowledge try again: its reply was lost, or it has
+    /// restarted.
+    fn fail_over_unknown(&self, home: &VmId, tickets: &[TicketNo]) {
+        for ticket in tickets {
+            let pending = self.pending.lock();
+            let waits = pending.get(ticket).is_some_and(|p| p.home == *home);
+            drop(pending);
+            if waits {
+                log::info!(ticket = ticket, home:% = home; "request for a slot unknown at its home");
+                self.resolve(*ticket, HomeReply::Lost);
+            }
+        }
+    }
+
     /// Makes the requests that wait at `home` try another VM.
     fn fail_over(&self, home: &VmId) {
         let mut pending = self.pending.lock();
--- a/crates/entry/src/sched/mod.rs
+++ b/crates/entry/src/sched/mod.rs
@@ -9,6 +9,8 @@
 mod service_scheduler;
 mod sharing;
 mod slot_lease;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use {
     lease_client::{HomeRankings, LeaseClient},
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -96,10 +96,11 @@
     Progress(ProgressMsg),
     /// Reports how a running request ended.
     Done(TicketNo, RequestOutcome),
-    /// Lists all running requests of the sender that the receiver schedules. The receiver frees the
-    /// slots of requests that are not listed.
+    /// Lists all requests of the sender that the receiver schedules, running or waiting. The receiver
+    /// frees the slots of requests that are not listed.
     Held(Vec<TicketNo>),
-    /// Lists running requests that the sender has no record of; the receiver replies with `Adopt`.
+    /// Lists requests that the sender has no record of. The receiver replies with `Adopt` for those that
+    /// run, and sends those that wait again.
     Unknown(Vec<TicketNo>),
     /// Describes a running request that the receiver has no record of.
     Adopt(AdoptMsg),
