A feed is read anew once the store has started a new era

A reader whose offset had been given out again after an older copy read on from there and missed the changes before it.

--- a/crates/relay/src/adapter/feed.rs
+++ b/crates/relay/src/adapter/feed.rs
@@ -5,7 +5,7 @@
     compact_str::CompactString,
     ports::PlatformFuture,
     std::{sync::Arc, time::Duration},
-    types::EndpointId,
+    types::{EndpointId, LogPosition},
 };
 
 /// A feed of the platform.
@@ -46,17 +46,23 @@
 /// Result of reading a feed from an offset.
 #[derive(Debug, Clone)]
 pub enum FeedUpdate {
-    /// Changes in order, and the offset to read from next.
-    Changes(Vec<FeedChange>, u64),
-    /// The requested offset is older than what the platform keeps; a new snapshot is needed.
+    /// Changes in order, and the position to read from next.
+    Changes(Vec<FeedChange>, LogPosition),
+    /// The platform no longer has the requested position, or has started a new era since; a new
+    /// snapshot is needed.
     Trimmed,
 }
 
 /// Reads the platform's feeds.
 pub trait Feed: Send + Sync {
-    /// The current content of a feed, and the offset to follow it from.
-    fn snapshot(&self, kind: FeedKind) -> PlatformFuture<'_, (Vec<FeedChange>, u64)>;
+    /// The current content of a feed, and the position to follow it from.
+    fn snapshot(&self, kind: FeedKind) -> PlatformFuture<'_, (Vec<FeedChange>, LogPosition)>;
 
-    /// Changes from offset `from` on; waits up to `wait` if there are none yet.
-    fn follow(&self, kind: FeedKind, from: u64, wait: Duration) -> PlatformFuture<'_, FeedUpdate>;
+    /// Changes from position `from` on; waits up to `wait` if there are none yet.
+    fn follow(
+        &self,
+        kind: FeedKind,
+        from: LogPosition,
+        wait: Duration,
+    ) -> PlatformFuture<'_, FeedUpdate>;
 }
--- a/crates/relay/src/process/feed_reader.rs
+++ b/crates/relay/src/process/feed_reader.rs
@@ -9,7 +9,7 @@
     clock::Instant,
     compact_str::CompactString,
     std::{collections::BTreeSet, sync::Arc, time::Duration},
-    types::EndpointId,
+    types::{EndpointId, LogPosition},
 };
 
 /// Time that a read waits for changes. Together with the timeout of the call and one more read it
@@ -120,8 +120,8 @@
 }
 
 impl FeedReader {
-    /// Reads a snapshot; returns the offset to follow the feed from.
-    async fn read_snapshot(&mut self) -> Option<u64> {
+    /// Reads a snapshot; returns the position to follow the feed from.
+    async fn read_snapshot(&mut self) -> Option<LogPosition> {
         let sent = self.node.clock.now();
         match self.feed.snapshot(self.kind).await {
             Ok((changes, next)) => {
@@ -149,8 +149,8 @@
         }
     }
 
-    /// Reads changes; returns the offset to read from next, or `None` if a new snapshot is needed.
-    async fn read_changes(&mut self, from: u64) -> Option<u64> {
+    /// Reads changes; returns the position to read from next, or `None` if a new snapshot is needed.
+    async fn read_changes(&mut self, from: LogPosition) -> Option<LogPosition> {
         let sent = self.node.clock.now();
         // During an outage a read that doesn't wait fails sooner.
         let wait = if self.available {
@@ -175,7 +175,7 @@
                 Some(next)
             }
             Ok(FeedUpdate::Trimmed) => {
-                log::warn!(feed = self.kind.as_str(), from = from; "changes are no longer kept, reading a snapshot");
+                log::warn!(feed = self.kind.as_str(), from:% = from; "changes are no longer kept, reading a snapshot");
                 None
             }
             Err(e) => {
--- a/crates/relay/tests/common/fakes.rs
+++ b/crates/relay/tests/common/fakes.rs
@@ -151,23 +151,30 @@
 }
 
 impl Feed for FakeFeed {
-    fn snapshot(&self, kind: FeedKind) -> PlatformFuture<'_, (Vec<FeedChange>, u64)> {
+    fn snapshot(&self, kind: FeedKind) -> PlatformFuture<'_, (Vec<FeedChange>, LogPosition)> {
         Box::pin(async move {
             self.call(Duration::ZERO).await?;
             let changes = self.of(kind).lock().unwrap().clone();
-            let next = changes.len() as u64;
-            Ok((changes, next))
+            let offset = changes.len() as u64;
+            let era = Era::default();
+            Ok((changes, LogPosition { era, offset }))
         })
     }
 
-    fn follow(&self, kind: FeedKind, from: u64, wait: Duration) -> PlatformFuture<'_, FeedUpdate> {
+    fn follow(
+        &self,
+        kind: FeedKind,
+        from: LogPosition,
+        wait: Duration,
+    ) -> PlatformFuture<'_, FeedUpdate> {
         Box::pin(async move {
             // Limits how often the router polls; changes are seen within a few milliseconds.
             async_io::Timer::after(Duration::from_millis(5)).await;
             self.call(wait).await?;
             let all = self.of(kind).lock().unwrap();
-            let changes = all[from as usize..].to_vec();
-            Ok(FeedUpdate::Changes(changes, all.len() as u64))
+            let changes = all[from.offset as usize..].to_vec();
+            let offset = all.len() as u64;
+            Ok(FeedUpdate::Changes(changes, LogPosition { offset, ..from }))
         })
     }
 }
