--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        DutyEntry, DutyRecord, SealedWindow, Trailer, epoch_history::EpochHistory,
-        sealed_windows::SealedWindows,
+        DutyEntry, DutyMember, DutyPermit, DutyRecord, DutyStep, DutyTiming, LogChange,
+        SealedWindow, Trailer, epoch_history::EpochHistory, sealed_windows::SealedWindows,
     },
     clock::Instant,
     std::{collections::BTreeMap, time::Duration},
@@ -14,60 +14,6 @@
 /// records, even if the store names no new era.
 const MAX_READ_LAG: Duration = Duration::from_secs(6);
 
-/// Durations of the duty lease.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct DutyTiming {
-    /// Time without a new record after which other VMs may claim.
-    pub lease: Duration,
-    /// Time after sending a record during which the holder acts. Shorter than `lease` by the
-    /// longest time that one of its calls may still be in flight.
-    pub hold: Duration,
-    /// Time between renewals.
-    pub renew: Duration,
-}
-
-/// Next action of a VM that contends for the lease.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum DutyStep {
-    /// Do nothing for this long.
-    Wait(Duration),
-    /// Append this entry, on condition that the log ends at the offset.
-    Append(DutyEntry, u64),
-}
-
-/// The process that contends for the lease.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DutyMember {
-    /// Its VM.
-    pub vm: VmId,
-    /// Its incarnation.
-    pub incarnation: Incarnation,
-    /// Spreads the claims of VMs that see the lease expire at the same time.
-    pub jitter: Duration,
-    /// Whether the whole system starts for the first time.
-    pub first_start: bool,
-}
-
-/// Permission to act as the holder.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct DutyPermit {
-    /// Fencing token of the calls.
-    pub epoch: Epoch,
-    /// When it runs out: no call may be sent from then on.
-    pub until: Instant,
-}
-
-/// Whether an answer of the log continues what is known of it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LogChange {
-    /// It does.
-    Continues,
-    /// The log has lost its newest records: it must be read from its first one.
-    Restarted,
-    /// The answer is older than others that were seen, and must be ignored.
-    Outdated,
-}
-
 /// The holder according to the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Holder {
@@ -205,6 +151,7 @@
         self.set_holder(offset, entry);
         if let DutyRecord::Seal(_, _, sealed) = &entry.record {
             match entry.trailer {
+                // It may have been appended to the restored log, after other figures were reported.
                 Some(trailer) if trailer.era < self.era() => {
                     self.windows.raise(sealed.window.saturating_add(1));
                 }
--- a/crates/coord/src/duty/mod.rs
+++ b/crates/coord/src/duty/mod.rs
@@ -11,11 +11,21 @@
 mod entry;
 mod epoch_history;
 mod lease;
+mod log_change;
+mod member;
+mod permit;
 mod record;
 mod sealed_windows;
+mod step;
+mod timing;
 
 pub use {
     entry::{DutyEntry, Trailer},
-    lease::{DutyLease, DutyMember, DutyPermit, DutyStep, DutyTiming, LogChange},
+    lease::DutyLease,
+    log_change::LogChange,
+    member::DutyMember,
+    permit::DutyPermit,
     record::{DutyRecord, SealedWindow},
+    step::DutyStep,
+    timing::DutyTiming,
 };
