--- a/crates/relay/src/process/duty_worker.rs
+++ b/crates/relay/src/process/duty_worker.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Node, capacity_planner::CapacityPlanner, usage_reporter::UsageReporter},
-    crate::adapter::{AppendOutcome, DutyApi, SharedLog, Topic},
+    crate::adapter::{AppendOutcome, DutyApi, LogRecords, SharedLog, Topic},
     clock::Instant,
     coord::{
         DutyEntry, DutyLease, DutyMember, DutyPermit, DutyStep, DutyTiming, LogChange, SealedWindow,
@@ -171,41 +171,7 @@
     async fn read_lease_log(&mut self) -> bool {
         let from = self.lease.end_offset();
         match self.log.read(Topic::Duty, from, Duration::ZERO).await {
-            Ok(batch) => {
-                let now = self.node.clock.now();
-                if batch.first > from || batch.end < from {
-                    log::warn!(from = from, first = batch.first, end = batch.end; "duty log does not continue at the known end");
-                }
-                let end = LogPosition {
-                    era: batch.era,
-                    offset: batch.end,
-                };
-                match self.observe(end) {
-                    LogChange::Continues => {}
-                    LogChange::Restarted => return true,
-                    LogChange::Outdated => return false,
-                }
-                let holder = self.lease.holder_epoch();
-                for (offset, bytes) in &batch.records {
-                    match DutyEntry::decode(bytes) {
-                        Ok(entry) => self.lease.fold(now, *offset, &entry),
-                        Err(e) => {
-                            log::error!(offset = *offset, error:% = e; "cannot decode a duty record");
-                            self.lease.skip(now, *offset);
-                        }
-                    }
-                }
-                if self.lease.holder_epoch() != holder {
-                    let vm = self.lease.holder().map_or("", |vm| vm.as_str());
-                    let epoch = self.lease.holder_epoch().map_or(0, |e| e.0);
-                    log::info!(holder = vm, epoch = epoch, end = batch.end; "duty holder changed");
-                }
-                let read = batch.records.last().map_or(batch.first, |(o, _)| o + 1);
-                if read.max(from) >= batch.end {
-                    self.lease.read_to(now, batch.end);
-                }
-                true
-            }
+            Ok(batch) => self.apply_batch(from, &batch),
             Err(e) => {
                 log::debug!(error:% = e; "cannot read the duty log");
                 false
@@ -213,6 +179,51 @@
         }
     }
 
+    /// Applies records that were read from the known end of the log; false if they are outdated.
+    fn apply_batch(&mut self, from: u64, batch: &LogRecords) -> bool {
+        let (era, offset) = (batch.era, batch.end);
+        if batch.first > from || batch.end < from {
+            log::warn!(from = from, first = batch.first, end = batch.end; "duty log does not continue at the known end");
+        }
+        match self.observe(LogPosition { era, offset }) {
+            LogChange::Continues => {}
+            LogChange::Restarted => return true,
+            LogChange::Outdated => return false,
+        }
+        let before = self.lease.holder_epoch();
+        self.fold_records(&batch.records);
+        let epoch = self.lease.holder_epoch();
+        if epoch != before {
+            let holder = self.lease.holder().map_or("", |vm| vm.as_str());
+            log::info!(holder = holder, epoch = epoch.map_or(0, |e| e.0), end = batch.end; "duty holder changed");
+        }
+        let read = batch.records.last().map_or(batch.first, |(o, _)| o + 1);
+        if read.max(from) >= batch.end {
+            self.lease.read_to(self.node.clock.now(), batch.end);
+        }
+        true
+    }
+
+    fn fold_records(&mut self, records: &[(u64, Vec<u8>)]) {
+        let now = self.node.clock.now();
+        let mut undecodable = 0_u32;
+        for (offset, bytes) in records {
+            match DutyEntry::decode(bytes) {
+                Ok(entry) => self.lease.fold(now, *offset, &entry),
+                Err(e) => {
+                    self.lease.skip(now, *offset);
+                    undecodable += 1;
+                    if undecodable == 1 {
+                        log::error!(offset = *offset, error:% = e; "cannot decode a duty record");
+                    }
+                }
+            }
+        }
+        if undecodable > 1 {
+            log::error!(records = undecodable; "cannot decode several duty records");
+        }
+    }
+
     /// Appends an entry if the topic still ends at `at`; true only if it is known to be appended.
     async fn append_entry(&mut self, entry: &DutyEntry, at: u64) -> bool {
         let bytes = match entry.encode() {
