Tests: windows are closed by a wrong time of day after a drill

A VM that starts while its machine's time of day is behind by seconds hears of a new era with an old window. That window is kept in era_window, though the time is corrected before it claims: a window whose seal was reported and lost stays open, and is sealed with new figures. With a time that is ahead, windows that haven't begun are closed, and nobody reports them.

--- a/crates/coord/tests/duty_holders.rs
+++ b/crates/coord/tests/duty_holders.rs
@@ -229,3 +229,29 @@
     a.read_to(at(3_005), end + 1);
     assert_eq!(a.epoch(at(3_005)), None);
 }
+
+/// A VM whose time of day was behind when it heard of a new era sealed a window anew whose seal was lost.
+#[test]
+fn window_is_not_sealed_again_by_a_vm_whose_time_was_behind() {
+    let window = WINDOW - 2;
+    let mut b = lease("b", 0);
+    b.observe(at(0), position(2, 80), window);
+    b.fold(at(0), 79, &entry("a", 1, 79));
+    b.read_to(at(0), 80);
+    b.observe(at(1_800), position(2, 80), WINDOW);
+    append(&mut b, 3_150);
+    let counts = [("org".parse().unwrap(), 9)].into();
+    assert_eq!(b.seal(at(3_200), SealedWindow { window, counts }), None);
+}
+
+/// A VM whose time of day was ahead when it heard of a new era closed windows that had not begun.
+#[test]
+fn window_is_open_after_a_claim_by_a_vm_whose_time_was_ahead() {
+    let mut b = lease("b", 0);
+    b.observe(at(0), position(2, 80), WINDOW + 2);
+    b.fold(at(0), 79, &entry("a", 1, 79));
+    b.read_to(at(0), 80);
+    b.observe(at(1_800), position(2, 80), WINDOW);
+    append(&mut b, 3_150);
+    assert!(b.is_open(WINDOW + 1));
+}
