--- a/crates/coord/tests/duty_holders.rs
+++ b/crates/coord/tests/duty_holders.rs
@@ -255,3 +255,35 @@
     append(&mut b, 3_150);
     assert!(b.is_open(WINDOW + 1));
 }
+
+/// A VM whose claim took effect late waited for the end of the lease that it held.
+#[test]
+fn vm_renews_at_once_after_its_claim_took_effect_late() {
+    let mut b = lease("b", 0);
+    b.observe(at(0), position(1, 80), WINDOW);
+    b.fold(at(0), 79, &entry("a", 1, 79));
+    b.read_to(at(0), 80);
+    let (claim, end) = send(&mut b, 3_150);
+    b.require_read();
+    b.read_to(at(4_400), end);
+    send(&mut b, 4_400);
+    b.require_read();
+    b.fold(at(5_400), end, &claim);
+    b.read_to(at(5_400), end + 1);
+    assert!(matches!(b.next_step(at(5_400)), DutyStep::Append(..)));
+}
+
+/// A VM whose time of day was behind when it skipped a seal of another format sealed the window anew.
+#[test]
+fn window_is_not_sealed_again_after_an_unreadable_record_and_a_wrong_time() {
+    let window = WINDOW - 2;
+    let mut b = lease("b", 0);
+    b.observe(at(0), position(1, 80), window);
+    b.fold(at(0), 78, &entry("a", 1, 78));
+    b.skip(at(0), 79);
+    b.read_to(at(0), 80);
+    b.observe(at(1_800), position(1, 80), WINDOW);
+    append(&mut b, 3_150);
+    let counts = [("org".parse().unwrap(), 9)].into();
+    assert_eq!(b.seal(at(3_200), SealedWindow { window, counts }), None);
+}
