Usage windows are closed by the corrected time of day

The platform got two reports of one window with different figures, or none of windows that hadn't begun. Cause: which windows may have been sealed was fixed by the time of day at the moment when a VM heard of a new era or skipped a record, and never corrected, though a wrong time is corrected once it has been compared with that of other VMs. On a first start a VM could also seal a window by a wrong time before that.

The moment is kept, and the window computed from the time as it is known when it is needed. A record ahead of the clock counts once the clock agrees. No window is sealed in the first three seconds of a process.

--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -49,8 +49,8 @@
     /// Whether the log was read to its end after the last append of unknown outcome.
     caught_up: bool,
     windows: SealedWindows,
-    /// The present window when the first answer of this era arrived.
-    era_window: u64,
+    /// When the first answer of this era arrived.
+    era_since: Instant,
 }
 
 impl DutyLease {
@@ -72,8 +72,8 @@
             in_flight: BTreeMap::new(),
             next_serial: 0,
             caught_up: false,
-            windows: SealedWindows::default(),
-            era_window: 0,
+            windows: SealedWindows::new(timing.window),
+            era_since: now,
         }
     }
 
@@ -83,13 +83,13 @@
     }
 
     /// Compares the end of the log, as an answer tells it, with what is known. Must be called before
-    /// anything else of the answer is applied. `window` is the present usage window.
-    pub fn observe(&mut self, now: Instant, end: LogPosition, window: u64) -> LogChange {
-        self.windows.set_current(window);
+    /// anything else of the answer is applied. `unix` is the time of day.
+    pub fn observe(&mut self, now: Instant, end: LogPosition, unix: Duration) -> LogChange {
+        self.windows.set_time(now, unix);
         let Some(era) = self.era else {
             self.era = Some(end.era);
             self.first_era = end.era;
-            self.era_window = window;
+            self.era_since = now;
             self.last_record = now;
             return LogChange::Continues;
         };
@@ -98,7 +98,7 @@
         }
         if end.era > era {
             self.era = Some(end.era);
-            self.era_window = window;
+            self.era_since = now;
             self.restart_view(now);
             return LogChange::Restarted;
         }
@@ -111,7 +111,7 @@
             return LogChange::Outdated;
         }
         self.restart_view(now);
-        self.windows.close_ended();
+        self.windows.close_ended(now);
         LogChange::Restarted
     }
 
@@ -143,9 +143,9 @@
             Some(trailer) if trailer.era < self.record_era => return,
             Some(trailer) => {
                 self.record_era = trailer.era;
-                self.windows.raise(trailer.next_window);
+                self.windows.close_before(trailer.next_window);
             }
-            None if gap => self.windows.close_ended(),
+            None if gap => self.windows.close_ended(now),
             None => {}
         }
         self.set_holder(offset, entry);
@@ -153,7 +153,7 @@
             match entry.trailer {
                 // It may have been appended to the restored log, after other figures were reported.
                 Some(trailer) if trailer.era < self.era() => {
-                    self.windows.raise(sealed.window.saturating_add(1));
+                    self.windows.close(sealed.window);
                 }
                 _ => self.windows.add(sealed),
             }
@@ -209,7 +209,7 @@
     pub fn skip(&mut self, now: Instant, offset: u64) {
         if offset >= self.end {
             self.forget_holder(now, offset + 1);
-            self.windows.close_ended();
+            self.windows.close_ended(now);
         }
     }
 
@@ -218,7 +218,7 @@
     pub fn read_to(&mut self, now: Instant, end: u64) {
         if end > self.end {
             self.forget_holder(now, end);
-            self.windows.close_ended();
+            self.windows.close_ended(now);
         }
         self.caught_up = true;
     }
@@ -337,7 +337,7 @@
         };
         let mut next = self.windows.next();
         if !unused && self.epochs.lacks(end.era) {
-            next = next.max(self.era_window);
+            next = next.max(self.windows.window_at(self.era_since));
         }
         self.append_claim(self.epochs.next(end, unused), next)
     }
--- a/crates/coord/src/duty/sealed_windows.rs
+++ b/crates/coord/src/duty/sealed_windows.rs
@@ -1,6 +1,10 @@
 //! Which usage windows are sealed, as the duty log tells.
 
-use {super::SealedWindow, std::collections::BTreeMap};
+use {
+    super::SealedWindow,
+    clock::Instant,
+    std::{collections::BTreeMap, time::Duration},
+};
 
 /// Sealed windows that are remembered; more than are ever due at once.
 const MAX_SEALED: usize = 16;
@@ -9,27 +13,53 @@
 const MAX_AHEAD: u64 = 4;
 
 /// The sealed windows, in the log and lost from it.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(super) struct SealedWindows {
+    /// Length of a window.
+    length: Duration,
+    /// An instant and the time of day then, as it is known now: a wrong one is corrected later.
+    time: (Instant, Duration),
     /// Windows that are sealed in the log.
     sealed: BTreeMap<u64, SealedWindow>,
     /// Windows whose seals the log has lost.
     lost: BTreeMap<u64, SealedWindow>,
-    /// Windows below this one may have been sealed, also where their figures are not known.
+    /// Windows below this one may have been sealed, as records told.
     next: u64,
-    /// The present window.
-    current: u64,
+    /// The same as the newest record told, which may be ahead of this VM's clock.
+    told: u64,
+    /// Windows that had ended by then may have been sealed, as seals may have been lost unread.
+    lost_at: Option<Instant>,
 }
 
 impl SealedWindows {
-    /// Sets the present window.
-    pub(super) fn set_current(&mut self, window: u64) {
-        self.current = window;
+    pub(super) fn new(length: Duration) -> Self {
+        Self {
+            length,
+            time: (Instant::default(), Duration::ZERO),
+            sealed: BTreeMap::new(),
+            lost: BTreeMap::new(),
+            next: 0,
+            told: 0,
+            lost_at: None,
+        }
+    }
+
+    /// Sets the time of day at `now`.
+    pub(super) fn set_time(&mut self, now: Instant, unix: Duration) {
+        self.time = (now, unix);
+    }
+
+    /// The window at an instant that is not in the future.
+    pub(super) fn window_at(&self, at: Instant) -> u64 {
+        let (now, unix) = self.time;
+        let unix = unix.saturating_sub(now.since(at));
+        let number = unix.as_nanos() / self.length.as_nanos().max(1);
+        u64::try_from(number).unwrap_or(u64::MAX)
     }
 
     /// Remembers a seal that was read.
     pub(super) fn add(&mut self, sealed: &SealedWindow) {
-        self.raise(sealed.window.saturating_add(1));
+        self.close(sealed.window);
         self.lost.remove(&sealed.window);
         let entry = self.sealed.entry(sealed.window);
         entry.or_insert_with(|| sealed.clone());
@@ -38,16 +68,26 @@
         }
     }
 
-    /// Takes windows below `next` for sealed.
-    pub(super) fn raise(&mut self, next: u64) {
-        if next <= self.current.saturating_add(MAX_AHEAD) {
+    /// Closes a window and all before it.
+    pub(super) fn close(&mut self, window: u64) {
+        self.close_before(window.saturating_add(1));
+    }
+
+    /// Closes the windows below `next`, as a record tells.
+    pub(super) fn close_before(&mut self, next: u64) {
+        self.told = next;
+        if self.is_plausible(next) {
             self.next = self.next.max(next);
         }
     }
 
-    /// Takes all windows that have ended for sealed: seals may have been lost unread.
-    pub(super) fn close_ended(&mut self) {
-        self.next = self.next.max(self.current);
+    fn is_plausible(&self, next: u64) -> bool {
+        next <= self.window_at(self.time.0).saturating_add(MAX_AHEAD)
+    }
+
+    /// Closes all windows that have ended at `now`: seals may have been lost unread.
+    pub(super) fn close_ended(&mut self, now: Instant) {
+        self.lost_at = Some(now);
     }
 
     /// Handles a log that has lost its newest records. The figures of their seals still hold.
@@ -70,11 +110,16 @@
 
     /// Whether a window may be sealed with new figures.
     pub(super) fn is_open(&self, window: u64) -> bool {
-        window >= self.next
+        window >= self.next()
     }
 
     /// The first window that may be sealed with new figures.
     pub(super) fn next(&self) -> u64 {
-        self.next
+        let ended = self.lost_at.map_or(0, |at| self.window_at(at));
+        let told = match self.is_plausible(self.told) {
+            true => self.told,
+            false => 0,
+        };
+        self.next.max(ended).max(told)
     }
 }
--- a/crates/coord/src/duty/timing.rs
+++ b/crates/coord/src/duty/timing.rs
@@ -12,4 +12,6 @@
     pub hold: Duration,
     /// Time between renewals.
     pub renew: Duration,
+    /// Length of a usage window.
+    pub window: Duration,
 }
--- a/crates/coord/tests/duty_holders.rs
+++ b/crates/coord/tests/duty_holders.rs
@@ -14,6 +14,7 @@
     lease: Duration::from_millis(3_000),
     hold: Duration::from_millis(1_200),
     renew: Duration::from_millis(600),
+    window: Duration::from_secs(5),
 };
 const INCARNATION: Incarnation = Incarnation(1);
 /// The usage window at the time of the tests.
@@ -59,12 +60,17 @@
 fn holder(vm: &str, offset: u64, ms: u64) -> DutyLease {
     let start = Instant::from_nanos((1_000_000 + ms - 10_000) * 1_000_000);
     let mut lease = lease_at(vm, start);
-    lease.observe(start, position(1, offset), WINDOW - 1);
+    lease.observe(start, position(1, offset), unix(WINDOW - 1));
     lease.read_to(start, offset);
     append(&mut lease, ms);
     lease
 }
 
+/// A time of day in the middle of a window.
+fn unix(window: u64) -> Duration {
+    TIMING.window.mul_f64(window as f64 + 0.5)
+}
+
 fn position(era: u64, offset: u64) -> LogPosition {
     let era = Era(era);
     LogPosition { era, offset }
@@ -124,7 +130,7 @@
 fn fencing_token_rises_after_the_log_has_lost_records() {
     let a = holder("a", 95, 0);
     let mut b = lease("b", 5_000);
-    b.observe(at(5_000), position(2, 80), WINDOW);
+    b.observe(at(5_000), position(2, 80), unix(WINDOW));
     b.fold(at(5_000), 79, &entry("c", 1, 79));
     b.read_to(at(5_000), 80);
     append(&mut b, 8_150);
@@ -137,7 +143,7 @@
 fn holder_stops_once_it_hears_of_a_new_era() {
     let mut a = holder("a", 95, 0);
     assert_eq!(
-        a.observe(at(500), position(2, 80), WINDOW),
+        a.observe(at(500), position(2, 80), unix(WINDOW)),
         LogChange::Restarted
     );
     assert_eq!((a.epoch(at(500)), a.end_offset()), (None, 0));
@@ -168,13 +174,13 @@
         counts: [("org".parse().unwrap(), count)].into(),
     };
     let mut a = holder("a", 95, 0);
-    a.observe(at(50), position(1, 96), WINDOW);
+    a.observe(at(50), position(1, 96), unix(WINDOW));
     let (seal, end) = a.seal(at(100), figures(7)).unwrap();
     a.append_started(at(100), &seal);
     a.fold(at(100), end, &seal);
     for mut vm in [a, lease("b", 0)] {
         let knows = vm.sealed(window).is_some();
-        vm.observe(at(500), position(2, 80), WINDOW);
+        vm.observe(at(500), position(2, 80), unix(WINDOW));
         vm.fold(at(510), 79, &entry("c", 1, 79));
         vm.read_to(at(510), 80);
         append(&mut vm, 4_000);
@@ -192,7 +198,7 @@
 #[test]
 fn window_is_not_sealed_again_after_a_copy_without_any_record() {
     let mut b = lease("b", 0);
-    b.observe(at(500), position(2, 0), WINDOW);
+    b.observe(at(500), position(2, 0), unix(WINDOW));
     b.read_to(at(510), 0);
     assert!(matches!(b.next_step(at(3_649)), DutyStep::Wait(_)));
     append(&mut b, 3_650);
@@ -204,11 +210,11 @@
 fn answer_of_an_earlier_era_is_ignored() {
     let mut a = holder("a", 95, 0);
     assert_eq!(
-        a.observe(at(10), position(0, 300), WINDOW),
+        a.observe(at(10), position(0, 300), unix(WINDOW)),
         LogChange::Outdated
     );
     assert_eq!(
-        a.observe(at(10), position(1, 90), WINDOW),
+        a.observe(at(10), position(1, 90), unix(WINDOW)),
         LogChange::Outdated
     );
     assert!(a.epoch(at(10)).is_some());
@@ -235,10 +241,10 @@
 fn window_is_not_sealed_again_by_a_vm_whose_time_was_behind() {
     let window = WINDOW - 2;
     let mut b = lease("b", 0);
-    b.observe(at(0), position(2, 80), window);
+    b.observe(at(0), position(2, 80), unix(window));
     b.fold(at(0), 79, &entry("a", 1, 79));
     b.read_to(at(0), 80);
-    b.observe(at(1_800), position(2, 80), WINDOW);
+    b.observe(at(1_800), position(2, 80), unix(WINDOW));
     append(&mut b, 3_150);
     let counts = [("org".parse().unwrap(), 9)].into();
     assert_eq!(b.seal(at(3_200), SealedWindow { window, counts }), None);
@@ -248,10 +254,10 @@
 #[test]
 fn window_is_open_after_a_claim_by_a_vm_whose_time_was_ahead() {
     let mut b = lease("b", 0);
-    b.observe(at(0), position(2, 80), WINDOW + 2);
+    b.observe(at(0), position(2, 80), unix(WINDOW + 2));
     b.fold(at(0), 79, &entry("a", 1, 79));
     b.read_to(at(0), 80);
-    b.observe(at(1_800), position(2, 80), WINDOW);
+    b.observe(at(1_800), position(2, 80), unix(WINDOW));
     append(&mut b, 3_150);
     assert!(b.is_open(WINDOW + 1));
 }
@@ -260,7 +266,7 @@
 #[test]
 fn vm_renews_at_once_after_its_claim_took_effect_late() {
     let mut b = lease("b", 0);
-    b.observe(at(0), position(1, 80), WINDOW);
+    b.observe(at(0), position(1, 80), unix(WINDOW));
     b.fold(at(0), 79, &entry("a", 1, 79));
     b.read_to(at(0), 80);
     let (claim, end) = send(&mut b, 3_150);
@@ -278,11 +284,11 @@
 fn window_is_not_sealed_again_after_an_unreadable_record_and_a_wrong_time() {
     let window = WINDOW - 2;
     let mut b = lease("b", 0);
-    b.observe(at(0), position(1, 80), window);
+    b.observe(at(0), position(1, 80), unix(window));
     b.fold(at(0), 78, &entry("a", 1, 78));
     b.skip(at(0), 79);
     b.read_to(at(0), 80);
-    b.observe(at(1_800), position(1, 80), WINDOW);
+    b.observe(at(1_800), position(1, 80), unix(WINDOW));
     append(&mut b, 3_150);
     let counts = [("org".parse().unwrap(), 9)].into();
     assert_eq!(b.seal(at(3_200), SealedWindow { window, counts }), None);
--- a/crates/coord/tests/duty_lease.rs
+++ b/crates/coord/tests/duty_lease.rs
@@ -14,6 +14,7 @@
     lease: Duration::from_millis(3_000),
     hold: Duration::from_millis(1_200),
     renew: Duration::from_millis(600),
+    window: Duration::from_secs(5),
 };
 /// Longest time from a holder's lease check to the effect of its call, connecting included.
 const FLIGHT_MS: u64 = 1_200;
--- a/crates/coord/tests/duty_walk_sim/current_lease.rs
+++ b/crates/coord/tests/duty_walk_sim/current_lease.rs
@@ -40,7 +40,7 @@
     fn observe(&mut self, time: Time, era: u64, offset: u64) -> LogChange {
         let era = Era(era);
         let end = LogPosition { era, offset };
-        self.lease.observe(time.now, end, time.window)
+        self.lease.observe(time.now, end, time.unix)
     }
 
     fn decode(&self, bytes: &[u8]) -> Option<DutyEntry> {
--- a/crates/coord/tests/duty_walk_sim/lease_view.rs
+++ b/crates/coord/tests/duty_walk_sim/lease_view.rs
@@ -3,6 +3,7 @@
 use {
     super::wire::{Append, AppendAnswer, Records},
     clock::Instant,
+    std::time::Duration,
 };
 
 /// Usage figure of a window.
@@ -23,8 +24,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Time {
     pub(crate) now: Instant,
-    /// The usage window of the wall clock.
-    pub(crate) window: u64,
+    /// The time of day.
+    pub(crate) unix: Duration,
 }
 
 /// One VM's view of the lease.
--- a/crates/coord/tests/duty_walk_sim/simulation.rs
+++ b/crates/coord/tests/duty_walk_sim/simulation.rs
@@ -8,7 +8,7 @@
         lease_view::LeaseView,
         log::Log,
         platform::{Call, Platform, Process, Violation},
-        vm::{Action, Step, Vm},
+        vm::{Action, Step, Vm, WINDOW_MS},
         wire::{Append, AppendAnswer},
     },
     clock::Instant,
@@ -22,8 +22,12 @@
     lease: Duration::from_millis(3_000),
     hold: Duration::from_millis(1_200),
     renew: Duration::from_millis(600),
+    window: Duration::from_millis(WINDOW_MS),
 };
 const CLAIM_JITTER_MS: u64 = 600;
+/// Largest error of a machine's time of day, and the time in which a process corrects it.
+const MAX_ERROR_MS: i64 = 7_000;
+const COMPARISON_MS: u64 = 1_500;
 /// Timeouts of a read, of an append, and of connecting for a call and of the call.
 const READ_LIMIT_MS: u64 = 450;
 const APPEND_LIMIT_MS: u64 = 700;
@@ -69,6 +73,9 @@
     clock_ms: u64,
     /// Time by which the machine's wall clock is ahead, plus `MAX_SKEW_MS`.
     skew_ms: u64,
+    /// Further error of the wall clock, until the process has compared it with others.
+    error_ms: i64,
+    error_until: u64,
     frozen_until: u64,
     /// When the machine thaws and thawed.
     thaws: Vec<u64>,
@@ -163,6 +170,8 @@
             other_format: fleet == Fleet::OtherFormat && self.rng.bool(),
             clock_ms: self.rng.u64(..1_000_000),
             skew_ms: self.rng.u64(..=2 * MAX_SKEW_MS),
+            error_ms: 0,
+            error_until: 0,
             ..Machine::default()
         });
         let at = self.now + self.rng.u64(1..500);
@@ -291,6 +300,7 @@
             return;
         }
         self.change_release(index);
+        self.start_clock(index);
         let incarnation = self.now;
         let lease = self.new_lease(index, incarnation);
         let process = Process {
@@ -303,6 +313,17 @@
         self.next_step(index, Step::Poll);
     }
 
+    /// Some machines have a wrong time of day when a process starts.
+    fn start_clock(&mut self, index: usize) {
+        let error_ms = match self.rng.u8(..3) {
+            0 => self.rng.i64(-MAX_ERROR_MS..=MAX_ERROR_MS),
+            _ => 0,
+        };
+        let machine = &mut self.machines[index];
+        machine.error_ms = error_ms;
+        machine.error_until = self.now + COMPARISON_MS;
+    }
+
     /// Replaces the release of some processes that start in a fleet of two releases. Such a fleet
     /// begins with the earlier one, so that the log holds records.
     fn change_release(&mut self, index: usize) {
@@ -338,7 +359,12 @@
     }
 
     fn wall_time(&self, index: usize) -> u64 {
-        self.now + self.machines[index].skew_ms - MAX_SKEW_MS
+        let machine = &self.machines[index];
+        let unix = self.now + machine.skew_ms - MAX_SKEW_MS;
+        match self.now < machine.error_until {
+            true => unix.saturating_add_signed(machine.error_ms),
+            false => unix,
+        }
     }
 
     /// Schedules a VM's next step.
--- a/crates/coord/tests/duty_walk_sim/vm.rs
+++ b/crates/coord/tests/duty_walk_sim/vm.rs
@@ -9,13 +9,16 @@
     },
     clock::Instant,
     fastrand::Rng,
-    std::collections::BTreeSet,
+    std::{collections::BTreeSet, time::Duration},
 };
 
-const WINDOW_MS: u64 = 5_000;
+/// Length of a usage window.
+pub(super) const WINDOW_MS: u64 = 5_000;
 const MAX_OPEN_WINDOWS: u64 = 4;
 /// Time after a window's end before which it is not sealed.
 const SEAL_DELAY_MS: u64 = 1_000;
+/// Time after the start in which the time of day may be wrong.
+const CLOCK_CHECK_TIME: Duration = Duration::from_secs(3);
 const HOLDER_POLL_MS: u64 = 250;
 const STANDBY_POLL_MS: u64 = 1_800;
 const RETRY_PAUSE_MS: u64 = 300;
@@ -59,6 +62,8 @@
     reported: BTreeSet<u64>,
     /// Whether capacity was ordered since the last poll.
     ordered: bool,
+    /// When its first step ran.
+    started: Option<Instant>,
 }
 
 impl Vm {
@@ -69,14 +74,16 @@
             rechecks,
             reported: BTreeSet::new(),
             ordered: false,
+            started: None,
         }
     }
 
     /// Runs a step at `now`; `unix` is the wall-clock time in ms.
     pub(crate) fn run(&mut self, step: Step, now: Instant, unix: u64, rng: &mut Rng) -> Action {
+        self.started.get_or_insert(now);
         let time = Time {
             now,
-            window: unix / WINDOW_MS,
+            unix: Duration::from_millis(unix),
         };
         match step {
             Step::Poll => self.poll(now),
@@ -129,7 +136,9 @@
         let Some(permission) = self.lease.permission(now) else {
             return self.pause();
         };
-        for window in open_windows(unix) {
+        let age = self.started.map_or(Duration::ZERO, |at| now.since(at));
+        let is_checked = age >= CLOCK_CHECK_TIME;
+        for window in open_windows(unix).filter(|_| is_checked) {
             if self.reported.contains(&window) {
                 continue;
             }
--- a/crates/relay/src/process/duty_worker.rs
+++ b/crates/relay/src/process/duty_worker.rs
@@ -9,7 +9,6 @@
     },
     std::{sync::Arc, time::Duration},
     types::LogPosition,
-    usage::window_at,
 };
 
 /// Polling interval while this VM holds the lease.
@@ -23,6 +22,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Interval between renewals of the lease.
 const RENEW_INTERVAL: Duration = Duration::from_millis(600);
+/// Time after the start in which the time of day may be wrong, as it has not been compared with that
+/// of other VMs; no usage window is sealed by it.
+const CLOCK_CHECK_TIME: Duration = Duration::from_secs(3);
 /// Upper bound of the random delay before a VM claims an expired lease.
 const CLAIM_JITTER_MS: u64 = 600;
 
@@ -49,6 +51,7 @@
         // A call sent just before the end must finish before another VM may claim the lease.
         hold: lease_time.saturating_sub(duty_api.call_limit() * 2) * 2 / 3,
         renew: RENEW_INTERVAL,
+        window: node.settings.bounds.usage_window,
     };
     let member = DutyMember {
         vm: node.settings.vm.clone(),
@@ -151,9 +154,7 @@
     fn observe(&mut self, end: LogPosition) -> LogChange {
         let now = self.node.clock.now();
         let known = self.lease.end_offset();
-        let length = self.node.settings.bounds.usage_window;
-        let window = window_at(self.node.wall_clock.unix(now), length);
-        let change = self.lease.observe(now, end, window);
+        let change = self.lease.observe(now, end, self.node.wall_clock.unix(now));
         match change {
             LogChange::Continues => {}
             LogChange::Restarted => {
@@ -264,7 +265,8 @@
 
     /// Seals ended usage windows and reports sealed ones.
     async fn process_usage(&mut self) {
-        if !self.node.settings.reports_usage {
+        let is_checked = self.node.age(self.node.clock.now()) >= CLOCK_CHECK_TIME;
+        if !self.node.settings.reports_usage || !is_checked {
             return;
         }
         for window in self.usage.open_windows() {
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -166,6 +166,11 @@
         peers.readers(now).is_empty()
     }
 
+    /// Time since this process has started.
+    pub(crate) fn age(&self, now: Instant) -> Duration {
+        now.since(self.started)
+    }
+
     /// Whether this VM may read the platform because the state of its readers is stale: in a large
     /// fleet only the hubs may, and none does while its readers may still be starting.
     pub(crate) fn may_read_directly(&self, now: Instant) -> bool {
