A claim that takes effect late is renewed at once

Duties rested for 3 s and the jitter more. Cause: the send time of a record is forgotten after the hold, and a holder without one waited as any other VM.

--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -20,6 +20,8 @@
     vm: VmId,
     incarnation: Incarnation,
     epoch: Epoch,
+    /// Era of its newest record.
+    era: Era,
 }
 
 /// One VM's view of the duty lease.
@@ -172,9 +174,9 @@
             vm: vm.clone(),
             incarnation,
             epoch: self.epoch_of(offset, entry),
+            era: entry.trailer.map_or(self.first_era, |t| t.era),
         };
-        let era = entry.trailer.map_or(self.first_era, |t| t.era);
-        self.epochs.note(era, holder.epoch);
+        self.epochs.note(holder.era, holder.epoch);
         if self.holder.as_ref() != Some(&holder) {
             self.holder = Some(holder);
             self.renewed_at = None;
@@ -294,11 +296,10 @@
         if !self.caught_up {
             return DutyStep::Wait(Duration::ZERO);
         }
-        if self.is_holder()
-            && let Some(holder) = &self.holder
-            && let Some(renewed_at) = self.renewed_at
-        {
-            let due = renewed_at + self.timing.renew;
+        let own = self.holder.as_ref().filter(|h| self.is_own(h));
+        if let Some(holder) = own.filter(|h| h.era == self.era()) {
+            // Without a known send time, as of a claim that took effect late, it is due at once.
+            let due = self.renewed_at.map_or(now, |at| at + self.timing.renew);
             if now >= due {
                 return self.append_claim(holder.epoch, self.windows.next());
             }
