A record with an absurd token or era gives nobody the lease

Cause: a token of 2^64 - 1 overflowed at the next claim, and an era above the store's made all later records void. Only a broken or foreign writer has them; they count as undecodable now.

--- a/crates/coord/src/duty/epoch_history.rs
+++ b/crates/coord/src/duty/epoch_history.rs
@@ -29,7 +29,7 @@
     /// of the claim, as in earlier releases, until claims may have been lost. `unused` tells that the
     /// log was never written to.
     pub(super) fn next(&self, end: LogPosition, unused: bool) -> Epoch {
-        let above = self.last.map_or(0, |e| e.0 + 1);
+        let above = self.last.map_or(0, |e| e.0.saturating_add(1));
         let start = end.era.0.saturating_mul(ERA_STEP);
         let base = match self.lacks(end.era) && !unused || above > start {
             true => start,
--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -10,6 +10,8 @@
     types::{Epoch, Era, Incarnation, LogPosition, VmId},
 };
 
+/// The largest fencing token.
+const MAX_EPOCH: Epoch = Epoch(1 << 53);
 /// Time for which reads may lag behind earlier ones. A log that stays behind for longer has lost
 /// records, even if the store names no new era.
 const MAX_READ_LAG: Duration = Duration::from_secs(6);
@@ -138,6 +140,10 @@
         if offset < self.end {
             return;
         }
+        if entry.trailer.is_some_and(|t| !self.is_plausible(&t)) {
+            self.skip(now, offset);
+            return;
+        }
         let gap = offset > self.end;
         self.end = offset + 1;
         self.last_record = now;
@@ -168,6 +174,11 @@
         }
     }
 
+    /// Whether a process of this project can have written it.
+    fn is_plausible(&self, trailer: &Trailer) -> bool {
+        trailer.era <= self.era() && trailer.epoch <= MAX_EPOCH
+    }
+
     fn set_holder(&mut self, offset: u64, entry: &DutyEntry) {
         let (vm, incarnation) = entry.record.writer();
         let holder = Holder {
--- a/crates/coord/tests/duty_holders.rs
+++ b/crates/coord/tests/duty_holders.rs
@@ -293,3 +293,17 @@
     let counts = [("org".parse().unwrap(), 9)].into();
     assert_eq!(b.seal(at(3_200), SealedWindow { window, counts }), None);
 }
+
+/// A record of another writer with an absurd token or era made tokens overflow, or all later records void.
+#[test]
+fn record_with_an_absurd_token_or_era_gives_nobody_the_lease() {
+    for absurd in [entry("x", 1, u64::MAX), entry("x", u64::MAX, 97)] {
+        let mut a = holder("a", 95, 0);
+        a.fold(at(100), 96, &absurd);
+        a.read_to(at(100), 97);
+        assert_eq!((a.epoch(at(100)), a.holder()), (None, None));
+        append(&mut a, 3_250);
+        assert!(a.epoch(at(3_250)) > Some(Epoch(95)));
+        assert!(a.epoch(at(3_250)) < Some(Epoch(1 << 53)));
+    }
+}
