--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -3,11 +3,12 @@
 use {
     super::{
         DutyEntry, DutyMember, DutyPermit, DutyRecord, DutyStep, DutyTiming, LogChange,
-        SealedWindow, Trailer, epoch_history::EpochHistory, sealed_windows::SealedWindows,
+        SealedWindow, Trailer, epoch_history::EpochHistory, holder::Holder,
+        sealed_windows::SealedWindows,
     },
     clock::Instant,
     std::{collections::BTreeMap, time::Duration},
-    types::{Epoch, Era, Incarnation, LogPosition, VmId},
+    types::{Epoch, Era, LogPosition, VmId},
 };
 
 /// The largest fencing token.
@@ -16,16 +17,6 @@
 /// records, even if the store names no new era.
 const MAX_READ_LAG: Duration = Duration::from_secs(6);
 
-/// The holder according to the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Holder {
-    vm: VmId,
-    incarnation: Incarnation,
-    epoch: Epoch,
-    /// Era of its newest record.
-    era: Era,
-}
-
 /// One VM's view of the duty lease.
 #[derive(Debug, Clone)]
 pub struct DutyLease {
@@ -327,7 +318,7 @@
         DutyStep::Wait(due.since(now))
     }
 
-    /// Whether nobody can have held the lease yet.
+    /// Whether the log was never written to, so that there is no earlier holder.
     fn is_unused(&self, now: Instant) -> bool {
         let is_new = self.member.first_start && now.since(self.started) < self.timing.lease;
         is_new && self.end == 0 && self.era() == Era::default()
@@ -393,7 +384,7 @@
         self.windows.lost(window)
     }
 
-    /// Whether a window may be sealed with new figures: nobody can have sealed it before.
+    /// Whether a window may be sealed with new figures, since no earlier seal can exist.
     pub fn is_open(&self, window: u64) -> bool {
         self.windows.is_open(window)
     }
--- a/crates/coord/src/duty/mod.rs
+++ b/crates/coord/src/duty/mod.rs
@@ -10,6 +10,7 @@
 
 mod entry;
 mod epoch_history;
+mod holder;
 mod lease;
 mod log_change;
 mod member;
--- a/crates/coord/tests/duty_holders.rs
+++ b/crates/coord/tests/duty_holders.rs
@@ -236,7 +236,7 @@
     assert_eq!(a.epoch(at(3_005)), None);
 }
 
-/// A VM whose time of day was behind when it heard of a new era sealed a window anew whose seal was lost.
+/// A VM whose clock was behind when it first read the new era sealed a window twice, as the first seal was lost.
 #[test]
 fn window_is_not_sealed_again_by_a_vm_whose_time_was_behind() {
     let window = WINDOW - 2;
@@ -279,7 +279,7 @@
     assert!(matches!(b.next_step(at(5_400)), DutyStep::Append(..)));
 }
 
-/// A VM whose time of day was behind when it skipped a seal of another format sealed the window anew.
+/// A VM whose clock was behind when it skipped a seal that it could not decode sealed the window twice.
 #[test]
 fn window_is_not_sealed_again_after_an_unreadable_record_and_a_wrong_time() {
     let window = WINDOW - 2;
--- a/crates/coord/tests/duty_walk_sim/vm.rs
+++ b/crates/coord/tests/duty_walk_sim/vm.rs
@@ -42,7 +42,7 @@
 /// What a VM does after a step.
 #[derive(Debug)]
 pub(crate) enum Action {
-    /// Goes on with a step at once.
+    /// Runs the next step immediately.
     Next(Step),
     Pause(u64),
     Read(u64),
--- a/crates/relay/src/peers/hubs.rs
+++ b/crates/relay/src/peers/hubs.rs
@@ -222,8 +222,8 @@
         self.own_zone_vms(now) + others
     }
 
-    /// The other zones with the number of their live VMs, as known by a first hub: as told by their first
-    /// hubs, or as heard from if these are more, since a zone may not have a hub yet.
+    /// The other zones and the number of their live VMs: the count that a zone's first hub reported, or the
+    /// number of its VMs that sent datagrams here if that is larger, since a zone may not have a hub yet.
     pub(super) fn other_zones(&self, now: Instant) -> BTreeMap<&ZoneId, u32> {
         let mut zones: BTreeMap<&ZoneId, u32> = BTreeMap::new();
         for peer in self.live_peers(now).filter(|p| !p.leaving) {
--- a/crates/relay/tests/odd_entries.rs
+++ b/crates/relay/tests/odd_entries.rs
@@ -1,4 +1,4 @@
-//! Entries and messages that can't be decoded: they name nothing to use, and everything else goes on.
+//! Entries and messages that can't be decoded: they are ignored, and the entries around them still count.
 
 mod common;
 
--- a/crates/relay/tests/resumed_streams.rs
+++ b/crates/relay/tests/resumed_streams.rs
@@ -216,7 +216,7 @@
     }
 }
 
-/// A stream that began anew was joined to the one before where its ids went on.
+/// A second run of a stream, sent from its first event, was appended to the first run.
 #[test]
 fn stream_that_begins_anew_is_not_joined() {
     check_break("anew", &Script::Send(vec![rest(1).into()], Duration::ZERO));
--- a/crates/usage/tests/unsealed_gauge.rs
+++ b/crates/usage/tests/unsealed_gauge.rs
@@ -60,5 +60,5 @@
     let world = locked(&simulation.world);
     let reported: u64 = world.reports[0].lines.iter().map(|l| l.requests).sum();
     assert_eq!((world.reports.len(), reported), (1, 2));
-    assert_eq!(world.unsealed_at_reports, [0.0]);
+    assert_eq!(world.reported_gauges, [0.0]);
 }
--- a/crates/usage/tests/world/mod.rs
+++ b/crates/usage/tests/world/mod.rs
@@ -57,7 +57,7 @@
     /// The published number of unsealed requests, as the bits of a float.
     pub(crate) unsealed: Arc<AtomicU64>,
     /// That number at each report.
-    pub(crate) unsealed_at_reports: Vec<f64>,
+    pub(crate) reported_gauges: Vec<f64>,
     counted: BTreeMap<OrgId, u64>,
     entry_crashed: bool,
     violation: Option<String>,
@@ -138,7 +138,7 @@
         Box::pin(async move {
             let mut world = locked(&self.0);
             let unsealed = f64::from_bits(world.unsealed.load(SeqCst));
-            world.unsealed_at_reports.push(unsealed);
+            world.reported_gauges.push(unsealed);
             if world.holder != Some(self.1) {
                 world.violation = Some(format!("{} reported without the lease", report.sender));
             }
@@ -209,7 +209,7 @@
             unreachable: [false; 2],
             reports: Vec::new(),
             unsealed: Arc::default(),
-            unsealed_at_reports: Vec::new(),
+            reported_gauges: Vec::new(),
             counted: BTreeMap::new(),
             entry_crashed: false,
             violation: None,
