Review: requests run at a service that is not configured (ROUTE)

Cause: an entry of another writer under the id of a replica, with a service that no configuration names, moves the address of the replica in the registry, but leaves it open at the placer of its own service. Change: none to the code; review/1 with its stand-ins shows it.

--- /dev/null
+++ b/review/standins/src/cases/mod.rs
@@ -0,0 +1,13 @@
+//! The cases of the review, each in the folder with its number.
+
+mod other_service;
+
+use crate::{Verdict, record::Record};
+
+/// Runs a case by its name.
+pub fn run(case: &str, record: &Record, trouble: bool) -> Verdict {
+    match case {
+        "other-service" => other_service::run(record, trouble),
+        _ => Verdict::NotRun("no such case".into()),
+    }
+}
