Review: streams of a crashed replica end as complete (ORDER)

Cause: the end of a connection between two events is taken for the end of a stream that has neither a length nor chunks, whether or not the replica still runs.

--- /dev/null
+++ b/review/standins/src/cases/crashed_stream.rs
@@ -0,0 +1,82 @@
+//! A replica crashes in the middle of streams that have neither a length nor chunks.
+
+use {
+    crate::{
+        Verdict,
+        fleet::Fleet,
+        record::Record,
+        replica::{ReplicaProcess, Work},
+        traffic::{RouteSpec, Sent, Traffic},
+    },
+    std::{thread, time::Duration},
+};
+
+const ROUTE: RouteSpec = RouteSpec {
+    name: "memo",
+    kind: "stream",
+    service: "huvo11a",
+    timeout_ms: 15_000,
+    attempts: 2,
+    resume: true,
+};
+const EVENTS: u64 = 40;
+const WORK: Work = Work::Stream {
+    events: EVENTS,
+    gap: Duration::from_millis(50),
+};
+/// One of six crashes: a share of 0.167.
+const REPLICAS: u8 = 6;
+
+pub fn run(record: &Record, trouble: bool) -> Verdict {
+    let mut fleet = Fleet::prepare(record, &["za", "zb", "zc"], &ROUTE.config());
+    let mut replicas: Vec<ReplicaProcess> = Vec::new();
+    for number in 0..REPLICAS {
+        let zone = ["za", "zb", "zc"][usize::from(number % 3)];
+        let mut spec = fleet.replica_spec(number, ROUTE.service, zone, WORK);
+        spec.unframed = true;
+        replicas.push(ReplicaProcess::start(
+            spec,
+            record,
+            &fleet.runs,
+            &fleet.store,
+        ));
+    }
+    fleet.start_all();
+    let traffic = Traffic::start(
+        &fleet,
+        &ROUTE,
+        6,
+        (Duration::from_millis(50), Duration::from_millis(2_000)),
+    );
+    thread::sleep(Duration::from_secs(6));
+    if trouble {
+        record.note(format!("replica {} crashes", replicas[0].replica.spec.id));
+        replicas[0].kill();
+    }
+    thread::sleep(Duration::from_secs(4));
+    let sent = traffic.finish();
+    let last = format!("data: piece {EVENTS} of {EVENTS}\n\n");
+    let complete = |s: &&Sent| s.outcome.status == 200 && s.outcome.whole;
+    let ends = |s: &&Sent| s.outcome.body.ends_with(last.as_bytes());
+    let served = sent.iter().filter(complete).filter(ends).count();
+    let short: Vec<_> = sent.iter().filter(complete).filter(|s| !ends(s)).collect();
+    for s in &short {
+        let text = String::from_utf8_lossy(&s.outcome.body);
+        let lines: Vec<_> = text.lines().filter(|l| l.starts_with("data:")).collect();
+        record.note(format!(
+            "{} ended as complete after '{}'",
+            s.id,
+            lines.last().unwrap_or(&"nothing")
+        ));
+    }
+    record.note(format!(
+        "{} streams sent, {served} whole, {} complete before their last piece",
+        sent.len(),
+        short.len()
+    ));
+    match (served, short.len()) {
+        (0, _) => Verdict::NotRun("nothing was served".into()),
+        (_, 0) => Verdict::Held,
+        _ => Verdict::Broken,
+    }
+}
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases of the review, each in the folder with its number.
 
+mod crashed_stream;
 mod other_service;
 
 use crate::{Verdict, record::Record};
@@ -8,6 +9,7 @@
 pub fn run(case: &str, record: &Record, trouble: bool) -> Verdict {
     match case {
         "other-service" => other_service::run(record, trouble),
+        "crashed-stream" => crashed_stream::run(record, trouble),
         _ => Verdict::NotRun("no such case".into()),
     }
 }
