Review: an entry at a replica's address cuts its streams (LOST)

Cause: any listed entry with the address of an endpoint and a later start time, of whatever id and service, counts as its restart.

--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases of the review, each in the folder with its number.
 
 mod crashed_stream;
+mod cut_by_alias;
 mod other_service;
 
 use crate::{Verdict, record::Record};
@@ -10,6 +11,7 @@
     match case {
         "other-service" => other_service::run(record, trouble),
         "crashed-stream" => crashed_stream::run(record, trouble),
+        "cut-by-alias" => cut_by_alias::run(record, trouble),
         _ => Verdict::NotRun("no such case".into()),
     }
 }
