Review: an old heartbeat reopens a replica that has left (DRAIN)

Cause: the number of a heartbeat is not kept, so that one that is done late lists a replica again that was removed before.

--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod crashed_stream;
 mod cut_by_alias;
+mod late_heartbeat;
 mod other_service;
 
 use crate::{Verdict, record::Record};
@@ -12,6 +13,7 @@
         "other-service" => other_service::run(record, trouble),
         "crashed-stream" => crashed_stream::run(record, trouble),
         "cut-by-alias" => cut_by_alias::run(record, trouble),
+        "late-heartbeat" => late_heartbeat::run(record, trouble),
         _ => Verdict::NotRun("no such case".into()),
     }
 }
