--- a/review/standins/src/cases/cut_by_alias.rs
+++ b/review/standins/src/cases/cut_by_alias.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Verdict,
-        fleet::Fleet,
+        fleet::{CONFIG_APPLY, Fleet},
         process::HUP,
         record::Record,
         replica::{Work, entry, unix_ms},
@@ -26,8 +26,6 @@
     events: 30,
     gap: Duration::from_millis(60),
 };
-/// `configApplyMs`, in seconds.
-const CONFIG_APPLY: f64 = 2.0;
 
 pub fn run(record: &Record, trouble: bool) -> Verdict {
     let mut fleet = Fleet::prepare(record, &["za", "zb", "zc"], &ROUTE.config());
@@ -64,8 +62,9 @@
     let sent = traffic.finish();
     let runs = fleet.runs.lock().unwrap().clone();
     let ran = |s: &&Sent| runs.iter().any(|r| r.request == s.id);
-    let near =
-        |s: &&Sent| s.at >= signalled && s.at < signalled + CONFIG_APPLY && s.ended > signalled;
+    let near = |s: &&Sent| {
+        s.at >= signalled && s.at < signalled + CONFIG_APPLY.as_secs_f64() && s.ended > signalled
+    };
     let served = sent
         .iter()
         .filter(|s| s.outcome.status == 200 && s.outcome.whole)
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -4,6 +4,7 @@
 mod cut_by_alias;
 mod late_heartbeat;
 mod other_service;
+mod stale_after_start;
 
 use crate::{Verdict, record::Record};
 
@@ -14,6 +15,7 @@
         "crashed-stream" => crashed_stream::run(record, trouble),
         "cut-by-alias" => cut_by_alias::run(record, trouble),
         "late-heartbeat" => late_heartbeat::run(record, trouble),
+        "stale-after-start" => stale_after_start::run(record, trouble),
         _ => Verdict::NotRun("no such case".into()),
     }
 }
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -21,7 +21,12 @@
 pub const HOST: &str = "ficu95.example";
 pub const KEY: &str = "xd9dnn2ctnfzs989anu6";
 pub const TENANT: &str = "huka270";
-/// `drainMs` of the site file.
+/// A key that an operator takes away, and its tenant.
+pub const OTHER_KEY: &str = "wsjnbanfqasnmgkcuyj8";
+pub const OTHER_TENANT: &str = "puhu251";
+/// `contactMs`, `configApplyMs` and `drainMs` of the site file.
+pub const CONTACT: Duration = Duration::from_millis(3_000);
+pub const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
 pub const DRAIN: Duration = Duration::from_millis(2_000);
 
 const FRONT: u16 = 8740;
@@ -67,7 +72,7 @@
                 .map(|(number, zone)| Vm {
                     ip: ip(10 + number as u8),
                     zone: (*zone).into(),
-                    name: format!("front-{zone}-{number}"),
+                    name: format!("front-{zone}-{}", zones.len() - number),
                     child: None,
                 })
                 .collect(),
@@ -77,7 +82,10 @@
         fleet.store.put("keyed.op", "config", config);
         for number in 0..fleet.vms.len() {
             let store = fleet.store_addr(number);
-            fleet.store.listen(store).expect("the store can't listen");
+            fleet
+                .store
+                .listen(number, store)
+                .expect("the store can't listen");
             let cloud = fleet.cloud_addr(number);
             listen_cloud(number, cloud, record).expect("the platform can't listen");
         }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -7,7 +7,7 @@
         record::Record,
     },
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         io,
         net::{SocketAddr, TcpStream},
         sync::{Arc, Condvar, Mutex},
@@ -24,6 +24,8 @@
 #[derive(Default)]
 struct State {
     topics: HashMap<String, Topic>,
+    /// VMs whose calls are rejected.
+    rejected: HashSet<usize>,
 }
 
 #[derive(Default)]
@@ -36,15 +38,26 @@
 pub struct Store(Arc<Shared>);
 
 impl Store {
-    /// Listens at an address.
-    pub fn listen(&self, addr: SocketAddr) -> io::Result<()> {
+    /// Serves one VM at an address.
+    pub fn listen(&self, vm: usize, addr: SocketAddr) -> io::Result<()> {
         let store = self.clone();
         serve(
             addr,
-            Arc::new(move |request: &Message, out: &mut TcpStream| store.reply(request, out)),
+            Arc::new(move |request: &Message, out: &mut TcpStream| store.reply(vm, request, out)),
         )
     }
 
+    /// Rejects all calls of a VM with 503, or serves them again.
+    pub fn set_rejected(&self, vm: usize, rejected: bool) {
+        let mut state = self.0.state.lock().unwrap();
+        match rejected {
+            true => state.rejected.insert(vm),
+            false => state.rejected.remove(&vm),
+        };
+        drop(state);
+        self.0.changed.notify_all();
+    }
+
     /// Writes a record with a key; an empty value drops the key.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let mut record = vec![key.len() as u8];
@@ -61,12 +74,16 @@
         self.0.changed.notify_all();
     }
 
-    fn reply(&self, request: &Message, out: &mut TcpStream) -> io::Result<bool> {
+    fn reply(&self, vm: usize, request: &Message, out: &mut TcpStream) -> io::Result<bool> {
         thread::sleep(Duration::from_millis(2));
+        if self.0.state.lock().unwrap().rejected.contains(&vm) {
+            respond(out, 503, &[], b"")?;
+            return Ok(true);
+        }
         let topic = request.query("topic").unwrap_or_default().to_owned();
         match (request.method(), request.path()) {
             ("POST", "/log-append") => self.append(&topic, request, out),
-            ("GET", "/log-read") => self.read(&topic, request, out),
+            ("GET", "/log-read") => self.read(vm, &topic, request, out),
             ("GET", "/log-newest") => self.newest(&topic, out),
             _ => respond(out, 404, &[], b""),
         }?;
@@ -103,12 +120,22 @@
         respond(out, 200, &[], body.as_bytes())
     }
 
-    fn read(&self, topic: &str, request: &Message, out: &mut TcpStream) -> io::Result<()> {
+    fn read(
+        &self,
+        vm: usize,
+        topic: &str,
+        request: &Message,
+        out: &mut TcpStream,
+    ) -> io::Result<()> {
         let from = request.number("from").unwrap_or(0) as usize;
         let wait = Duration::from_millis(request.number("waitMs").unwrap_or(0));
         let due = Instant::now() + wait;
         let mut state = self.0.state.lock().unwrap();
         loop {
+            if state.rejected.contains(&vm) {
+                drop(state);
+                return respond(out, 503, &[], b"");
+            }
             let records = &state.topics.entry(topic.into()).or_default().records;
             if from < records.len() || Instant::now() >= due {
                 let mut body = (records.len() as u64).to_be_bytes().to_vec();
--- a/review/standins/src/traffic.rs
+++ b/review/standins/src/traffic.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         client::{Ask, Client, Outcome},
-        fleet::{Fleet, HOST, KEY, TENANT},
+        fleet::{Fleet, HOST, KEY, OTHER_KEY, OTHER_TENANT, TENANT},
         record::Record,
         replica::unix_ms,
     },
@@ -33,8 +33,15 @@
 }
 
 impl RouteSpec {
-    /// The configuration of the operator with this route only.
+    /// The operator's first configuration, with this route only.
     pub fn config(&self) -> String {
+        self.config_version(7, &[OTHER_KEY])
+    }
+
+    /// A version of it, with these keys of the other tenant.
+    pub fn config_version(&self, version: u64, keys: &[&str]) -> String {
+        let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+        let keys = keys.join(",");
         let Self {
             name,
             kind,
@@ -44,12 +51,13 @@
             resume,
         } = self;
         format!(
-            "{{\"version\":7,\"routes\":[{{\"name\":\"r-{name}\",\"host\":\"{HOST}\",\"pathPrefix\":\"/{name}/\",\"kind\":\"{kind}\",\
+            "{{\"version\":{version},\"routes\":[{{\"name\":\"r-{name}\",\"host\":\"{HOST}\",\"pathPrefix\":\"/{name}/\",\"kind\":\"{kind}\",\
              \"timeoutMs\":{timeout_ms},\"latencySloMs\":600,\"priority\":1,\"service\":\"{service}\",\"maxAttempts\":{attempts},\
              \"anonymous\":false,\"sessionAffinity\":false,\"streamResume\":{resume},\"gapTargetMs\":300}}],\
              \"services\":[{{\"name\":\"{service}\",\"healthPath\":\"/health\",\"maxConns\":110,\"protocol\":\"h1\",\"tls\":false}}],\
              \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
-             \"tenants\":[{{\"name\":\"{TENANT}\",\"apiKeys\":[\"{KEY}\"],\"priority\":1}}]}}"
+             \"tenants\":[{{\"name\":\"{TENANT}\",\"apiKeys\":[\"{KEY}\"],\"priority\":1}},\
+             {{\"name\":\"{OTHER_TENANT}\",\"apiKeys\":[{keys}],\"priority\":1}}]}}"
         )
     }
 }
