Review: no stream goes on after a restart of all VMs, even at one version (LOST)

Cause: which release began a stream is kept in memory only, and a VM takes the only release of a service for that of all its streams only after it has watched the list for twice the longest timeout.

--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -5,6 +5,7 @@
 mod late_heartbeat;
 mod other_service;
 mod stale_after_start;
+mod streams_after_restart;
 
 use crate::{Verdict, record::Record};
 
@@ -16,6 +17,7 @@
         "cut-by-alias" => cut_by_alias::run(record, trouble),
         "late-heartbeat" => late_heartbeat::run(record, trouble),
         "stale-after-start" => stale_after_start::run(record, trouble),
+        "streams-after-restart" => streams_after_restart::run(record, trouble),
         _ => Verdict::NotRun("no such case".into()),
     }
 }
--- a/review/standins/src/cases/stale_after_start.rs
+++ b/review/standins/src/cases/stale_after_start.rs
@@ -54,6 +54,7 @@
             path: format!("/{}/2f", ROUTE.name),
             id: id.clone(),
             deadline_ms: ROUTE.timeout_ms,
+            fields: Vec::new(),
             body: b"six posters, matt".to_vec(),
         };
         let at = record.now();
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -20,6 +20,8 @@
     pub path: String,
     pub id: String,
     pub deadline_ms: u64,
+    /// Further header fields.
+    pub fields: Vec<(&'static str, String)>,
     pub body: Vec<u8>,
 }
 
@@ -48,11 +50,21 @@
         })
     }
 
+    /// The socket, to close it from another thread.
+    pub fn socket(&self) -> Result<TcpStream> {
+        self.input.get_ref().try_clone()
+    }
+
     /// Sends a request and reads the answer.
     pub fn send(&mut self, ask: &Ask, host: &str, key: &str) -> Outcome {
+        let fields: String = ask
+            .fields
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}\r\n"))
+            .collect();
         let head = format!(
             "POST {} HTTP/1.1\r\nHost: {host}\r\nX-Celerystage-Request-Id: {}\r\nX-Celerystage-Deadline-Ms: {}\r\n\
-             X-Celerystage-Key: {key}\r\nContent-Length: {}\r\n\r\n",
+             X-Celerystage-Key: {key}\r\nContent-Length: {}\r\n{fields}\r\n",
             ask.path,
             ask.id,
             ask.deadline_ms,
--- a/review/standins/src/traffic.rs
+++ b/review/standins/src/traffic.rs
@@ -154,6 +154,7 @@
             path: self.path.clone(),
             id: id.clone(),
             deadline_ms: self.deadline_ms,
+            fields: Vec::new(),
             body: b"six posters, matt".to_vec(),
         };
         self.record
