--- a/review/standins/src/cases/crashed_stream.rs
+++ b/review/standins/src/cases/crashed_stream.rs
@@ -24,6 +24,8 @@
     events: EVENTS,
     gap: Duration::from_millis(50),
 };
+/// Time for which a crashed replica is down: less than the 4.5 s of the site file.
+const DOWN: Duration = Duration::from_millis(4_000);
 /// One of six crashes: a share of 0.167.
 const REPLICAS: u8 = 6;
 
@@ -50,10 +52,15 @@
     );
     thread::sleep(Duration::from_secs(6));
     if trouble {
-        record.note(format!("replica {} crashes", replicas[0].replica.spec.id));
+        let spec = replicas[0].replica.spec.clone();
+        record.note(format!("replica {} crashes", spec.id));
         replicas[0].kill();
+        thread::sleep(DOWN);
+        replicas[0] = ReplicaProcess::start(spec, record, &fleet.runs, &fleet.store);
+        record.note("the replica has started again");
+    } else {
+        thread::sleep(DOWN);
     }
-    thread::sleep(Duration::from_secs(4));
     let sent = traffic.finish();
     let last = format!("data: piece {EVENTS} of {EVENTS}\n\n");
     let complete = |s: &&Sent| s.outcome.status == 200 && s.outcome.whole;
--- a/review/standins/src/cases/streams_after_restart.rs
+++ b/review/standins/src/cases/streams_after_restart.rs
@@ -13,7 +13,7 @@
         net::{Shutdown, SocketAddr, TcpStream},
         sync::{Arc, Mutex},
         thread::{self, JoinHandle},
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -31,6 +31,8 @@
     gap: Duration::from_millis(50),
 };
 const STREAMS: usize = 24;
+/// How long a caller waits for its stream in all.
+const PATIENCE: Duration = Duration::from_millis(ROUTE.timeout_ms);
 /// From the start of the VMs until callers come back: more than `contactMs`.
 const RETURN: Duration = Duration::from_millis(4_000);
 
@@ -62,11 +64,12 @@
     ids.last()?.parse().ok()
 }
 
-fn ask(number: usize, fields: Vec<(&'static str, String)>) -> Ask {
+/// A request of a caller that waits for `left` more.
+fn ask(number: usize, left: Duration, fields: Vec<(&'static str, String)>) -> Ask {
     Ask {
         path: format!("/{}/2f", ROUTE.name),
         id: format!("{:08x}{number:04x}{:04x}", unix_ms() as u32, fields.len()),
-        deadline_ms: ROUTE.timeout_ms,
+        deadline_ms: left.as_millis() as u64,
         fields,
         body: b"six posters, matt".to_vec(),
     }
@@ -113,7 +116,10 @@
     fleet.start_all();
     thread::sleep(Duration::from_secs(4));
     let sockets = Sockets::default();
-    let firsts = (0..STREAMS).map(|number| ask(number, Vec::new())).collect();
+    let firsts = (0..STREAMS)
+        .map(|number| ask(number, PATIENCE, Vec::new()))
+        .collect();
+    let began = Instant::now();
     let firsts = send_all(&fleet, firsts, &sockets);
     thread::sleep(Duration::from_secs(2));
     if trouble {
@@ -137,12 +143,16 @@
             continue;
         };
         let fields = vec![("Last-Event-Id", last.to_string()), ("Resumes", first.id)];
-        again.push(ask(number, fields));
+        again.push(ask(
+            number,
+            PATIENCE.saturating_sub(began.elapsed()),
+            fields,
+        ));
     }
     let taken = again.len();
     let again = send_all(&fleet, again, &sockets);
     let fresh = (0..STREAMS)
-        .map(|number| ask(100 + number, Vec::new()))
+        .map(|number| ask(100 + number, PATIENCE, Vec::new()))
         .collect();
     let fresh = send_all(&fleet, fresh, &sockets);
     thread::sleep(Duration::from_secs(2));
