--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -13,6 +13,7 @@
 pub fn run(case: &str, record: &Record, trouble: bool) -> Verdict {
     match case {
         "other-service" => other_service::run(record, trouble),
+        "crashed-answer" => crashed_stream::run_plain(record, trouble),
         "crashed-stream" => crashed_stream::run(record, trouble),
         "cut-by-alias" => cut_by_alias::run(record, trouble),
         "late-heartbeat" => late_heartbeat::run(record, trouble),
--- a/review/standins/src/cases/streams_after_restart.rs
+++ b/review/standins/src/cases/streams_after_restart.rs
@@ -60,8 +60,8 @@
 fn last_event(outcome: &Outcome) -> Option<u64> {
     let text = String::from_utf8_lossy(&outcome.body);
     let whole = &text[..text.rfind("\n\n")?];
-    let ids = whole.lines().filter_map(|line| line.strip_prefix("id: "));
-    ids.last()?.parse().ok()
+    let mut ids = whole.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.next_back()?.parse().ok()
 }
 
 /// A request of a caller that waits for `left` more.
--- a/review/standins/src/replica.rs
+++ b/review/standins/src/replica.rs
@@ -31,6 +31,8 @@
     Plain(Duration),
     /// A stream of so many events, one each interval.
     Stream { events: u64, gap: Duration },
+    /// An answer of so many lines, one each interval.
+    Lines { lines: u64, gap: Duration },
 }
 
 #[derive(Debug, Clone)]
@@ -40,7 +42,8 @@
     pub zone: String,
     pub addr: SocketAddr,
     pub work: Work,
-    /// Whether answers have neither a length nor chunks and end with their connection.
+    /// Whether streams have neither a length nor chunks and end with their connection. Lines
+    /// always do.
     pub unframed: bool,
 }
 
@@ -204,6 +207,19 @@
             respond(out, 200, &[echo, stamp], body.as_bytes())?;
             Ok(true)
         }
+        Work::Lines { lines, gap } => {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n{}: {}\r\n{}: {}\r\n\
+                 Connection: close\r\n\r\n",
+                echo.0, echo.1, stamp.0, stamp.1
+            );
+            out.write_all(head.as_bytes())?;
+            for number in 1..=lines {
+                thread::sleep(gap);
+                out.write_all(format!("piece {number} of {lines}\n").as_bytes())?;
+            }
+            Ok(false)
+        }
         Work::Stream { events, gap } => {
             let after = request.field("last-event-id").and_then(|v| v.parse().ok());
             let mut head = format!(
@@ -241,16 +257,18 @@
 
 impl ReplicaProcess {
     pub fn start(spec: ReplicaSpec, record: &Record, runs: &Runs, store: &Store) -> Self {
-        let (events, pause) = match spec.work {
-            Work::Stream { events, gap } => (events, gap),
-            Work::Plain(time) => (0, time),
+        let (kind, pieces, pause) = match spec.work {
+            Work::Plain(time) => ("plain", 0, time),
+            Work::Stream { events, gap } => ("stream", events, gap),
+            Work::Lines { lines, gap } => ("lines", lines, gap),
         };
         let born = unix_ms();
         let mut command = Command::new(env::current_exe().expect("no path of this program"));
         command
             .args(["replica", &spec.id, spec.service, &spec.addr.to_string()])
             .args([
-                events.to_string(),
+                kind.to_string(),
+                pieces.to_string(),
                 pause.as_millis().to_string(),
                 spec.unframed.to_string(),
             ])
@@ -286,21 +304,28 @@
     }
 }
 
-/// Runs a replica in this process: ID SERVICE ADDRESS EVENTS PAUSE UNFRAMED BORN.
+/// Runs a replica in this process: ID SERVICE ADDRESS KIND PIECES PAUSE UNFRAMED BORN.
 pub fn run_process(args: &[String]) {
-    let [id, service, addr, events, pause, unframed, born] = args else {
+    let [id, service, addr, kind, pieces, pause, unframed, born] = args else {
         return;
     };
     let number = |text: &String| text.parse::<u64>().expect("a number");
-    let pause = Duration::from_millis(number(pause));
+    let (pieces, pause) = (number(pieces), Duration::from_millis(number(pause)));
     let spec = ReplicaSpec {
         id: id.clone(),
         service: Box::leak(service.clone().into_boxed_str()),
         zone: String::new(),
         addr: addr.parse().expect("an address"),
-        work: match number(events) {
-            0 => Work::Plain(pause),
-            events => Work::Stream { events, gap: pause },
+        work: match kind.as_str() {
+            "stream" => Work::Stream {
+                events: pieces,
+                gap: pause,
+            },
+            "lines" => Work::Lines {
+                lines: pieces,
+                gap: pause,
+            },
+            _ => Work::Plain(pause),
         },
         unframed: unframed == "true",
     };
