A VM that starts beside a rejected reader reads the platform in time (CONFIG)

Cause: a VM waits 2.5 s before it reads the platform beside its reader, as the reader may be starting too. It waited as well where the reader's answer shows that it has read the platform before and no longer does. The time was compared as it was before the question (up to 0.9 s), so that one more question could come first.

Change: a reader that tells when it read the platform last is no starting one, and the platform is read at once. Beside a reader without state a VM waits 1.5 s; a question to it and a read of the platform end before 3 s. In large fleets only hubs read beside their readers, as before.

Measured: tests/stale_starts.rs. Before: 3.32 s from the start to the configuration in force where 3 s are allowed, after it the test passes. The second test passed before too; it guards the other branch.

--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -39,6 +39,9 @@
 /// Time after the start in which a stronger VM of the zone counts as its reader as soon as it is
 /// heard of.
 const MAX_START_DEFERRAL: Duration = Duration::from_millis(2_500);
+/// Time after the start in which readers that have read nothing yet may be starting too. A question to a reader
+/// that begins then and a read of the platform end within the time after which the fleet's bounds hold for a VM.
+const MAX_READER_START: Duration = Duration::from_millis(1_500);
 
 /// State shared by all tasks.
 pub(crate) struct Node {
@@ -172,10 +175,11 @@
     }
 
     /// Whether this VM may read the platform because the state of its readers is stale: in a large
-    /// fleet only the hubs may, and none does while its readers may still be starting.
-    pub(crate) fn may_read_directly(&self, now: Instant) -> bool {
+    /// fleet only the hubs may, and none does while its readers may still be starting. `has_read` tells whether the
+    /// reader has ever read the platform.
+    pub(crate) fn may_read_directly(&self, now: Instant, has_read: bool) -> bool {
         let peers = self.peers.lock();
-        now.since(self.started) >= MAX_START_DEFERRAL
+        (has_read || self.age(now) >= MAX_READER_START)
             && (!peers.uses_hubs(now) || peers.is_hub(now))
     }
 
--- a/crates/relay/src/process/state_sync.rs
+++ b/crates/relay/src/process/state_sync.rs
@@ -88,6 +88,11 @@
         let fresh = |age: &u64| u128::from(*age) < MAX_FRESH_AGE.as_millis();
         self.ages.iter().all(fresh)
     }
+
+    /// Whether the responder has read both feeds, however long ago.
+    fn has_read(&self) -> bool {
+        self.ages.iter().all(|age| *age < u64::MAX)
+    }
 }
 
 /// Serves a state request of another VM.
@@ -229,7 +234,7 @@
         };
         let addr = SocketAddr::new(reader.ip(), node.settings.control.port());
         let result = request_state(&node, addr, since, true).await;
-        match result {
+        let has_read = match result {
             Ok(response) if response.is_fresh() => {
                 since = Some((response.inc, response.next));
                 apply_response(&node, response);
@@ -237,16 +242,19 @@
             }
             Ok(response) => {
                 log::info!(reader:% = addr, ages:? = response.ages; "state of the reader is stale");
+                response.has_read()
             }
             Err(cause) => {
                 log::info!(reader:% = addr, cause = cause.as_str(); "reader does not respond");
+                false
             }
-        }
-        if cursor.advance(node.clock.now(), readers.len()) {
+        };
+        let now = node.clock.now();
+        if cursor.advance(now, readers.len()) {
             // The next reader notices the failure at the same time, and needs a moment to read the
             // platform.
             node.clock.sleep(READER_POLL).await;
-        } else if !node.may_read_directly(now) {
+        } else if !node.may_read_directly(now, has_read) {
             node.clock.sleep(READER_POLL).await;
         } else {
             log::info!(readers = readers.len(); "no reader has fresh state, reading the platform");
--- /dev/null
+++ b/crates/relay/tests/stale_starts.rs
@@ -0,0 +1,124 @@
+//! VMs that start while the platform rejects other VMs of their zone.
+
+mod common;
+
+use {
+    common::{
+        FakeEndpoint, Ports, Router, RouterSpec, Script, config_change, endpoint, response_head,
+        route,
+    },
+    relay::{FeedChange, RouteKind},
+    std::{
+        sync::atomic::Ordering::SeqCst,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time after its start from which a VM keeps to the bounds for configurations and endpoints.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time in which the platform lets a VM's state grow old.
+const STALE_TIME: Duration = Duration::from_millis(1_500);
+/// The reader of the zone in all tests: the VM with the last name.
+const READER: &str = "vm-9";
+
+fn request() -> Vec<u8> {
+    b"GET /a HTTP/1.1\r\nHost: h\r\nid: q1\r\ntimeout-ms: 9000\r\nConnection: close\r\n\r\n".to_vec()
+}
+
+fn responding() -> FakeEndpoint {
+    FakeEndpoint::start(|_, _| {
+        let head = response_head("q1", "Content-Length: 5\r\n");
+        Script::Send(vec![format!("{head}hello").into_bytes()], Duration::ZERO)
+    })
+}
+
+/// A configuration whose route asks for a key.
+fn closed_route() -> FeedChange {
+    let mut closed = route(RouteKind::Once);
+    closed.open = false;
+    config_change(5, closed)
+}
+
+/// VMs of one availability zone, each with a platform of its own.
+struct Zone {
+    server: FakeEndpoint,
+    ports: Ports,
+    vms: Vec<Router>,
+}
+
+impl Zone {
+    fn new() -> Self {
+        Self {
+            server: responding(),
+            ports: Ports::free(),
+            vms: Vec::new(),
+        }
+    }
+
+    /// Starts a VM; `prepare` changes what it starts with.
+    fn start(&mut self, name: &'static str, ip: [u8; 4], prepare: impl FnOnce(&mut RouterSpec)) {
+        let mut spec = RouterSpec {
+            name,
+            ip: ip.into(),
+            ports: self.ports,
+            seeds: self.vms.iter().map(|vm| vm.control).collect(),
+            ..RouterSpec::new(RouteKind::Once, vec![endpoint("e1", self.server.addr)])
+        };
+        prepare(&mut spec);
+        self.vms.push(Router::start(spec));
+    }
+
+    fn last(&self) -> &Router {
+        self.vms.last().unwrap()
+    }
+}
+
+/// Waits until a VM that was started at `begun` refuses requests without a key; returns its age then.
+fn age_when_closed(vm: &Router, begun: Instant) -> Duration {
+    vm.wait_ready();
+    vm.wait_for(|| vm.exchange(&request()).starts_with("HTTP/1.1 401"));
+    begun.elapsed()
+}
+
+/// A VM took the old configuration of its zone's reader, which the platform rejected, and ran requests with a
+/// removed key until 3.4 s after its start.
+#[test]
+fn vm_that_starts_beside_a_rejected_reader_reads_the_platform_in_time() {
+    let mut zone = Zone::new();
+    zone.start(READER, [127, 0, 0, 3], |_| {});
+    zone.vms[0].wait_ready();
+    zone.vms[0].feed.down.store(true, SeqCst);
+    thread::sleep(STALE_TIME);
+    let begun = Instant::now();
+    zone.start("vm-1", [127, 0, 0, 4], |spec| spec.config = Some(closed_route()));
+    let age = age_when_closed(zone.last(), begun);
+    assert!(age < CONTACT_TIME, "{age:?}");
+}
+
+/// As above, when the reader has started just before and could never read the platform.
+#[test]
+fn vm_that_starts_beside_a_reader_without_state_reads_the_platform_in_time() {
+    let mut zone = Zone::new();
+    zone.start(READER, [127, 0, 0, 5], |spec| spec.feed.down.store(true, SeqCst));
+    let begun = Instant::now();
+    zone.start("vm-1", [127, 0, 0, 6], |spec| spec.config = Some(closed_route()));
+    let age = age_when_closed(zone.last(), begun);
+    assert!(age < CONTACT_TIME, "{age:?}");
+}
+
+/// A VM took the old state of the first VM that responded, although another one had a newer one. Here it can't read
+/// the platform itself.
+#[test]
+fn rejected_vm_starts_with_the_state_of_a_vm_that_reads_the_platform() {
+    let mut zone = Zone::new();
+    zone.start(READER, [127, 0, 0, 7], |_| {});
+    zone.vms[0].wait_ready();
+    zone.vms[0].feed.down.store(true, SeqCst);
+    zone.start("vm-8", [127, 0, 0, 8], |spec| spec.config = Some(closed_route()));
+    age_when_closed(zone.last(), Instant::now());
+    let begun = Instant::now();
+    zone.start("vm-1", [127, 0, 0, 9], |spec| spec.feed.down.store(true, SeqCst));
+    let age = age_when_closed(zone.last(), begun);
+    assert!(age < CONTACT_TIME, "{age:?}");
+}
