A VM that starts prefers a state that was read recently

Seen by callers: a VM that started while the platform rejected it and its zone's reader took the reader's old state, and kept it, although another VM had the newer configuration.

Cause: the first VM that answered was believed, however old its state, and the reader of the own zone is asked first.

Change: an old state is taken only until another VM answers with one that was read within the last second. At most four old ones are asked, those of other zones before further ones of the own zone, so that an outage costs few calls.

--- a/crates/relay/src/process/state_sync.rs
+++ b/crates/relay/src/process/state_sync.rs
@@ -41,6 +41,10 @@
 const MIN_DRAIN_FOR_SECOND_READER: Duration = Duration::from_millis(2_800);
 /// Time that the VM tries the platform at the start before it asks other VMs.
 const PLATFORM_HEAD_START: Duration = Duration::from_millis(600);
+/// Number of VMs of a zone that may read the platform for it.
+const ZONE_READERS: usize = 2;
+/// Number of VMs with an old state after which no more are asked at the start: in an outage all have one.
+const MAX_STALE_STATES: usize = 4;
 /// Pause between two rounds of asking other VMs at the start.
 const FETCH_RETRY_PAUSE: Duration = Duration::from_millis(700);
 
@@ -263,29 +267,41 @@
     }
 }
 
-/// Requests the state of other VMs at the start, however old, until this VM knows a configuration
-/// and endpoints.
+/// Requests the state of other VMs at the start until this VM knows a configuration and endpoints. It takes an old
+/// state rather than none, and goes on asking for one that was read recently.
 pub(super) async fn fetch_initial_state(node: Arc<Node>) {
     node.clock.sleep(PLATFORM_HEAD_START).await;
     while !node.is_ready() {
+        let mut stale = 0;
         for addr in known_vms(&node) {
+            if stale >= MAX_STALE_STATES || is_fresh(&node) {
+                break;
+            }
             match request_state(&node, addr, None, false).await {
                 Ok(response) => {
-                    log::info!(peer:% = addr, ages:? = response.ages; "configuration and endpoints received from another VM");
-                    apply_response(&node, response);
-                    return;
+                    let fresh = response.is_fresh();
+                    log::info!(peer:% = addr, ages:? = response.ages, fresh = fresh; "configuration and endpoints received from another VM");
+                    if fresh || !node.is_ready() {
+                        apply_response(&node, response);
+                    }
+                    if fresh {
+                        return;
+                    }
+                    stale += 1;
                 }
                 Err(cause) => {
                     log::debug!(peer:% = addr, cause = cause.as_str(); "no state from another VM");
                 }
             }
         }
-        node.clock.sleep(FETCH_RETRY_PAUSE).await;
+        if !node.is_ready() {
+            node.clock.sleep(FETCH_RETRY_PAUSE).await;
+        }
     }
 }
 
-/// Control addresses of the VMs to ask for state: those that precede this one as reader, then the
-/// seeds and other live VMs.
+/// Control addresses of the VMs to ask for state: the readers of this zone, then the seeds and other live VMs, which
+/// may be of other zones, then all that precede this one as reader.
 fn known_vms(node: &Node) -> Vec<SocketAddr> {
     let own_addr = node.settings.control;
     let (stronger, others) = {
@@ -293,12 +309,10 @@
         (peers.stronger_addresses(now), peers.sample_addresses(now))
     };
     let control = |a: SocketAddr| SocketAddr::new(a.ip(), own_addr.port());
-    let mut all: Vec<_> = stronger
-        .into_iter()
-        .map(control)
-        .chain(node.settings.seeds.iter().copied())
-        .chain(others.into_iter().map(control))
-        .collect();
+    let (readers, stronger) = stronger.split_at(stronger.len().min(ZONE_READERS));
+    let mut all: Vec<_> = readers.iter().copied().map(control).collect();
+    all.extend(&node.settings.seeds);
+    all.extend(others.iter().chain(stronger).copied().map(control));
     all.retain(|a| *a != own_addr);
     let mut seen = BTreeSet::new();
     all.retain(|a| seen.insert(*a));
