A VM of a small fleet that the platform rejects uses the state of another VM

Seen by callers: while the platform rejects the reader of a zone, that VM runs requests with keys that were taken away until it is served again, up to 9 s on the users' sites.

Change: in a small fleet each VM whose own reads fail asks those that say in their gossip that they have read the platform of late. OtherZone becomes StateSource.

Measured: rejected_reader_of_a_small_fleet_uses_the_state_of_another_vm.

--- a/crates/relay/src/peers/hubs.rs
+++ b/crates/relay/src/peers/hubs.rs
@@ -342,6 +342,19 @@
         hubs.map(|p| p.addr).collect()
     }
 
+    /// Addresses of the VMs that may have read the platform recently while this one can't: the hubs of other zones, or in
+    /// a small fleet all that have read it of late.
+    pub(crate) fn state_sources(&self, now: Instant) -> Vec<SocketAddr> {
+        if self.uses_hubs(now) {
+            return self.other_hubs(now);
+        }
+        let reads = |p: &&Peer| {
+            p.reads
+                .is_some_and(|span| now.since(span.last) < READER_TIMEOUT)
+        };
+        self.live_peers(now).filter(reads).map(|p| p.addr).collect()
+    }
+
     /// Addresses of the hubs of other zones, and of the other VMs of this zone.
     pub(crate) fn summary_targets(&self, now: Instant) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let members = self.live_peers(now).filter(|p| p.zone == self.zone);
--- a/crates/relay/src/peers/peer_table.rs
+++ b/crates/relay/src/peers/peer_table.rs
@@ -46,7 +46,7 @@
     /// Endpoints in its last datagram.
     loaded_endpoints: BTreeSet<EndpointId>,
     /// When it could read the endpoint list.
-    reads: Option<ReadSpan>,
+    pub(super) reads: Option<ReadSpan>,
     /// Number of live VMs that it knows of.
     pub(super) vms: u32,
     /// Whether it is a hub.
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -183,9 +183,11 @@
             && (!peers.uses_hubs(now) || peers.is_hub(now))
     }
 
-    /// Whether this VM uses the state of other zones' hubs while it cannot read the platform.
-    pub(crate) fn may_ask_other_zones(&self, now: Instant) -> bool {
-        now.since(self.started) >= MAX_START_DEFERRAL && self.peers.lock().is_hub(now)
+    /// Whether this VM uses the state of VMs that read the platform while it cannot: in a large fleet the hubs do, which
+    /// the others follow.
+    pub(crate) fn may_ask_others(&self, now: Instant) -> bool {
+        let peers = self.peers.lock();
+        self.age(now) >= MAX_START_DEFERRAL && (!peers.uses_hubs(now) || peers.is_hub(now))
     }
 
     /// Makes this VM read the platform itself until `until`.
--- a/crates/relay/src/process/state_sync.rs
+++ b/crates/relay/src/process/state_sync.rs
@@ -5,7 +5,7 @@
 //! counts travel the other way, so that the reader stores them for its zone.
 
 use {
-    super::{Node, feed_reader::MAX_FRESH_AGE, other_zone::OtherZone},
+    super::{Node, feed_reader::MAX_FRESH_AGE, state_source::StateSource},
     crate::{
         adapter::FeedKind,
         configuration::{Config, ConfigDoc},
@@ -222,7 +222,7 @@
     };
     let mut since = None;
     let mut cursor = ReaderCursor::default();
-    let mut other_zone = OtherZone::default();
+    let mut source = StateSource::default();
     loop {
         let now = node.clock.now();
         let mut readers = node.peers.lock().readers(now);
@@ -230,8 +230,8 @@
         let current = cursor.current(now, &readers);
         let (Some(reader), false) = (current, node.reads_platform(now)) else {
             since = None;
-            if !is_fresh(&node) && node.may_ask_other_zones(now) {
-                other_zone.refresh(&node).await;
+            if !is_fresh(&node) && node.may_ask_others(now) {
+                source.refresh(&node).await;
             }
             node.clock.sleep(READER_POLL).await;
             continue;
--- a/crates/relay/tests/stale_starts.rs
+++ b/crates/relay/tests/stale_starts.rs
@@ -7,7 +7,7 @@
         FakeEndpoint, Ports, Router, RouterSpec, Script, config_change, endpoint, response_head,
         route,
     },
-    relay::{FeedChange, RouteKind},
+    relay::{FeedChange, FeedKind, RouteKind},
     std::{
         sync::atomic::Ordering::SeqCst,
         thread,
@@ -17,13 +17,16 @@
 
 /// Time after its start from which a VM keeps to the bounds for configurations and endpoints.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time within which a configuration that a VM can know is in force there.
+const APPLY_TIME: Duration = Duration::from_secs(2);
 /// Time in which the platform lets a VM's state grow old.
 const STALE_TIME: Duration = Duration::from_millis(1_500);
 /// The reader of the zone in all tests: the VM with the last name.
 const READER: &str = "vm-9";
 
 fn request() -> Vec<u8> {
-    b"GET /a HTTP/1.1\r\nHost: h\r\nid: q1\r\ntimeout-ms: 9000\r\nConnection: close\r\n\r\n".to_vec()
+    b"GET /a HTTP/1.1\r\nHost: h\r\nid: q1\r\ntimeout-ms: 9000\r\nConnection: close\r\n\r\n"
+        .to_vec()
 }
 
 fn responding() -> FakeEndpoint {
@@ -91,7 +94,9 @@
     zone.vms[0].feed.down.store(true, SeqCst);
     thread::sleep(STALE_TIME);
     let begun = Instant::now();
-    zone.start("vm-1", [127, 0, 0, 4], |spec| spec.config = Some(closed_route()));
+    zone.start("vm-1", [127, 0, 0, 4], |spec| {
+        spec.config = Some(closed_route())
+    });
     let age = age_when_closed(zone.last(), begun);
     assert!(age < CONTACT_TIME, "{age:?}");
 }
@@ -100,9 +105,13 @@
 #[test]
 fn vm_that_starts_beside_a_reader_without_state_reads_the_platform_in_time() {
     let mut zone = Zone::new();
-    zone.start(READER, [127, 0, 0, 5], |spec| spec.feed.down.store(true, SeqCst));
+    zone.start(READER, [127, 0, 0, 5], |spec| {
+        spec.feed.down.store(true, SeqCst)
+    });
     let begun = Instant::now();
-    zone.start("vm-1", [127, 0, 0, 6], |spec| spec.config = Some(closed_route()));
+    zone.start("vm-1", [127, 0, 0, 6], |spec| {
+        spec.config = Some(closed_route())
+    });
     let age = age_when_closed(zone.last(), begun);
     assert!(age < CONTACT_TIME, "{age:?}");
 }
@@ -115,10 +124,34 @@
     zone.start(READER, [127, 0, 0, 7], |_| {});
     zone.vms[0].wait_ready();
     zone.vms[0].feed.down.store(true, SeqCst);
-    zone.start("vm-8", [127, 0, 0, 8], |spec| spec.config = Some(closed_route()));
+    zone.start("vm-8", [127, 0, 0, 8], |spec| {
+        spec.config = Some(closed_route())
+    });
     age_when_closed(zone.last(), Instant::now());
     let begun = Instant::now();
-    zone.start("vm-1", [127, 0, 0, 9], |spec| spec.feed.down.store(true, SeqCst));
+    zone.start("vm-1", [127, 0, 0, 9], |spec| {
+        spec.feed.down.store(true, SeqCst)
+    });
     let age = age_when_closed(zone.last(), begun);
     assert!(age < CONTACT_TIME, "{age:?}");
 }
+
+/// The reader of a zone that the platform rejected acted on the old configuration until it was served again, although
+/// another VM had the newer one.
+#[test]
+fn rejected_reader_of_a_small_fleet_uses_the_state_of_another_vm() {
+    let mut zone = Zone::new();
+    zone.start(READER, [127, 0, 0, 10], |_| {});
+    zone.start("vm-8", [127, 0, 0, 11], |_| {});
+    zone.vms.iter().for_each(Router::wait_ready);
+    thread::sleep(CONTACT_TIME);
+    zone.vms[0].feed.down.store(true, SeqCst);
+    zone.last()
+        .feed
+        .push(FeedKind::Configuration, closed_route());
+    let begun = Instant::now();
+    age_when_closed(zone.last(), begun);
+    let read = Instant::now();
+    let age = age_when_closed(&zone.vms[0], read);
+    assert!(age < APPLY_TIME, "{age:?}");
+}
