--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -13,6 +13,8 @@
 mod origins;
 mod relay_queue;
 mod release_history;
+mod release_ledger;
+mod release_record;
 mod stream_key;
 
 pub use {
@@ -20,5 +22,7 @@
     origin_table::{Known, Origin, OriginTable},
     origins::{Doubts, Lookup, Origins, Reaction},
     release_history::{MAX_LIST_AGE, ReleaseHistory, SETTLE_TIME},
+    release_ledger::{LedgerStep, ReleaseLedger},
+    release_record::ReleaseRecord,
     stream_key::StreamKey,
 };
--- a/crates/origins/src/release_history.rs
+++ b/crates/origins/src/release_history.rs
@@ -63,6 +63,8 @@
     window: Duration,
     /// A longer window that was set before, and until when it counts.
     old_window: Option<(Duration, Instant)>,
+    /// When a record of the platform told all releases of the time before, and the window that it covers.
+    restored: Option<(Instant, Duration)>,
 }
 
 impl Service {
@@ -121,6 +123,15 @@
         listing.returned = true;
     }
 
+    /// Notes that a VM has used a release that seemed to be listed for too short a time.
+    fn mark_used(&mut self, now: Instant, release: &Option<Release>) {
+        if let Some(listing) = self.listings.get_mut(release)
+            && listing.is_unused(now)
+        {
+            listing.returned = true;
+        }
+    }
+
     fn window(&self, now: Instant) -> Duration {
         let old = self.old_window.filter(|(_, until)| now < *until);
         let window = self
@@ -207,12 +218,7 @@
         let known = service.listings.get(&Some(release.clone()));
         match known {
             Some(listing) if listing.is_unused(now) => {
-                // It is used after all.
-                let listing = Listing {
-                    returned: true,
-                    ..*listing
-                };
-                service.listings.insert(Some(release.clone()), listing);
+                service.mark_used(now, &Some(release.clone()));
             }
             Some(listing) if !listing.ended_before(now, window) => return false,
             _ => service.note(now, Some(release), Some(now), None),
@@ -260,13 +266,11 @@
         service: &ServiceId,
         counts: impl Fn(&Listing, bool) -> bool,
     ) -> Option<Option<Release>> {
-        let service = self.services.get(service)?;
-        let window = service.window(now);
-        let observed = now.since(self.since?.max(service.complete_since));
-        let sees_all = self.is_first && service.complete_since == Instant::default();
-        if window.is_zero() || window > HISTORY_TIME || observed < window && !sees_all {
+        if !self.is_complete(now, service) {
             return None;
         }
+        let service = self.services.get(service)?;
+        let window = service.window(now);
         let is_settled = |l: &Listing| l.ended.is_none() && now.since(l.since) >= SETTLE_TIME;
         let is_settled = service.listings.values().any(is_settled);
         let mut counted = service
@@ -277,6 +281,72 @@
         counted.next().is_none().then(|| release.clone())
     }
 
+    /// Whether each release is known that was listed in the window of a service: this VM has observed the list for so
+    /// long, or since the first start of the system, or a record of the platform tells what was before.
+    fn is_complete(&self, now: Instant, service: &ServiceId) -> bool {
+        let (Some(service), Some(since)) = (self.services.get(service), self.since) else {
+            return false;
+        };
+        let window = service.window(now);
+        if window.is_zero() || window > HISTORY_TIME {
+            return false;
+        }
+        let since = since.max(service.complete_since);
+        let sees_all = self.is_first && service.complete_since == Instant::default();
+        let is_restored = service
+            .restored
+            .is_some_and(|(at, covered)| at >= since && covered >= window);
+        now.since(since) >= window || sees_all || is_restored
+    }
+
+    /// Applies what a record of the platform tells: these releases may have been used in the window before now. With
+    /// `covered`, the window that it covers, there were no others.
+    pub fn restore(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        releases: &[&Option<Release>],
+        covered: Option<Duration>,
+    ) {
+        let entry = self.services.entry(service.clone()).or_default();
+        for release in releases {
+            entry.note(now, release.as_ref(), Some(now), None);
+            entry.mark_used(now, release);
+        }
+        if let Some(covered) = covered {
+            entry.restored = Some((now, covered));
+        }
+    }
+
+    /// The releases of a service that count in its window, and that window, if all are known.
+    pub fn counted(
+        &self,
+        now: Instant,
+        service: &ServiceId,
+    ) -> Option<(BTreeSet<Option<Release>>, Duration)> {
+        if !self.is_complete(now, service) {
+            return None;
+        }
+        let service = self.services.get(service)?;
+        let window = service.window(now);
+        let listings = service.listings.iter();
+        let counted = listings.filter(|(_, l)| !l.ended_before(now, window));
+        Some((counted.map(|(r, _)| r.clone()).collect(), window))
+    }
+
+    /// The releases that are listed now, of services whose streams may be resumed.
+    pub fn listed(&self) -> BTreeSet<(ServiceId, Option<Release>)> {
+        let services = self.services.iter().filter(|(_, s)| !s.window.is_zero());
+        let listings = services.flat_map(|(id, s)| s.listings.iter().map(move |l| (id, l)));
+        let listed = listings.filter(|(_, (_, l))| l.ended.is_none());
+        listed.map(|(id, (r, _))| (id.clone(), r.clone())).collect()
+    }
+
+    /// Since when each change of the list is seen.
+    pub fn observed_since(&self) -> Option<Instant> {
+        self.since
+    }
+
     /// Whether all VMs with current lists know of endpoints whose release isn't known, so that none of
     /// them infers one.
     pub fn has_unknown(&self, now: Instant, service: &ServiceId) -> bool {
--- a/crates/origins/tests/origin_sim/callers.rs
+++ b/crates/origins/tests/origin_sim/callers.rs
@@ -232,6 +232,12 @@
         } else {
             own
         };
+        if vms.is_empty() || now < self.accepted_from {
+            let pause = Duration::from_millis(self.rng.u64(RETURN_MS.0..RETURN_MS.1));
+            let back = self.accepted_from.max(now) + pause;
+            self.callers.returning.insert((back, stream));
+            return;
+        }
         let vm = vms[self.rng.usize(..vms.len())];
         let Some(origins) = &self.vms[vm].origins else {
             return;
--- a/crates/origins/tests/origin_sim/mod.rs
+++ b/crates/origins/tests/origin_sim/mod.rs
@@ -1,10 +1,13 @@
 //! A fleet of VMs that run the product's `Origins`, before endpoints of several releases, in
 //! simulated time.
 
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
+
 mod callers;
 mod network;
+mod store;
 
-pub(crate) use callers::Tally;
+pub(crate) use callers::{Outcome, Tally};
 
 use {
     crate::origin_common::{at, origin, service, vm_addr},
@@ -12,11 +15,12 @@
     clock::Instant,
     fastrand::Rng,
     network::Network,
-    origins::{OriginNews, Origins},
+    origins::{OriginNews, Origins, ReleaseLedger},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
+    store::Store,
 };
 
 const TICK: Duration = Duration::from_millis(10);
@@ -34,6 +38,10 @@
 const READ_MS: (u64, u64) = (250, 950);
 const READ_TIME: Duration = Duration::from_millis(20);
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time from the start of all VMs until they are in touch with each other.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Longest delay of a write of a record, in milliseconds.
+const MAX_JITTER_MS: u64 = 300;
 
 /// A VM's process.
 pub(crate) struct Vm {
@@ -49,6 +57,7 @@
     next_read: Instant,
     next_expiry: Instant,
     hubs: Vec<usize>,
+    ledger: ReleaseLedger,
 }
 
 pub(crate) struct Fleet {
@@ -56,7 +65,12 @@
     pub(crate) rng: Rng,
     pub(crate) vms: Vec<Vm>,
     pub(crate) network: Network,
+    pub(crate) store: Store,
+    /// Whether VMs keep records of releases on the platform.
+    pub(crate) keeps_records: bool,
     callers: Callers,
+    /// From when on VMs are in touch again after all were killed: callers come back then.
+    pub(crate) accepted_from: Instant,
     zones: usize,
     /// Number of zones whose hubs a first hub tells of its zone's streams.
     pub(crate) backups: usize,
@@ -74,7 +88,10 @@
             rng: Rng::with_seed(seed),
             vms: Vec::new(),
             network: Network::default(),
+            store: Store::default(),
+            keeps_records: true,
             callers: Callers::default(),
+            accepted_from: Instant::default(),
             zones,
             backups: 1,
             life,
@@ -88,7 +105,7 @@
         fleet
     }
 
-    fn started(&self, zone: usize) -> Vm {
+    fn started(&mut self, zone: usize) -> Vm {
         let mut origins = Origins::default();
         origins.set_window(self.now, &service(), self.life * 2);
         Vm {
@@ -101,6 +118,7 @@
             next_read: self.now,
             next_expiry: self.now,
             hubs: Vec::new(),
+            ledger: ReleaseLedger::new(Duration::from_millis(self.rng.u64(..MAX_JITTER_MS))),
         }
     }
 
@@ -136,7 +154,8 @@
                 .gone_at
                 .is_some_and(|at| now.since(at) >= RESTART_TIME);
         if restarts {
-            self.vms[vm] = self.started(self.vms[vm].zone);
+            let zone = self.vms[vm].zone;
+            self.vms[vm] = self.started(zone);
         }
         let is_cut = self.is_cut(vm);
         if !is_cut && self.vms[vm].origins.is_some() {
@@ -144,6 +163,7 @@
                 self.vms[vm].since = now;
             }
             self.read(vm);
+            self.keep_records(vm);
         }
         let targets = self.targets(vm);
         let is_hub = self.hubs(self.vms[vm].zone).contains(&vm);
@@ -307,6 +327,12 @@
         self.break_streams_of(vm);
     }
 
+    /// Ends the processes of all VMs.
+    pub(crate) fn kill_all(&mut self) {
+        self.accepted_from = self.now + RESTART_TIME + CONTACT_TIME;
+        (0..self.vms.len()).for_each(|vm| self.kill(vm));
+    }
+
     /// Ends the processes of a whole zone.
     pub(crate) fn kill_zone(&mut self, zone: usize) {
         for vm in 0..self.vms.len() {
--- /dev/null
+++ b/crates/origins/tests/release_ledger.rs
@@ -0,0 +1,120 @@
+//! What a VM that starts takes from the platform's records of releases.
+
+mod origin_common;
+
+use {
+    clock::Instant,
+    origin_common::{WINDOW, at, read, release, service},
+    origins::{LedgerStep, Origins, ReleaseLedger, ReleaseRecord},
+    std::time::Duration,
+    types::{Era, LogPosition, Release},
+};
+
+/// A record of release 1 with a window of a minute, as written in era 3.
+const RECORDED: &[u8] = b"\x83\xa8releases\x91\xa2r1\xa9window_ms\xcd\xea\x60\xa3era\x03";
+
+fn record(releases: &[u64], window: Duration, era: u64) -> ReleaseRecord {
+    let releases = releases.iter().map(|r| Some(release(*r))).collect();
+    ReleaseRecord::new(releases, window, Era(era))
+}
+
+fn end(era: u64) -> LogPosition {
+    LogPosition {
+        era: Era(era),
+        offset: 1,
+    }
+}
+
+/// A VM that has read the list once, at 0 ms.
+fn started(releases: &[u64]) -> Origins {
+    let mut vm = Origins::default();
+    vm.set_window(at(0), &service(), WINDOW);
+    read(&mut vm, releases, 0, 1);
+    vm
+}
+
+/// What a VM that has just started knows after it has read a record in era 3.
+fn sole_after(record: ReleaseRecord) -> Option<Release> {
+    let mut vm = started(&[1]);
+    let mut ledger = ReleaseLedger::new(Duration::ZERO);
+    assert_eq!(ledger.step(at(100), &vm), LedgerStep::Read);
+    let records = [(service(), record)].into();
+    ledger.apply(at(100), end(3), records, &mut vm);
+    vm.sole(at(100), &service())
+}
+
+fn next(ledger: &mut ReleaseLedger, vm: &Origins, now: Instant) -> LedgerStep {
+    ledger.step(now, vm)
+}
+
+/// A VM that had just started knew nothing of the releases before, though the platform did.
+#[test]
+fn record_tells_what_was_before_the_start() {
+    assert_eq!(sole_after(record(&[1], WINDOW, 3)), Some(release(1)));
+    assert_eq!(sole_after(record(&[1, 2], WINDOW, 3)), None);
+    assert_eq!(sole_after(record(&[2], WINDOW, 3)), None);
+}
+
+/// Records that were written after it are lost when the store comes back from an older copy.
+#[test]
+fn record_of_an_earlier_era_is_not_relied_on() {
+    assert_eq!(sole_after(record(&[1], WINDOW, 2)), None);
+}
+
+/// Streams that began before the time that a record covers may be resumed if timeouts have grown.
+#[test]
+fn record_of_a_shorter_window_is_not_relied_on() {
+    assert_eq!(sole_after(record(&[1], WINDOW / 2, 3)), None);
+}
+
+/// A release that came to the list before its record was read was taken for one that no VM has used, and the other one
+/// for the only release.
+#[test]
+fn release_that_a_record_names_is_not_taken_for_unused() {
+    let mut vm = started(&[1]);
+    read(&mut vm, &[1], 250, 4_000);
+    read(&mut vm, &[1, 2], 4_000, 4_001);
+    let mut ledger = ReleaseLedger::new(Duration::ZERO);
+    let records = [(service(), record(&[1, 2], WINDOW, 0))].into();
+    ledger.apply(at(4_100), end(0), records, &mut vm);
+    assert_eq!(vm.sole(at(4_100), &service()), None);
+}
+
+/// A VM that doesn't know what was before the start wrote down what it saw.
+#[test]
+fn record_is_written_only_by_a_vm_that_knows_all_releases() {
+    let mut vm = started(&[1]);
+    let mut ledger = ReleaseLedger::new(Duration::ZERO);
+    ledger.apply(at(100), end(0), [].into(), &mut vm);
+    assert_eq!(next(&mut ledger, &vm, at(100)), LedgerStep::Wait);
+    let mut vm = started(&[1]);
+    vm.begin_system();
+    ledger.apply(at(100), end(0), [].into(), &mut vm);
+    let expected = LedgerStep::Write(service(), record(&[1], WINDOW, 0), 1);
+    assert_eq!(next(&mut ledger, &vm, at(100)), expected);
+}
+
+/// A record that another VM had just written was overwritten by one that knew less.
+#[test]
+fn release_that_another_vm_recorded_is_kept() {
+    let mut vm = started(&[1]);
+    vm.begin_system();
+    let mut ledger = ReleaseLedger::new(Duration::ZERO);
+    let records = [(service(), record(&[1, 2], WINDOW / 2, 0))].into();
+    ledger.apply(at(100), end(0), records, &mut vm);
+    let expected = LedgerStep::Write(service(), record(&[1, 2], WINDOW, 0), 1);
+    assert_eq!(next(&mut ledger, &vm, at(100)), expected);
+}
+
+/// The format of the records of landed releases.
+#[test]
+fn recorded_bytes_are_read() {
+    let recorded = record(&[1], WINDOW, 3);
+    assert_eq!(ReleaseRecord::decode(RECORDED).unwrap(), recorded);
+    assert_eq!(recorded.encode().unwrap(), RECORDED);
+    // A later release may add fields.
+    let mut later = RECORDED.to_vec();
+    later[0] += 1;
+    later.extend(b"\xa4more\x90");
+    assert_eq!(ReleaseRecord::decode(&later).unwrap(), recorded);
+}
--- a/crates/relay/src/adapter/mod.rs
+++ b/crates/relay/src/adapter/mod.rs
@@ -13,5 +13,5 @@
     feed::{Feed, FeedChange, FeedKind, FeedUpdate},
     header_codec::{CallerHeaders, ForwardHeaders, HeaderCodec, InvalidHeader, ResponseHeaders},
     settings::{NodeSettings, PlatformBounds},
-    shared_log::{AppendOutcome, LogRecords, SharedLog, Topic},
+    shared_log::{AppendOutcome, KeyedRecords, LogRecords, SharedLog, Topic},
 };
--- a/crates/relay/src/adapter/shared_log.rs
+++ b/crates/relay/src/adapter/shared_log.rs
@@ -1,6 +1,7 @@
 //! The topics that the routers keep in the platform's shared log.
 
 use {
+    compact_str::CompactString,
     ports::PlatformFuture,
     std::time::Duration,
     types::{Era, LogPosition},
@@ -13,6 +14,8 @@
     Duty,
     /// Usage counts of each VM.
     Usage,
+    /// The releases of each service; a keyed topic, of which the newest record of each key is kept for good.
+    Releases,
 }
 
 impl Topic {
@@ -21,6 +24,7 @@
         match self {
             Self::Duty => "celerystage.duty",
             Self::Usage => "celerystage.usage",
+            Self::Releases => "keyed.celerystage.releases",
         }
     }
 }
@@ -48,6 +52,15 @@
     pub records: Vec<(u64, Vec<u8>)>,
 }
 
+/// The newest records of a keyed topic.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyedRecords {
+    /// Keys and their values.
+    pub records: Vec<(CompactString, Vec<u8>)>,
+    /// Position after the newest record.
+    pub end: LogPosition,
+}
+
 /// The platform's append-only log.
 pub trait SharedLog: Send + Sync {
     /// Appends a record; with `at`, only if the topic ends at that offset. After an error with
@@ -61,4 +74,16 @@
 
     /// Reads records from offset `from` on; waits up to `wait` if there are none yet.
     fn read(&self, topic: Topic, from: u64, wait: Duration) -> PlatformFuture<'_, LogRecords>;
+
+    /// Writes the value of a key of a keyed topic if the topic ends at `at`. Fails like `append`.
+    fn put<'a>(
+        &'a self,
+        topic: Topic,
+        key: &'a str,
+        value: &'a [u8],
+        at: u64,
+    ) -> PlatformFuture<'a, AppendOutcome>;
+
+    /// Reads the newest record of each key of a keyed topic; none if nothing was ever written.
+    fn newest(&self, topic: Topic) -> PlatformFuture<'_, KeyedRecords>;
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,8 +18,8 @@
 pub use {
     adapter::{
         AppendOutcome, CallerHeaders, CapacityOrder, DutyApi, Feed, FeedChange, FeedKind,
-        FeedUpdate, ForwardHeaders, HeaderCodec, InvalidHeader, LogRecords, NodeSettings,
-        PlatformBounds, ResponseHeaders, SharedLog, Topic,
+        FeedUpdate, ForwardHeaders, HeaderCodec, InvalidHeader, KeyedRecords, LogRecords,
+        NodeSettings, PlatformBounds, ResponseHeaders, SharedLog, Topic,
     },
     configuration::{
         CallerLimits, Config, ConfigDoc, EngineSpec, Org, Route, RouteKind, Scaling, Service,
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -16,6 +16,7 @@
 mod notices;
 mod origin_news;
 mod placement;
+mod release_records;
 mod run;
 mod shutdown;
 mod state_source;
--- /dev/null
+++ b/crates/relay/src/process/release_records.rs
@@ -0,0 +1,111 @@
+//! Keeps the platform's records of the releases that serve, while this VM reads the platform.
+
+use {
+    super::Node,
+    crate::adapter::{AppendOutcome, KeyedRecords, SharedLog, Topic},
+    origins::{LedgerStep, ReleaseLedger, ReleaseRecord},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    types::{LogPosition, ServiceId},
+};
+
+/// Interval between two checks of whether there is something to read or to write.
+const POLL: Duration = Duration::from_millis(200);
+/// Upper bound of the random delay before a VM writes a record that other VMs would write too.
+const WRITE_JITTER_MS: u64 = 300;
+
+/// Keeps the records until it is dropped.
+pub(super) async fn keep_releases(node: Arc<Node>, log: Arc<dyn SharedLog>) {
+    let jitter = Duration::from_millis(fastrand::u64(..WRITE_JITTER_MS));
+    let mut ledger = ReleaseLedger::new(jitter);
+    loop {
+        node.clock.sleep(POLL).await;
+        let now = node.clock.now();
+        if node.lifecycle.is_stopping() || !node.reads_platform(now) {
+            ledger.reset();
+            continue;
+        }
+        let mut step = next_step(&node, &mut ledger);
+        while step != LedgerStep::Wait {
+            match step {
+                LedgerStep::Wait => {}
+                LedgerStep::Read => read_records(&node, &*log, &mut ledger).await,
+                LedgerStep::Write(service, record, at) => {
+                    write_record(&node, &*log, &mut ledger, (service, record, at)).await;
+                }
+            }
+            step = next_step(&node, &mut ledger);
+        }
+    }
+}
+
+fn next_step(node: &Node, ledger: &mut ReleaseLedger) -> LedgerStep {
+    ledger.step(node.clock.now(), &node.origins.lock().known)
+}
+
+async fn read_records(node: &Node, log: &dyn SharedLog, ledger: &mut ReleaseLedger) {
+    match log.newest(Topic::Releases).await {
+        Ok(KeyedRecords { records, end }) => {
+            let decoded = records.iter().filter_map(|(key, value)| decode(key, value));
+            let records: BTreeMap<_, _> = decoded.collect();
+            for (service, record) in &records {
+                log::info!(service:% = service, releases:% = record, era = record.era.0, end:% = end; "releases read");
+            }
+            let now = node.clock.now();
+            ledger.apply(now, end, records, &mut node.origins.lock().known);
+        }
+        Err(e) => {
+            log::info!(error:% = e; "cannot read the records of releases");
+            ledger.failed(node.clock.now());
+        }
+    }
+}
+
+fn decode(key: &str, value: &[u8]) -> Option<(ServiceId, ReleaseRecord)> {
+    let service = match key.parse() {
+        Ok(service) => service,
+        Err(e) => {
+            log::warn!(key = key, error:% = e; "record of releases skipped: its key is no service");
+            return None;
+        }
+    };
+    match ReleaseRecord::decode(value) {
+        Ok(record) => Some((service, record)),
+        Err(e) => {
+            log::warn!(key = key, error:% = e; "record of releases skipped: cannot be decoded");
+            None
+        }
+    }
+}
+
+async fn write_record(
+    node: &Node,
+    log: &dyn SharedLog,
+    ledger: &mut ReleaseLedger,
+    (service, record, at): (ServiceId, ReleaseRecord, u64),
+) {
+    let bytes = match record.encode() {
+        Ok(bytes) => bytes,
+        Err(e) => {
+            log::error!(service:% = service, error:% = e; "cannot encode a record of releases");
+            return ledger.failed(node.clock.now());
+        }
+    };
+    match log.put(Topic::Releases, service.as_str(), &bytes, at).await {
+        Ok(AppendOutcome::Appended(LogPosition { era, offset })) => {
+            log::info!(service:% = service, releases:% = record, at = at; "releases recorded");
+            let end = LogPosition {
+                era,
+                offset: offset + 1,
+            };
+            ledger.written(service, record, end);
+        }
+        Ok(AppendOutcome::Conflict(end)) => {
+            log::info!(service:% = service, at = at, end:% = end; "releases not recorded: another record came first");
+            ledger.conflicted();
+        }
+        Err(e) => {
+            log::warn!(service:% = service, error:% = e; "write of a record of releases failed, its outcome is unknown");
+            ledger.failed(node.clock.now());
+        }
+    }
+}
--- a/crates/relay/tests/common/fakes.rs
+++ b/crates/relay/tests/common/fakes.rs
@@ -6,8 +6,8 @@
     ports::{PlatformError, PlatformFuture},
     relay::{
         AppendOutcome, CallerHeaders, CapacityOrder, DutyApi, Feed, FeedChange, FeedKind,
-        FeedUpdate, ForwardHeaders, HeaderCodec, InvalidHeader, LogRecords, ResponseHeaders,
-        SharedLog, Topic,
+        FeedUpdate, ForwardHeaders, HeaderCodec, InvalidHeader, KeyedRecords, LogRecords,
+        ResponseHeaders, SharedLog, Topic,
     },
     route::{Notice, Prompt},
     std::{
@@ -206,6 +206,37 @@
         })
     }
 
+    fn put<'a>(
+        &'a self,
+        topic: Topic,
+        key: &'a str,
+        value: &'a [u8],
+        at: u64,
+    ) -> PlatformFuture<'a, AppendOutcome> {
+        Box::pin(async move {
+            let record = [key.as_bytes(), b"=", value].concat();
+            self.append(topic, &record, Some(at)).await
+        })
+    }
+
+    fn newest(&self, topic: Topic) -> PlatformFuture<'_, KeyedRecords> {
+        Box::pin(async move {
+            let all = self.read(topic, 0, Duration::ZERO).await?;
+            let mut newest = BTreeMap::new();
+            for (_, record) in &all.records {
+                let at = record.iter().position(|b| *b == b'=').unwrap();
+                let key = String::from_utf8(record[..at].to_vec()).unwrap();
+                newest.insert(key, record[at + 1..].to_vec());
+            }
+            let records = newest.into_iter().map(|(k, v)| (k.into(), v)).collect();
+            let (era, offset) = (all.era, all.end);
+            Ok(KeyedRecords {
+                records,
+                end: LogPosition { era, offset },
+            })
+        })
+    }
+
     fn read(&self, topic: Topic, from: u64, _wait: Duration) -> PlatformFuture<'_, LogRecords> {
         Box::pin(async move {
             let mut topics = self.topics.lock().unwrap();
--- a/crates/relay/tests/common/releases.rs
+++ b/crates/relay/tests/common/releases.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         endpoint::{FakeEndpoint, Script, SeenRequest},
-        fakes::FakeFeed,
+        fakes::{FakeFeed, FakeLog},
         router::{Ports, Router, RouterSpec, endpoint, response_head},
     },
     relay::{Endpoint, FeedChange, FeedKind, RouteKind},
@@ -274,6 +274,7 @@
 pub(crate) struct Fleet {
     pub(crate) routers: Vec<Router>,
     feed: Arc<FakeFeed>,
+    log: Arc<FakeLog>,
     ports: Ports,
     started: u8,
     /// Number of streams that were begun.
@@ -286,6 +287,7 @@
         let mut fleet = Self {
             routers: Vec::new(),
             feed: spec.feed,
+            log: spec.log,
             ports: spec.ports,
             started: 0,
             begun: AtomicUsize::new(0),
@@ -309,6 +311,7 @@
         spec.config = None;
         spec.first_start = first_start;
         spec.feed = self.feed.clone();
+        spec.log = self.log.clone();
         spec.name = format!("vm-{:02}", self.started).leak();
         spec.ip = IpAddr::from([127, 0, 0, 1 + self.started]);
         spec.ports = self.ports;
--- a/crates/relay/tests/stale_starts.rs
+++ b/crates/relay/tests/stale_starts.rs
@@ -95,7 +95,7 @@
     thread::sleep(STALE_TIME);
     let begun = Instant::now();
     zone.start("vm-1", [127, 0, 0, 4], |spec| {
-        spec.config = Some(closed_route())
+        spec.config = Some(closed_route());
     });
     let age = age_when_closed(zone.last(), begun);
     assert!(age < CONTACT_TIME, "{age:?}");
@@ -106,11 +106,11 @@
 fn vm_that_starts_beside_a_reader_without_state_reads_the_platform_in_time() {
     let mut zone = Zone::new();
     zone.start(READER, [127, 0, 0, 5], |spec| {
-        spec.feed.down.store(true, SeqCst)
+        spec.feed.down.store(true, SeqCst);
     });
     let begun = Instant::now();
     zone.start("vm-1", [127, 0, 0, 6], |spec| {
-        spec.config = Some(closed_route())
+        spec.config = Some(closed_route());
     });
     let age = age_when_closed(zone.last(), begun);
     assert!(age < CONTACT_TIME, "{age:?}");
@@ -125,12 +125,12 @@
     zone.vms[0].wait_ready();
     zone.vms[0].feed.down.store(true, SeqCst);
     zone.start("vm-8", [127, 0, 0, 8], |spec| {
-        spec.config = Some(closed_route())
+        spec.config = Some(closed_route());
     });
     age_when_closed(zone.last(), Instant::now());
     let begun = Instant::now();
     zone.start("vm-1", [127, 0, 0, 9], |spec| {
-        spec.feed.down.store(true, SeqCst)
+        spec.feed.down.store(true, SeqCst);
     });
     let age = age_when_closed(zone.last(), begun);
     assert!(age < CONTACT_TIME, "{age:?}");
--- a/crates/relay/tests/stream_releases_fleet.rs
+++ b/crates/relay/tests/stream_releases_fleet.rs
@@ -26,6 +26,10 @@
 /// Time from the end of a VM until its callers are back.
 const RETURN_TIME: Duration = Duration::from_millis(50);
 
+/// Time in which the platform's record of the releases is written.
+const RECORD_TIME: Duration = Duration::from_secs(1);
+const TWO_RELEASES: [&str; 4] = ["r1", "r1", "r2", "r2"];
+
 /// Endpoints with these releases.
 fn start_endpoints(releases: [&'static str; 4], log: &Arc<ReleaseLog>) -> Vec<ReleasedEndpoint> {
     let numbered = releases.iter().enumerate();
@@ -142,18 +146,19 @@
     assert_eq!(count_whole(&responses), STREAMS);
 }
 
-/// Kills all VMs of a fleet at once while two releases serve, or right after the older one has left, and
-/// checks that streams which callers take up at the new VMs get events of no other release. Returns how many
-/// of `STREAMS` went on.
-fn restart_all(has_left: bool) -> usize {
+/// Kills all VMs of a fleet at once while endpoints of these releases serve, or right after the first half of them has
+/// left, and checks that streams which callers take up at the new VMs get events of no other release. Returns how
+/// many of `STREAMS` went on.
+fn restart_all(vms: u8, releases: [&'static str; 4], has_left: bool) -> usize {
     let log: Arc<ReleaseLog> = Arc::default();
-    let endpoints = start_endpoints(["r1", "r1", "r2", "r2"], &log);
+    let endpoints = start_endpoints(releases, &log);
     let listed: Vec<_> = endpoints.iter().collect();
-    let mut fleet = Fleet::start(SMALL, &listed);
+    let mut fleet = Fleet::start(vms, &listed);
+    thread::sleep(RECORD_TIME);
     let vms = fleet.routers.len();
     // At two VMs, so that each fills more than one endpoint.
     let mut streams = fleet.begin(STREAMS, 0..2);
-    for release in ["r1", "r2"] {
+    for release in releases {
         assert!(streams.iter().any(|s| s.release() == Some(release)));
     }
     if has_left {
@@ -180,19 +185,34 @@
 /// All VMs had forgotten which release began a stream, and callers got the rest from another one.
 #[test]
 fn stream_taken_up_after_all_vms_were_killed_stays_at_its_release() {
-    restart_all(false);
+    restart_all(SMALL, TWO_RELEASES, false);
 }
 
 /// Callers whose streams broke off when all VMs were killed were refused, although endpoints of their releases
 /// served.
 #[test]
 fn half_of_the_streams_go_on_after_all_vms_were_killed() {
-    let whole = restart_all(false);
+    let whole = restart_all(SMALL, TWO_RELEASES, false);
     assert!(whole * 2 >= STREAMS, "{whole} of {STREAMS} streams went on");
 }
 
 /// As above, when only the newer release is left.
 #[test]
 fn stream_whose_release_left_before_all_vms_were_killed_is_not_joined() {
-    restart_all(true);
+    restart_all(SMALL, TWO_RELEASES, true);
+}
+
+/// Callers whose streams broke off when all VMs were killed were refused for a whole window, although there was only
+/// one release.
+#[test]
+fn streams_of_the_only_release_go_on_after_all_vms_were_killed() {
+    let whole = restart_all(SMALL, ["r1"; 4], false);
+    assert!(whole * 2 >= STREAMS, "{whole} of {STREAMS} streams went on");
+}
+
+/// As above, in a fleet with hubs.
+#[test]
+fn streams_of_the_only_release_go_on_after_a_fleet_with_hubs_was_killed() {
+    let whole = restart_all(LARGE, ["r1"; 4], false);
+    assert!(whole * 2 >= STREAMS, "{whole} of {STREAMS} streams went on");
 }
