--- a/crates/relay/src/process/lifecycle.rs
+++ b/crates/relay/src/process/lifecycle.rs
@@ -13,8 +13,8 @@
     },
 };
 
-/// Time after the stop signal in which any request is still accepted. Later ones are accepted only
-/// if they can finish before the process has to end.
+/// Time after the stop signal in which any request that may be repeated is still accepted. Others are accepted only
+/// if they finish before the process has to end.
 const LATE_ACCEPT_TIME: Duration = Duration::from_millis(2_800);
 
 #[derive(Debug, Default)]
@@ -85,11 +85,11 @@
         *self.stop.lock() = Some(Stopping { began, deadline });
     }
 
-    /// Whether a request that may take up to `max_duration` can still be accepted.
-    pub(crate) fn accepts(&self, now: Instant, max_duration: Duration) -> bool {
+    /// Whether a request that ends at `until` at the latest can still be accepted.
+    pub(crate) fn accepts(&self, now: Instant, until: Instant, may_repeat: bool) -> bool {
         let stop = *self.stop.lock();
         stop.is_none_or(|s| {
-            now.since(s.began) < LATE_ACCEPT_TIME || now + max_duration < s.deadline
+            may_repeat && now.since(s.began) < LATE_ACCEPT_TIME || until < s.deadline
         })
     }
 
--- a/crates/relay/src/request/accept.rs
+++ b/crates/relay/src/request/accept.rs
@@ -57,11 +57,15 @@
         ));
     };
     let now = node.clock.now();
-    if !node.lifecycle.accepts(now, route.timeout) {
+    let timeout = caller.timeout.unwrap_or(route.timeout);
+    let deadline = arrived + timeout.min(route.timeout);
+    if !node
+        .lifecycle
+        .accepts(now, deadline, route.kind.is_idempotent())
+    {
         let refusal = Refusal::not_run(Reason::Stopping, "this VM is about to stop");
         return Err(refusal.with_retry_after(STOPPING_RETRY_AFTER));
     }
-    let timeout = caller.timeout.unwrap_or(route.timeout);
     let tier = org.as_ref().and_then(|o| o.tier).unwrap_or(route.tier);
     let org_id = org.as_ref().map(|o| &o.id);
     let hash = RequestHash::of(&head.method, &head.target, org_id, &body);
@@ -71,7 +75,7 @@
     let mut head = head;
     head.headers.strip_hop_by_hop();
     Ok(RoutedRequest {
-        deadline: arrived + timeout.min(route.timeout),
+        deadline,
         route: route.clone(),
         service,
         org,
--- a/crates/relay/src/request/carry.rs
+++ b/crates/relay/src/request/carry.rs
@@ -121,8 +121,10 @@
 
 /// The endpoint of a carried request, as this VM knows it.
 fn resolve(node: &Node, carried: &CarriedRequest) -> Result<EndpointTarget, CarryRefusal> {
-    let limit = Duration::from_millis(carried.timeout_ms);
-    if !node.lifecycle.accepts(node.clock.now(), limit) {
+    let now = node.clock.now();
+    let until = now + Duration::from_millis(carried.timeout_ms);
+    // Whether it may be repeated isn't known here. It goes on at another carrier.
+    if !node.lifecycle.accepts(now, until, false) {
         return Err(CarryRefusal::Stopping);
     }
     if !node.is_connected() {
--- a/crates/relay/tests/shutdown_and_sync.rs
+++ b/crates/relay/tests/shutdown_and_sync.rs
@@ -50,10 +50,38 @@
     router.join();
 }
 
+/// Requests that may not be repeated were passed on until 2.8 s after the signal, and cut without an answer at the end
+/// of the grace time.
+#[test]
+fn request_that_may_run_once_is_not_cut_by_the_end_of_a_shutdown() {
+    let server = FakeEndpoint::start(|_, _| {
+        let head = response_head("q1", "Content-Length: 5\r\n");
+        Script::Pause(Duration::from_secs(6), format!("{head}hello").into_bytes())
+    });
+    let router = Router::with(RouteKind::Once, vec![endpoint("e1", server.addr)]);
+    router.stop.trigger();
+    router.wait_for(|| router.readiness() == Some(503));
+    let response = router.exchange(&request("Connection: close\r\n"));
+    assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
+    assert!(response.contains("not_run"), "{response}");
+    assert!(response.contains("Retry-After"), "{response}");
+    assert_eq!(server.count(), 0);
+    // One whose caller waits for less time than is left can't be cut.
+    let mut socket = router.connect();
+    let brief = String::from_utf8(request("Connection: close\r\n")).unwrap();
+    let brief = brief.replace("timeout-ms: 9000", "timeout-ms: 1500");
+    socket.write_all(brief.as_bytes()).unwrap();
+    let mut response = String::new();
+    socket.read_to_string(&mut response).unwrap();
+    assert!(response.starts_with("HTTP/1.1 504"), "{response:?}");
+    assert_eq!(server.count(), 1);
+    router.join();
+}
+
 #[test]
 fn request_that_may_outlast_the_shutdown_is_refused_as_not_run() {
     let server = responding("hello");
-    let router = Router::with(RouteKind::Once, vec![endpoint("e1", server.addr)]);
+    let router = Router::with(RouteKind::Idempotent, vec![endpoint("e1", server.addr)]);
     router.stop.trigger();
     let response = router.exchange(&request("Connection: close\r\n"));
     assert!(
