Test: a VM that stood still while a release came joins no stream at another one

Seen here: the VM goes on with an answer of its reader that was sent 6 s before, and takes it for 0.25 s old.

Up to 3.2 s without a gap that is noticed are left by reading, while others can use the release after 3.45 s and tell it; no test shows a wrong join.

--- a/crates/relay/tests/common/fakes.rs
+++ b/crates/relay/tests/common/fakes.rs
@@ -17,6 +17,7 @@
             Mutex,
             atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst},
         },
+        thread,
         time::Duration,
     },
     types::{Era, LogPosition, OrgId, PromptPartId, Tokens, Verdict},
@@ -32,6 +33,10 @@
     fn parse_request(&self, headers: &Headers) -> Result<CallerHeaders, InvalidHeader> {
         let id = headers.get("id").and_then(|v| v.parse().ok());
         let number = |name| headers.get(name).and_then(|v| v.parse::<u64>().ok());
+        if let Some(ms) = number("stall-ms") {
+            // The whole VM stands still.
+            thread::sleep(Duration::from_millis(ms));
+        }
         // Prompts of different sessions share no parts.
         let session = number("session").unwrap_or_default();
         let part = |at| PromptPartId(2 * session + at);
--- a/crates/relay/tests/common/releases.rs
+++ b/crates/relay/tests/common/releases.rs
@@ -336,6 +336,21 @@
         self.routers.drain(vms).for_each(Router::kill);
     }
 
+    /// Has a VM stand still for a time.
+    pub(crate) fn stall(&self, vm: usize, time: Duration) {
+        let mut socket = self.routers[vm].connect();
+        let head = format!(
+            "GET /a HTTP/1.1\r\nHost: h\r\nid: stall\r\nstall-ms: {}\r\n\r\n",
+            time.as_millis()
+        );
+        socket.write_all(head.as_bytes()).unwrap();
+        // The connection is kept until then: its end would cancel the request.
+        thread::spawn(move || {
+            thread::sleep(time);
+            drop(socket);
+        });
+    }
+
     /// Begins streams that pause after their first events, at these VMs in turn.
     pub(crate) fn begin(&self, count: usize, vms: Range<usize>) -> Vec<StreamResponse> {
         let vms = self.routers[vms].iter().cycle();
--- a/crates/relay/tests/stream_releases_fleet.rs
+++ b/crates/relay/tests/stream_releases_fleet.rs
@@ -26,6 +26,13 @@
 /// Time from the end of a VM until its callers are back.
 const RETURN_TIME: Duration = Duration::from_millis(50);
 
+/// Time in which VMs of a zone begin to follow their reader.
+const FOLLOW_TIME: Duration = Duration::from_secs(3);
+/// Time for which a VM stands still; in which its reader answers what it had asked before; and after which streams begin at a
+/// release that was listed.
+const STALL_TIME: Duration = Duration::from_millis(6_500);
+const ANSWER_TIME: Duration = Duration::from_millis(700);
+const USE_TIME: Duration = Duration::from_millis(3_500);
 /// Time in which the platform's record of the releases is written.
 const RECORD_TIME: Duration = Duration::from_secs(1);
 const TWO_RELEASES: [&str; 4] = ["r1", "r1", "r2", "r2"];
@@ -216,3 +223,26 @@
     let whole = restart_all(LARGE, ["r1"; 4], false);
     assert!(whole * 2 >= STREAMS, "{whole} of {STREAMS} streams went on");
 }
+
+/// A VM that stood still while a release came goes on with an answer of before, which names only the old one; it must not join
+/// streams of the new one there.
+#[test]
+fn stream_taken_up_at_a_vm_that_stood_still_stays_at_its_release() {
+    let log: Arc<ReleaseLog> = Arc::default();
+    let endpoints = start_endpoints(TWO_RELEASES, &log);
+    let (old, new) = endpoints.split_at(2);
+    let mut fleet = Fleet::start(3, &old.iter().collect::<Vec<_>>());
+    thread::sleep(FOLLOW_TIME);
+    // The VM with the first name reads the list through that with the last one.
+    fleet.stall(0, STALL_TIME);
+    thread::sleep(ANSWER_TIME);
+    new.iter().for_each(|e| fleet.list(e));
+    thread::sleep(USE_TIME);
+    let mut streams = fleet.begin(STREAMS, 1..2);
+    assert!(streams.iter().any(|s| s.release() == Some("r2")));
+    // Otherwise the VM would have the new list a moment after it goes on.
+    fleet.kill(2..3);
+    streams.iter_mut().for_each(StreamResponse::close);
+    fleet.send(&resume(&streams), 0..1);
+    log.check_unmixed();
+}
