In a shutdown only plain requests that may run once are refused early; pauses of the ledger

A store whose conditions never hold would have been called without a pause by the keeper of release records.

Change: streams are taken as before. 0.1 s after a conflict, 1 s after a failed call (before: 0.5 s).

--- a/crates/origins/src/release_ledger.rs
+++ b/crates/origins/src/release_ledger.rs
@@ -12,8 +12,9 @@
 
 /// Time after which records are read again although nothing has changed: the store may have started a new era.
 const REREAD_INTERVAL: Duration = Duration::from_secs(30);
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after a failed call, and after a write that another one came before.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+const CONFLICT_PAUSE: Duration = Duration::from_millis(100);
 
 /// What has to be done now.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -140,8 +141,9 @@
     }
 
     /// Notes that another VM has written in between.
-    pub fn conflicted(&mut self) {
+    pub fn conflicted(&mut self, now: Instant) {
         self.last = None;
+        self.retry_at = now + CONFLICT_PAUSE;
     }
 
     /// Notes that a call has failed; a record may have been written.
--- a/crates/origins/tests/origin_sim/store.rs
+++ b/crates/origins/tests/origin_sim/store.rs
@@ -69,7 +69,7 @@
                 let records = self.store.read();
                 vm.ledger.apply(now, self.store.end(), records, origins);
             }
-            LedgerStep::Write(_, _, at) if at != self.store.end => vm.ledger.conflicted(),
+            LedgerStep::Write(_, _, at) if at != self.store.end => vm.ledger.conflicted(now),
             LedgerStep::Write(service, record, _) => {
                 self.store.writes += 1;
                 self.store.end += 1;
--- a/crates/relay/src/process/lifecycle.rs
+++ b/crates/relay/src/process/lifecycle.rs
@@ -13,8 +13,8 @@
     },
 };
 
-/// Time after the stop signal in which any request that may be repeated is still accepted. Others are accepted only
-/// if they finish before the process has to end.
+/// Time after the stop signal in which streams and requests that may be repeated are still accepted. Others are accepted
+/// only if they finish before the process has to end.
 const LATE_ACCEPT_TIME: Duration = Duration::from_millis(2_800);
 
 #[derive(Debug, Default)]
@@ -85,11 +85,12 @@
         *self.stop.lock() = Some(Stopping { began, deadline });
     }
 
-    /// Whether a request that ends at `until` at the latest can still be accepted.
-    pub(crate) fn accepts(&self, now: Instant, until: Instant, may_repeat: bool) -> bool {
+    /// Whether a request that ends at `until` at the latest can still be accepted. `may_be_cut` tells whether its caller
+    /// can go on after it was cut.
+    pub(crate) fn accepts(&self, now: Instant, until: Instant, may_be_cut: bool) -> bool {
         let stop = *self.stop.lock();
         stop.is_none_or(|s| {
-            may_repeat && now.since(s.began) < LATE_ACCEPT_TIME || until < s.deadline
+            may_be_cut && now.since(s.began) < LATE_ACCEPT_TIME || until < s.deadline
         })
     }
 
--- a/crates/relay/src/process/release_records.rs
+++ b/crates/relay/src/process/release_records.rs
@@ -101,7 +101,7 @@
         }
         Ok(AppendOutcome::Conflict(end)) => {
             log::info!(service:% = service, at = at, end:% = end; "releases not recorded: another record came first");
-            ledger.conflicted();
+            ledger.conflicted(node.clock.now());
         }
         Err(e) => {
             log::warn!(service:% = service, error:% = e; "write of a record of releases failed, its outcome is unknown");
--- a/crates/relay/src/request/accept.rs
+++ b/crates/relay/src/request/accept.rs
@@ -2,7 +2,7 @@
 
 use {
     super::routed_request::{Progress, RoutedRequest},
-    crate::process::Node,
+    crate::{configuration::RouteKind, process::Node},
     clock::Instant,
     h1::RequestHead,
     parking_lot::Mutex,
@@ -59,10 +59,8 @@
     let now = node.clock.now();
     let timeout = caller.timeout.unwrap_or(route.timeout);
     let deadline = arrived + timeout.min(route.timeout);
-    if !node
-        .lifecycle
-        .accepts(now, deadline, route.kind.is_idempotent())
-    {
+    let may_be_cut = route.kind != RouteKind::Once;
+    if !node.lifecycle.accepts(now, deadline, may_be_cut) {
         let refusal = Refusal::not_run(Reason::Stopping, "this VM is about to stop");
         return Err(refusal.with_retry_after(STOPPING_RETRY_AFTER));
     }
