Large responses that don't end no longer take more memory than a VM has

Seen by callers: nothing yet; a report of another operator, whose VM ran out of memory and ended, and with it the requests of other callers.

Cause: one response is bounded (4 MiB), the sum of all isn't.

A response that needs more than is left ends as one that is cut short.

Measured: large_responses_that_do_not_end_leave_memory_for_others, 42 responses of 4 MiB that stop halfway, 100 MB in the settings.

--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -20,6 +20,8 @@
     Malformed,
     /// The body is larger than the limit.
     TooLarge,
+    /// There is no memory left for the body.
+    NoRoom,
 }
 
 impl fmt::Display for BodyError {
@@ -28,6 +30,7 @@
             Self::Io(e) => write!(f, "connection lost within the body: {e}"),
             Self::Malformed => f.write_str("malformed chunk"),
             Self::TooLarge => f.write_str("body over the size limit"),
+            Self::NoRoom => f.write_str("no memory left for the body"),
         }
     }
 }
@@ -128,17 +131,38 @@
 
     /// Reads the whole body; fails if it is larger than `limit`.
     pub async fn read_all(&mut self, conn: &mut Conn, limit: Bytes) -> Result<Vec<u8>, BodyError> {
+        self.read_within(conn, limit, |_| true).await
+    }
+
+    /// Like `read_all`; `has_room` is told how much memory the body takes so far, each time that it grows. The read fails if
+    /// it says no.
+    pub async fn read_within(
+        &mut self,
+        conn: &mut Conn,
+        limit: Bytes,
+        has_room: impl Fn(Bytes) -> bool,
+    ) -> Result<Vec<u8>, BodyError> {
         let mut body = Vec::new();
         if let State::Length(size) = self.0 {
             if size > limit.0 {
                 return Err(BodyError::TooLarge);
             }
-            body.reserve(usize::try_from(size).unwrap_or_default());
+            if !has_room(Bytes(size)) {
+                return Err(BodyError::NoRoom);
+            }
+            body.reserve_exact(usize::try_from(size).unwrap_or_default());
         }
+        let mut capacity = body.capacity();
         while self.next(conn, &mut body).await? {
             if body.len() as u64 > limit.0 {
                 return Err(BodyError::TooLarge);
             }
+            if body.capacity() > capacity {
+                capacity = body.capacity();
+                if !has_room(Bytes(capacity as u64)) {
+                    return Err(BodyError::NoRoom);
+                }
+            }
         }
         Ok(body)
     }
--- a/crates/relay/src/connection/session.rs
+++ b/crates/relay/src/connection/session.rs
@@ -107,7 +107,9 @@
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyError::Io(_))) => Err(None),
         Ok(Err(BodyError::Malformed)) => Err(Some((400, "malformed chunk"))),
-        Ok(Err(BodyError::TooLarge)) => Err(Some((413, "body over the size limit"))),
+        Ok(Err(BodyError::TooLarge | BodyError::NoRoom)) => {
+            Err(Some((413, "body over the size limit")))
+        }
         Err(_) => Err(Some((408, "body took too long"))),
     }
 }
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! Tasks and shared state that live as long as the process.
 
 mod accounting;
+mod byte_budget;
 mod capacity_planner;
 mod carriers;
 mod count_store;
@@ -27,6 +28,7 @@
 mod wall_clock;
 
 pub(crate) use {
+    byte_budget::{ByteBudget, ByteLease},
     carriers::CarrierLease,
     feed_reader::Freshness,
     lifecycle::{ConnectionGuard, Lifecycle},
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -5,7 +5,10 @@
 //! No lock is held across an await.
 
 use {
-    super::{ConnectionChecks, Freshness, Lifecycle, StreamOrigins, WallClock, gossip::SentLoads},
+    super::{
+        ByteBudget, ConnectionChecks, Freshness, Lifecycle, StreamOrigins, WallClock,
+        gossip::SentLoads,
+    },
     crate::{
         adapter::{HeaderCodec, NodeSettings},
         configuration::{CallerLimits, Config},
@@ -27,7 +30,7 @@
         },
         time::Duration,
     },
-    types::{Incarnation, ServiceId},
+    types::{Bytes, Incarnation, ServiceId},
     usage::{CountBacklog, WindowCountRecord, WindowCounter, WindowCounts, window_at},
 };
 
@@ -43,6 +46,9 @@
 /// that begins then and a read of the platform end within the time after which the fleet's bounds hold for a VM.
 const MAX_READER_START: Duration = Duration::from_millis(1_500);
 
+/// Part of the memory, as a divisor, that the bodies of endpoints' responses may take.
+const RESPONSE_SHARE: u64 = 4;
+
 /// State shared by all tasks.
 pub(crate) struct Node {
     pub(crate) executor: Arc<Executor<'static>>,
@@ -75,6 +81,8 @@
     pub(super) carried: AtomicUsize,
     /// Sequence number of the next gossip message.
     pub(crate) gossip_seq: AtomicU64,
+    /// What the bodies of endpoints' responses may take.
+    pub(crate) response_bytes: Arc<ByteBudget>,
     pub(crate) window_counter: Mutex<WindowCounter>,
     /// The process that last took this VM's usage counts to store them.
     count_keeper: Mutex<Option<Incarnation>>,
@@ -126,6 +134,7 @@
             carriers: Mutex::new(CarrierTable::new(fastrand::u64(..))),
             carried: AtomicUsize::new(0),
             gossip_seq: AtomicU64::new(1),
+            response_bytes: ByteBudget::new(Bytes(settings.memory.0 / RESPONSE_SHARE)),
             window_counter: Mutex::default(),
             count_keeper: Mutex::default(),
             count_backlog: Mutex::default(),
--- a/crates/relay/src/request/accept.rs
+++ b/crates/relay/src/request/accept.rs
@@ -86,6 +86,7 @@
         arrived,
         caller,
         progress: Mutex::new(Progress::default()),
+        held: node.response_bytes.lease(),
     })
 }
 
--- a/crates/relay/src/request/attempt.rs
+++ b/crates/relay/src/request/attempt.rs
@@ -269,7 +269,7 @@
     request.end_send(Verdict::NotRun, Some(cause));
     if parsed.misdirected {
         node.pool.remove_addr(slot.target.addr);
-    } else if let Err(e) = pending.read_body(node, slot).await {
+    } else if let Err(e) = pending.read_body(node, slot, &request.held).await {
         log::debug!(endpoint:% = slot.endpoint(), error:% = e; "incomplete body of a refusal");
     }
     let outcome = if parsed.misdirected {
--- a/crates/relay/src/request/caller_stream.rs
+++ b/crates/relay/src/request/caller_stream.rs
@@ -123,7 +123,9 @@
         let node = self.node.clone();
         // A failure that doesn't say "not run" ran as well.
         node.count_usage(request);
-        let read = self.watch(pending.read_body(&node, &slot)).await;
+        let read = self
+            .watch(pending.read_body(&node, &slot, &request.held))
+            .await;
         match read {
             WatchOutcome::CallerLeft => StreamOutcome::CallerLeft,
             WatchOutcome::TimedOut => self.fail(request.timed_out()),
--- a/crates/relay/src/request/endpoint_call.rs
+++ b/crates/relay/src/request/endpoint_call.rs
@@ -163,7 +163,9 @@
             }
             log::warn!(request:% = self.attempt, endpoint:% = self.target.id, status = head.status; "skipped a late response to another request");
             let mut rest = BodyReader::new(framing);
-            let skipped = rest.read_all(conn, MAX_BODY).await;
+            let held = node.response_bytes.lease();
+            let has_room = |size| held.grow_to(size);
+            let skipped = rest.read_within(conn, MAX_BODY, has_room).await;
             skipped.map_err(|_| "malformed answer")?;
             let next = conn.response_head(MAX_HEAD).await;
             head = next.map_err(|_| "connection lost before an answer")?;
--- a/crates/relay/src/request/path.rs
+++ b/crates/relay/src/request/path.rs
@@ -7,7 +7,7 @@
         endpoint_target::EndpointTarget,
         slot_lease::SlotLease,
     },
-    crate::process::{CarrierLease, Node},
+    crate::process::{ByteLease, CarrierLease, Node},
     clock::timeout,
     compact_str::CompactString,
     detour::CarryRefusal,
@@ -223,9 +223,16 @@
         mut self,
         node: &Node,
         slot: &SlotLease,
+        held: &ByteLease,
     ) -> Result<(ResponseHead, Vec<u8>), BodyError> {
         let conn = &mut self.path.pooled.conn;
-        let body = self.reader.read_all(conn, MAX_BODY).await?;
+        let has_room = |size| held.grow_to(size);
+        let read = self.reader.read_within(conn, MAX_BODY, has_room).await;
+        if matches!(read, Err(BodyError::NoRoom)) {
+            log::warn!(endpoint:% = slot.endpoint(); "response given up: no memory left for its body");
+            metrics::counter!("celerystage_responses_without_room_total").increment(1);
+        }
+        let body = read?;
         Ok((self.return_connection(node, slot.target.addr), body))
     }
 
--- a/crates/relay/src/request/routed_request.rs
+++ b/crates/relay/src/request/routed_request.rs
@@ -5,6 +5,7 @@
     crate::{
         adapter::CallerHeaders,
         configuration::{Org, Route},
+        process::ByteLease,
     },
     clock::Instant,
     h1::RequestHead,
@@ -106,6 +107,8 @@
     /// When the request times out: the earlier of the caller's and the route's timeout.
     pub(crate) deadline: Instant,
     pub(crate) progress: Mutex<Progress>,
+    /// Memory that responses to it take.
+    pub(crate) held: ByteLease,
 }
 
 impl RoutedRequest {
--- a/crates/relay/tests/endless_responses.rs
+++ b/crates/relay/tests/endless_responses.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{Router, endpoint},
+    common::{FakeEndpoint, Router, Script, endpoint, response_head},
     relay::RouteKind,
     std::{
         io::{Read, Write},
@@ -159,3 +159,58 @@
     let prefix = format!("{UNFRAMED}id: 1\ndata: a\n\n");
     check(RouteKind::Resumable, (&prefix, "id: 1\ndata: a\n\n"), 0);
 }
+
+/// Endpoints, and large responses that don't end at each of them. Together they are more than the memory of the VM under test.
+const ENDPOINTS: usize = 6;
+const LARGE_EACH: usize = 7;
+const LARGE_BYTES: usize = 4 << 20;
+const MEMORY_BYTES: usize = 100 << 20;
+
+/// Many large responses that never ended were all kept, and took more memory than the VM has.
+#[test]
+fn large_responses_that_do_not_end_leave_memory_for_others() {
+    let respond = || {
+        FakeEndpoint::start(|_, seen| {
+            let id = seen.field("id").unwrap_or_default();
+            if id == "small" {
+                let head = response_head(&id, "Content-Length: 2\r\n");
+                return Script::Send(vec![format!("{head}ok").into_bytes()], Duration::ZERO);
+            }
+            let head = response_head(&id, &format!("Content-Length: {LARGE_BYTES}\r\n"));
+            let mut bytes = head.into_bytes();
+            bytes.resize(LARGE_BYTES / 2, b'x');
+            Script::Send(vec![bytes], Duration::ZERO)
+        })
+    };
+    let servers: Vec<_> = (0..ENDPOINTS).map(|_| respond()).collect();
+    let listed = servers.iter().enumerate();
+    let listed = listed.map(|(at, s)| endpoint(&format!("e{at}"), s.addr));
+    let router = Router::with(RouteKind::Once, listed.collect());
+    let request = |id: &str| {
+        let text = format!(
+            "GET /a HTTP/1.1\r\nHost: h\r\nid: {id}\r\ntimeout-ms: 3000\r\nConnection: close\r\n\r\n"
+        );
+        text.into_bytes()
+    };
+    let begun = Instant::now();
+    thread::scope(|scope| {
+        let sends: Vec<_> = (0..ENDPOINTS * LARGE_EACH)
+            .map(|at| {
+                let (router, request) = (&router, request(&format!("large{at}")));
+                scope.spawn(move || {
+                    let response = router.exchange(&request);
+                    (response, begun.elapsed())
+                })
+            })
+            .collect();
+        thread::sleep(Duration::from_secs(1));
+        let response = router.exchange(&request("small"));
+        assert!(response.ends_with("ok"), "{response}");
+        let responses: Vec<_> = sends.into_iter().map(|s| s.join().unwrap()).collect();
+        let waiting = responses.iter().filter(|(_, took)| took.as_secs() >= 1);
+        let kept = waiting.count() * LARGE_BYTES;
+        assert!(kept < MEMORY_BYTES, "{kept} bytes kept");
+        let answered = |text: &str| text.starts_with("HTTP/1.1 50");
+        assert!(responses.iter().all(|(text, _)| answered(text)));
+    });
+}
