--- a/crates/origins/src/origins.rs
+++ b/crates/origins/src/origins.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Known, Origin, OriginAsk, OriginNews, OriginRecord, OriginTable, ReleaseHistory,
-        ReleaseRecord, StreamKey, askers::Askers, doubt_queue::DoubtQueue, relay_queue::RelayQueue,
+        Known, Origin, OriginAsk, OriginNews, OriginRecord, OriginTable, ReleaseHistory, StreamKey,
+        askers::Askers, doubt_queue::DoubtQueue, relay_queue::RelayQueue,
     },
     clock::Instant,
     std::{
@@ -11,7 +11,7 @@
         net::SocketAddr,
         time::Duration,
     },
-    types::{Era, Release, ServiceId},
+    types::{Release, ServiceId},
 };
 
 /// Most origins told at a time: about as many as a datagram holds.
@@ -61,7 +61,7 @@
 #[derive(Debug, Default)]
 pub struct Origins {
     table: OriginTable,
-    history: ReleaseHistory,
+    pub(super) history: ReleaseHistory,
     /// The services that had only one release when it was last looked at.
     only: BTreeMap<ServiceId, Release>,
     relays: RelayQueue,
@@ -104,7 +104,7 @@
 
     /// Has others told again of the own streams of services that no longer have only one release, as far
     /// as this VM can know: VMs that can infer it now soon can't any more.
-    fn update_only(&mut self, now: Instant) {
+    pub(super) fn update_only(&mut self, now: Instant) {
         let is_current = self.history.is_current(now);
         let services = self.history.services().filter(|_| is_current);
         let only: BTreeMap<_, _> = services
@@ -122,44 +122,6 @@
         self.only = only;
     }
 
-    /// Since when each change of the list is seen; see [`ReleaseHistory::observed_since`].
-    pub(super) fn observed_since(&self) -> Option<Instant> {
-        self.history.observed_since()
-    }
-
-    /// The releases that are listed now; see [`ReleaseHistory::listed`].
-    pub(super) fn listed_releases(&self) -> BTreeSet<(ServiceId, Option<Release>)> {
-        self.history.listed()
-    }
-
-    /// The records that the platform should keep, of the services all of whose releases are known; none unless the
-    /// list is current.
-    pub(super) fn release_records(
-        &self,
-        now: Instant,
-        era: Era,
-    ) -> BTreeMap<ServiceId, ReleaseRecord> {
-        let is_current = self.history.is_current(now);
-        let services = self.history.services().filter(|_| is_current);
-        let records = services.filter_map(|service| {
-            let (releases, window) = self.history.counted(now, service)?;
-            Some((service.clone(), ReleaseRecord::new(releases, window, era)))
-        });
-        records.collect()
-    }
-
-    /// Applies a record of the platform; see [`ReleaseHistory::restore`].
-    pub(super) fn restore(
-        &mut self,
-        now: Instant,
-        service: &ServiceId,
-        releases: &[&Option<Release>],
-        covered: Option<Duration>,
-    ) {
-        self.history.restore(now, service, releases, covered);
-        self.update_only(now);
-    }
-
     /// Has others told again of the own streams: there are other hubs.
     pub fn hubs_changed(&mut self, now: Instant) {
         let Self { table, only, .. } = self;
--- a/crates/origins/src/release_ledger.rs
+++ b/crates/origins/src/release_ledger.rs
@@ -7,7 +7,7 @@
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
-    types::{LogPosition, Release, ServiceId},
+    types::{Era, LogPosition, Release, ServiceId},
 };
 
 /// Time after which records are read again although nothing has changed: the store may have started a new era.
@@ -158,3 +158,39 @@
         self.outdated = None;
     }
 }
+
+impl Origins {
+    /// Since when each change of the list is seen; see [`ReleaseHistory::observed_since`].
+    fn observed_since(&self) -> Option<Instant> {
+        self.history.observed_since()
+    }
+
+    /// The releases that are listed now; see [`ReleaseHistory::listed`].
+    fn listed_releases(&self) -> BTreeSet<(ServiceId, Option<Release>)> {
+        self.history.listed()
+    }
+
+    /// The records that the platform should keep, of the services all of whose releases are known; none unless the
+    /// list is current.
+    fn release_records(&self, now: Instant, era: Era) -> BTreeMap<ServiceId, ReleaseRecord> {
+        let is_current = self.history.is_current(now);
+        let services = self.history.services().filter(|_| is_current);
+        let records = services.filter_map(|service| {
+            let (releases, window) = self.history.counted(now, service)?;
+            Some((service.clone(), ReleaseRecord::new(releases, window, era)))
+        });
+        records.collect()
+    }
+
+    /// Applies a record of the platform; see [`ReleaseHistory::restore`].
+    fn restore(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        releases: &[&Option<Release>],
+        covered: Option<Duration>,
+    ) {
+        self.history.restore(now, service, releases, covered);
+        self.update_only(now);
+    }
+}
--- a/crates/origins/tests/origin_sim/mod.rs
+++ b/crates/origins/tests/origin_sim/mod.rs
@@ -38,7 +38,7 @@
 const READ_MS: (u64, u64) = (250, 950);
 const READ_TIME: Duration = Duration::from_millis(20);
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
-/// Time from the start of all VMs until they are in touch with each other.
+/// Time from the start of all VMs until the bounds of the fleet hold for them.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Longest delay of a write of a record, in milliseconds.
 const MAX_JITTER_MS: u64 = 300;
@@ -69,7 +69,7 @@
     /// Whether VMs keep records of releases on the platform.
     pub(crate) keeps_records: bool,
     callers: Callers,
-    /// From when on VMs are in touch again after all were killed: callers come back then.
+    /// When callers come back after all VMs were killed.
     pub(crate) accepted_from: Instant,
     zones: usize,
     /// Number of zones whose hubs a first hub tells of its zone's streams.
