Release records: what was read before a gap isn't relied on after it

Cause: a VM notes only the releases that its last read of a record didn't name.

Change: after a gap, a failed call or a time in which the VM didn't read the platform, all releases of a record are noted.

Measured: release_that_came_back_during_a_gap_is_not_forgotten fails before (release 1 is the only one) and passes.

--- a/crates/origins/src/release_ledger.rs
+++ b/crates/origins/src/release_ledger.rs
@@ -110,23 +110,22 @@
         records: BTreeMap<ServiceId, ReleaseRecord>,
         origins: &mut Origins,
     ) {
+        // What was read before a gap tells nothing of the releases that came and went in it.
+        let observed = origins.observed_since();
+        let continues = self.last.as_ref().is_some_and(|l| l.observed == observed);
         for (service, record) in &records {
-            let known = self.stored.get(service);
+            let known = self.stored.get(service).filter(|_| continues);
             let is_new = |r: &&Option<Release>| known.is_none_or(|k| !k.releases.contains(*r));
             let added: Vec<_> = record.releases.iter().filter(is_new).collect();
-            origins.restore(
-                now,
-                service,
-                &added,
-                (record.era == end.era).then(|| record.window()),
-            );
+            let covered = (record.era == end.era).then(|| record.window());
+            origins.restore(now, service, &added, covered);
         }
         self.stored = records;
         self.stored.retain(|_, record| record.era == end.era);
         self.end = end;
         self.last = Some(LastRead {
             at: now,
-            observed: origins.observed_since(),
+            observed,
             listed: origins.listed_releases(),
         });
     }
--- a/crates/origins/tests/fleet_restarts.rs
+++ b/crates/origins/tests/fleet_restarts.rs
@@ -99,13 +99,18 @@
         if fleet.rng.u8(..3) == 0 {
             fleet.list(releases);
         }
-        match fleet.rng.u8(..8) {
+        match fleet.rng.u8(..10) {
             0 => fleet.kill_all(),
             1..4 => {
                 let vm = fleet.rng.usize(..8);
                 fleet.kill(vm);
             }
             4 => fleet.store.down_until = fleet.now + secs(2),
+            5..7 => {
+                let vm = fleet.rng.usize(..8);
+                let time = fleet.rng.u64(2..15);
+                fleet.cut(vm, secs(time));
+            }
             _ => {}
         }
         let pause = fleet.rng.u64(500..5_000);
--- a/crates/origins/tests/release_ledger.rs
+++ b/crates/origins/tests/release_ledger.rs
@@ -106,6 +106,24 @@
     assert_eq!(next(&mut ledger, &vm, at(100)), expected);
 }
 
+/// A VM that had not followed the list for a time took a release for long gone that its earlier read of the record named as
+/// well, though it had come back meanwhile.
+#[test]
+fn release_that_came_back_during_a_gap_is_not_forgotten() {
+    let mut vm = started(&[1]);
+    vm.begin_system();
+    let mut ledger = ReleaseLedger::new(Duration::ZERO);
+    let records = || [(service(), record(&[1, 2], WINDOW, 0))].into();
+    ledger.apply(at(100), end(0), records(), &mut vm);
+    read(&mut vm, &[1], 250, 120_000);
+    assert_eq!(vm.sole(at(120_000), &service()), Some(release(1)));
+    // Release 2 serves from 121 s to 129 s.
+    read(&mut vm, &[1], 130_000, 130_001);
+    assert_eq!(next(&mut ledger, &vm, at(130_100)), LedgerStep::Read);
+    ledger.apply(at(130_100), end(0), records(), &mut vm);
+    assert_eq!(vm.sole(at(130_100), &service()), None);
+}
+
 /// The format of the records of landed releases.
 #[test]
 fn recorded_bytes_are_read() {
