Wording of comments in the terms of the field; docs say no more than the code does

Two claimed too much: that a release is used only once its record is written (nothing waits for it), and that VMs call the platform only when releases change (they read every 30 s).

No line of code.

--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -134,8 +134,8 @@
         self.read_within(conn, limit, |_| true).await
     }
 
-    /// Like `read_all`; `has_room` is told how much memory the body takes so far, each time that it grows. The read fails if
-    /// it says no.
+    /// Like `read_all`, with a check of the memory: `has_room` gets the size of the buffer before the first read and whenever it has
+    /// grown. The read fails with `NoRoom` if it returns false.
     pub async fn read_within(
         &mut self,
         conn: &mut Conn,
--- a/crates/origins/src/release_history.rs
+++ b/crates/origins/src/release_history.rs
@@ -63,7 +63,7 @@
     window: Duration,
     /// A longer window that was set before, and until when it counts.
     old_window: Option<(Duration, Instant)>,
-    /// When a record of the platform told all releases of the time before, and the window that it covers.
+    /// When the history was restored from a record of the platform, and the window that the record covers.
     restored: Option<(Instant, Duration)>,
 }
 
@@ -123,7 +123,7 @@
         listing.returned = true;
     }
 
-    /// Notes that a VM has used a release that seemed to be listed for too short a time.
+    /// Notes that a VM has used a release that this one took for unused.
     fn mark_used(&mut self, now: Instant, release: &Option<Release>) {
         if let Some(listing) = self.listings.get_mut(release)
             && listing.is_unused(now)
@@ -281,8 +281,8 @@
         counted.next().is_none().then(|| release.clone())
     }
 
-    /// Whether each release is known that was listed in the window of a service: this VM has observed the list for so
-    /// long, or since the first start of the system, or a record of the platform tells what was before.
+    /// Whether all releases that were listed in the window of a service are known: this VM has observed the list for the whole
+    /// window or since the first start of the system, or the history before was restored from a record.
     fn is_complete(&self, now: Instant, service: &ServiceId) -> bool {
         let (Some(service), Some(since)) = (self.services.get(service), self.since) else {
             return false;
@@ -299,8 +299,8 @@
         now.since(since) >= window || sees_all || is_restored
     }
 
-    /// Applies what a record of the platform tells: these releases may have been used in the window before now. With
-    /// `covered`, the window that it covers, there were no others.
+    /// Restores the history from a record of the platform: these releases may have been used in the window before now.
+    /// `covered` is the window in which there were no others; `None` if the record may be incomplete.
     pub fn restore(
         &mut self,
         now: Instant,
--- a/crates/origins/src/release_ledger.rs
+++ b/crates/origins/src/release_ledger.rs
@@ -1,4 +1,4 @@
-//! Keeps the platform's records of the releases up to date, and restores from them what VMs no longer know.
+//! Keeps the platform's records of the releases up to date, and restores the history of releases from them after a restart.
 
 use {
     super::{Origins, ReleaseRecord},
@@ -12,7 +12,7 @@
 
 /// Time after which records are read again although nothing has changed: the store may have started a new era.
 const REREAD_INTERVAL: Duration = Duration::from_secs(30);
-/// Pause after a failed call, and after a write that another one came before.
+/// Pauses after a failed call and after a conflicting write.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 const CONFLICT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -42,7 +42,7 @@
 /// What one VM that reads the platform knows of the records there.
 #[derive(Debug)]
 pub struct ReleaseLedger {
-    /// Delay of this VM's writes. The others then find that the record has been written.
+    /// Delay of this VM's writes, so that the VMs don't all write the same record.
     jitter: Duration,
     stored: BTreeMap<ServiceId, ReleaseRecord>,
     end: LogPosition,
@@ -110,7 +110,7 @@
         records: BTreeMap<ServiceId, ReleaseRecord>,
         origins: &mut Origins,
     ) {
-        // What was read before a gap tells nothing of the releases that came and went in it.
+        // Releases may have been listed and removed during a gap in the observation.
         let observed = origins.observed_since();
         let continues = self.last.as_ref().is_some_and(|l| l.observed == observed);
         for (service, record) in &records {
@@ -139,7 +139,7 @@
         self.stored.insert(service, record);
     }
 
-    /// Notes that another VM has written in between.
+    /// Notes that a write conflicted with one of another VM.
     pub fn conflicted(&mut self, now: Instant) {
         self.last = None;
         self.retry_at = now + CONFLICT_PAUSE;
--- a/crates/origins/src/release_record.rs
+++ b/crates/origins/src/release_record.rs
@@ -10,8 +10,9 @@
 /// Name in log lines of a release that isn't known.
 const UNKNOWN: &str = "unknown";
 
-/// The releases at which streams of a service may have begun that can still be resumed. It is written before a
-/// release is used beside another one, so that VMs can rely on it which start when nobody else knows any more.
+/// The releases at which streams of a service may have begun that can still be resumed. VMs restore them after a restart of the
+/// whole fleet. A record is written as soon as a release is listed, usually well before [`crate::SETTLE_TIME`] has passed and
+/// streams begin there; nothing waits for the write.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReleaseRecord {
     /// The releases; `None` stands for endpoints whose release isn't known.
--- a/crates/origins/tests/fleet_restarts.rs
+++ b/crates/origins/tests/fleet_restarts.rs
@@ -1,4 +1,4 @@
-//! Fleets of 8, 60 and 300 VMs that all restart at once: only the platform's records are left.
+//! Restarts of all VMs of fleets of 8, 60 and 300: only the platform's records survive.
 
 mod origin_common;
 mod origin_sim;
@@ -28,8 +28,8 @@
     assert!(share > MIN_KNOWN, "{vms} VMs: {share} of {returns}");
 }
 
-/// After all VMs were killed nobody knew that there had been one release, and all streams were refused for a
-/// window.
+/// After a restart of the whole fleet no VM knew that a service had only one release, and resumed streams were refused for a
+/// whole window.
 #[test]
 fn streams_of_the_only_release_are_known_after_all_vms_restart() {
     for (vms, zones, rate) in FLEETS {
@@ -46,7 +46,7 @@
     }
 }
 
-/// The record of a fleet names a release that has gone, until no stream of it can be resumed.
+/// A record keeps a removed release until its streams can no longer be resumed.
 #[test]
 fn streams_are_not_joined_when_a_release_has_gone_before_all_vms_restart() {
     for (vms, zones, rate) in FLEETS {
@@ -69,7 +69,7 @@
     }
 }
 
-/// VMs call the platform only when releases change.
+/// A new release costs one write, and each reader a few reads.
 #[test]
 fn records_cost_few_calls() {
     for (vms, zones, rate) in FLEETS {
@@ -119,7 +119,7 @@
     fleet
 }
 
-/// A record that was out of date, or written by a VM that knew less, had streams joined at another release.
+/// Streams were resumed at another release because of a record that was out of date or incomplete.
 #[test]
 fn streams_are_never_joined_at_another_release_after_restarts() {
     let mut known = 0;
--- a/crates/origins/tests/origin_sim/mod.rs
+++ b/crates/origins/tests/origin_sim/mod.rs
@@ -38,7 +38,7 @@
 const READ_MS: (u64, u64) = (250, 950);
 const READ_TIME: Duration = Duration::from_millis(20);
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
-/// Time from the start of all VMs until the bounds of the fleet hold for them.
+/// Time from a restart of all VMs until they have found each other.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Longest delay of a write of a record, in milliseconds.
 const MAX_JITTER_MS: u64 = 300;
--- a/crates/origins/tests/release_ledger.rs
+++ b/crates/origins/tests/release_ledger.rs
@@ -1,4 +1,4 @@
-//! What a VM that starts takes from the platform's records of releases.
+//! Restoring the history of releases from the platform's records.
 
 mod origin_common;
 
@@ -47,7 +47,7 @@
     ledger.step(now, vm)
 }
 
-/// A VM that had just started knew nothing of the releases before, though the platform did.
+/// A VM knew no releases of before its start, although the platform's record has them.
 #[test]
 fn record_tells_what_was_before_the_start() {
     assert_eq!(sole_after(record(&[1], WINDOW, 3)), Some(release(1)));
@@ -67,8 +67,7 @@
     assert_eq!(sole_after(record(&[1], WINDOW / 2, 3)), None);
 }
 
-/// A release that came to the list before its record was read was taken for one that no VM has used, and the other one
-/// for the only release.
+/// A release that was listed before its record was read counted as unused, and the other one as the only release.
 #[test]
 fn release_that_a_record_names_is_not_taken_for_unused() {
     let mut vm = started(&[1]);
@@ -80,7 +79,7 @@
     assert_eq!(vm.sole(at(4_100), &service()), None);
 }
 
-/// A VM that doesn't know what was before the start wrote down what it saw.
+/// A VM without a complete history wrote a record.
 #[test]
 fn record_is_written_only_by_a_vm_that_knows_all_releases() {
     let mut vm = started(&[1]);
@@ -94,7 +93,7 @@
     assert_eq!(next(&mut ledger, &vm, at(100)), expected);
 }
 
-/// A record that another VM had just written was overwritten by one that knew less.
+/// A VM overwrote a newer record of another VM, and dropped a release from it.
 #[test]
 fn release_that_another_vm_recorded_is_kept() {
     let mut vm = started(&[1]);
@@ -106,8 +105,8 @@
     assert_eq!(next(&mut ledger, &vm, at(100)), expected);
 }
 
-/// A VM that had not followed the list for a time took a release for long gone that its earlier read of the record named as
-/// well, though it had come back meanwhile.
+/// After a gap in the observation, a VM ignored a release of the record because it had been in an earlier record too, although it
+/// had been listed again during the gap.
 #[test]
 fn release_that_came_back_during_a_gap_is_not_forgotten() {
     let mut vm = started(&[1]);
--- a/crates/relay/src/adapter/shared_log.rs
+++ b/crates/relay/src/adapter/shared_log.rs
@@ -14,7 +14,7 @@
     Duty,
     /// Usage counts of each VM.
     Usage,
-    /// The releases of each service; a keyed topic, of which the newest record of each key is kept for good.
+    /// The releases of each service. A compacted topic: the newest record of each key never expires.
     Releases,
 }
 
@@ -52,7 +52,7 @@
     pub records: Vec<(u64, Vec<u8>)>,
 }
 
-/// The newest records of a keyed topic.
+/// The newest records of a compacted topic.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeyedRecords {
     /// Keys and their values.
@@ -75,7 +75,7 @@
     /// Reads records from offset `from` on; waits up to `wait` if there are none yet.
     fn read(&self, topic: Topic, from: u64, wait: Duration) -> PlatformFuture<'_, LogRecords>;
 
-    /// Writes the value of a key of a keyed topic if the topic ends at `at`. Fails like `append`.
+    /// Writes the value of a key of a compacted topic if the topic ends at `at`. Fails like `append`.
     fn put<'a>(
         &'a self,
         topic: Topic,
@@ -84,6 +84,6 @@
         at: u64,
     ) -> PlatformFuture<'a, AppendOutcome>;
 
-    /// Reads the newest record of each key of a keyed topic; none if nothing was ever written.
+    /// Reads the newest record of each key of a compacted topic; none if nothing was ever written.
     fn newest(&self, topic: Topic) -> PlatformFuture<'_, KeyedRecords>;
 }
--- a/crates/relay/src/peers/hubs.rs
+++ b/crates/relay/src/peers/hubs.rs
@@ -342,8 +342,8 @@
         hubs.map(|p| p.addr).collect()
     }
 
-    /// Addresses of the VMs that may have read the platform recently while this one can't: the hubs of other zones, or in
-    /// a small fleet all that have read it of late.
+    /// Addresses of the VMs whose state this one may use while it can't read the platform: the hubs of other zones, or in
+    /// a small fleet all VMs with a recent successful read.
     pub(crate) fn state_sources(&self, now: Instant) -> Vec<SocketAddr> {
         if self.uses_hubs(now) {
             return self.other_hubs(now);
--- a/crates/relay/src/process/byte_budget.rs
+++ b/crates/relay/src/process/byte_budget.rs
@@ -1,4 +1,4 @@
-//! A bound for the memory of the bodies that a VM holds at a time.
+//! Limit of the memory for buffered bodies.
 
 use {
     parking_lot::Mutex,
@@ -9,10 +9,10 @@
     types::Bytes,
 };
 
-/// Memory of one body that isn't counted: small responses are read whatever large ones take.
+/// Bytes of each body that don't count, so that small responses are read even if the budget is used up.
 const FREE_BYTES: u64 = 64 * 1024;
 
-/// Bytes that bodies may take together.
+/// Budget of bytes that all buffered bodies share.
 #[derive(Debug)]
 pub(crate) struct ByteBudget {
     limit: Bytes,
@@ -27,7 +27,7 @@
         })
     }
 
-    /// A share of the budget that is empty yet.
+    /// A lease without any bytes yet.
     pub(crate) fn lease(self: &Arc<Self>) -> ByteLease {
         ByteLease {
             budget: self.clone(),
@@ -35,7 +35,7 @@
         }
     }
 
-    /// Takes so many bytes if they are left.
+    /// Reserves bytes; false if fewer are left.
     fn take(&self, bytes: u64) -> bool {
         let grow = |used: u64| {
             let grown = used.checked_add(bytes)?;
@@ -45,7 +45,7 @@
     }
 }
 
-/// Bytes taken from a budget, which are given back when it is dropped.
+/// Bytes reserved from a budget; released on drop.
 #[derive(Debug)]
 pub(crate) struct ByteLease {
     budget: Arc<ByteBudget>,
@@ -53,7 +53,7 @@
 }
 
 impl ByteLease {
-    /// Takes what a body of this size needs beyond what was taken before; false if it isn't left.
+    /// Reserves what a body of this size needs beyond the bytes reserved before; false if fewer are left.
     pub(crate) fn grow_to(&self, size: Bytes) -> bool {
         let mut taken = self.taken.lock();
         let needed = size.0.saturating_sub(FREE_BYTES);
--- a/crates/relay/src/process/byte_budget_tests.rs
+++ b/crates/relay/src/process/byte_budget_tests.rs
@@ -1,4 +1,4 @@
-//! What bodies may take.
+//! Reserving and releasing bytes.
 
 use {super::ByteBudget, types::Bytes};
 
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -42,11 +42,11 @@
 /// Time after the start in which a stronger VM of the zone counts as its reader as soon as it is
 /// heard of.
 const MAX_START_DEFERRAL: Duration = Duration::from_millis(2_500);
-/// Time after the start in which readers that have read nothing yet may be starting too. A question to a reader
-/// that begins then and a read of the platform end within the time after which the fleet's bounds hold for a VM.
+/// Time after the start in which a reader without state may be starting too. A request to it and a read of the platform
+/// after that time take less than three seconds in all.
 const MAX_READER_START: Duration = Duration::from_millis(1_500);
 
-/// Part of the memory, as a divisor, that the bodies of endpoints' responses may take.
+/// The budget for buffered responses is this fraction of the memory: one part in so many.
 const RESPONSE_SHARE: u64 = 4;
 
 /// State shared by all tasks.
@@ -81,7 +81,7 @@
     pub(super) carried: AtomicUsize,
     /// Sequence number of the next gossip message.
     pub(crate) gossip_seq: AtomicU64,
-    /// What the bodies of endpoints' responses may take.
+    /// Memory budget of buffered responses.
     pub(crate) response_bytes: Arc<ByteBudget>,
     pub(crate) window_counter: Mutex<WindowCounter>,
     /// The process that last took this VM's usage counts to store them.
--- a/crates/relay/src/process/state_source.rs
+++ b/crates/relay/src/process/state_source.rs
@@ -1,6 +1,6 @@
 //! State of VMs that read the platform, for one whose own reads fail.
 //!
-//! A zone in which the platform rejects the reader, or the hubs, thus costs it a few calls, not those of all VMs.
+//! If the platform rejects a zone's reader, or its hubs, the other VMs of the zone needn't all read the platform.
 
 use {
     super::{
@@ -14,7 +14,7 @@
 
 /// Number of VMs that are asked for their state in one round.
 const MAX_ASKED: usize = 2;
-/// Pause after a round in which none had a recent state: in an outage none has.
+/// Pause after a round without a fresh response: in an outage no VM has a fresh state.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// The VM whose state this one uses while its own reads of the platform fail, so that the VMs that follow it needn't
--- a/crates/relay/src/process/state_sync.rs
+++ b/crates/relay/src/process/state_sync.rs
@@ -43,7 +43,7 @@
 const PLATFORM_HEAD_START: Duration = Duration::from_millis(600);
 /// Number of VMs of a zone that may read the platform for it.
 const ZONE_READERS: usize = 2;
-/// Number of VMs with an old state after which no more are asked at the start: in an outage all have one.
+/// Number of stale responses after which no further VMs are asked at the start: in an outage all states are stale.
 const MAX_STALE_STATES: usize = 4;
 /// Pause between two rounds of asking other VMs at the start.
 const FETCH_RETRY_PAUSE: Duration = Duration::from_millis(700);
@@ -267,8 +267,8 @@
     }
 }
 
-/// Requests the state of other VMs at the start until this VM knows a configuration and endpoints. It takes an old
-/// state rather than none, and goes on asking for one that was read recently.
+/// Requests the state of other VMs at the start until this VM knows a configuration and endpoints. A stale state is applied if
+/// there is none yet; further VMs are then asked for a fresh one.
 pub(super) async fn fetch_initial_state(node: Arc<Node>) {
     node.clock.sleep(PLATFORM_HEAD_START).await;
     while !node.is_ready() {
--- a/crates/relay/src/request/carry.rs
+++ b/crates/relay/src/request/carry.rs
@@ -123,7 +123,7 @@
 fn resolve(node: &Node, carried: &CarriedRequest) -> Result<EndpointTarget, CarryRefusal> {
     let now = node.clock.now();
     let until = now + Duration::from_millis(carried.timeout_ms);
-    // Whether it may be repeated isn't known here. It goes on at another carrier.
+    // A carrier doesn't know whether a request is idempotent. The sender retries at another carrier.
     if !node.lifecycle.accepts(now, until, false) {
         return Err(CarryRefusal::Stopping);
     }
--- a/crates/relay/src/request/routed_request.rs
+++ b/crates/relay/src/request/routed_request.rs
@@ -107,7 +107,7 @@
     /// When the request times out: the earlier of the caller's and the route's timeout.
     pub(crate) deadline: Instant,
     pub(crate) progress: Mutex<Progress>,
-    /// Memory that responses to it take.
+    /// Memory reserved for buffered responses.
     pub(crate) held: ByteLease,
 }
 
--- a/crates/relay/tests/common/fakes.rs
+++ b/crates/relay/tests/common/fakes.rs
@@ -34,7 +34,7 @@
         let id = headers.get("id").and_then(|v| v.parse().ok());
         let number = |name| headers.get(name).and_then(|v| v.parse::<u64>().ok());
         if let Some(ms) = number("stall-ms") {
-            // The whole VM stands still.
+            // Blocks the only thread of the VM, like a paused process.
             thread::sleep(Duration::from_millis(ms));
         }
         // Prompts of different sessions share no parts.
--- a/crates/relay/tests/common/releases.rs
+++ b/crates/relay/tests/common/releases.rs
@@ -336,7 +336,7 @@
         self.routers.drain(vms).for_each(Router::kill);
     }
 
-    /// Has a VM stand still for a time.
+    /// Pauses the whole process of a VM.
     pub(crate) fn stall(&self, vm: usize, time: Duration) {
         let mut socket = self.routers[vm].connect();
         let head = format!(
@@ -344,7 +344,7 @@
             time.as_millis()
         );
         socket.write_all(head.as_bytes()).unwrap();
-        // The connection is kept until then: its end would cancel the request.
+        // Closing the connection would cancel the request.
         thread::spawn(move || {
             thread::sleep(time);
             drop(socket);
--- a/crates/relay/tests/endless_responses.rs
+++ b/crates/relay/tests/endless_responses.rs
@@ -160,13 +160,13 @@
     check(RouteKind::Resumable, (&prefix, "id: 1\ndata: a\n\n"), 0);
 }
 
-/// Endpoints, and large responses that don't end at each of them. Together they are more than the memory of the VM under test.
+/// Endpoints, and incomplete large responses of each. Their sum exceeds the memory of the VM under test.
 const ENDPOINTS: usize = 6;
 const LARGE_EACH: usize = 7;
 const LARGE_BYTES: usize = 4 << 20;
 const MEMORY_BYTES: usize = 100 << 20;
 
-/// Many large responses that never ended were all kept, and took more memory than the VM has.
+/// Incomplete large responses were all buffered, and took more memory than the VM has.
 #[test]
 fn large_responses_that_do_not_end_leave_memory_for_others() {
     let respond = || {
--- a/crates/relay/tests/stale_starts.rs
+++ b/crates/relay/tests/stale_starts.rs
@@ -15,11 +15,11 @@
     },
 };
 
-/// Time after its start from which a VM keeps to the bounds for configurations and endpoints.
+/// Time after its start from which a VM must act on current configurations and endpoints.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Time within which a configuration that a VM can know is in force there.
 const APPLY_TIME: Duration = Duration::from_secs(2);
-/// Time in which the platform lets a VM's state grow old.
+/// Time after which the state of a VM that can't read the platform is stale.
 const STALE_TIME: Duration = Duration::from_millis(1_500);
 /// The reader of the zone in all tests: the VM with the last name.
 const READER: &str = "vm-9";
@@ -116,8 +116,8 @@
     assert!(age < CONTACT_TIME, "{age:?}");
 }
 
-/// A VM took the old state of the first VM that responded, although another one had a newer one. Here it can't read
-/// the platform itself.
+/// A VM kept the stale state of the first VM that responded, although another one had a fresh one. The platform rejects the VM, so
+/// that it can't read the state itself.
 #[test]
 fn rejected_vm_starts_with_the_state_of_a_vm_that_reads_the_platform() {
     let mut zone = Zone::new();
--- a/crates/relay/tests/stream_releases_fleet.rs
+++ b/crates/relay/tests/stream_releases_fleet.rs
@@ -28,8 +28,8 @@
 
 /// Time in which VMs of a zone begin to follow their reader.
 const FOLLOW_TIME: Duration = Duration::from_secs(3);
-/// Time for which a VM stands still; in which its reader answers what it had asked before; and after which streams begin at a
-/// release that was listed.
+/// Length of the pause; time in which the reader answers the request that is pending then; time from the listing of a release
+/// until streams begin at it.
 const STALL_TIME: Duration = Duration::from_millis(6_500);
 const ANSWER_TIME: Duration = Duration::from_millis(700);
 const USE_TIME: Duration = Duration::from_millis(3_500);
@@ -224,8 +224,8 @@
     assert!(whole * 2 >= STREAMS, "{whole} of {STREAMS} streams went on");
 }
 
-/// A VM that stood still while a release came goes on with an answer of before, which names only the old one; it must not join
-/// streams of the new one there.
+/// A VM that was paused while a release was deployed resumes with a stale response, which lists only the old release. It must not
+/// resume streams of the new release there.
 #[test]
 fn stream_taken_up_at_a_vm_that_stood_still_stays_at_its_release() {
     let log: Arc<ReleaseLog> = Arc::default();
@@ -233,14 +233,14 @@
     let (old, new) = endpoints.split_at(2);
     let mut fleet = Fleet::start(3, &old.iter().collect::<Vec<_>>());
     thread::sleep(FOLLOW_TIME);
-    // The VM with the first name reads the list through that with the last one.
+    // The VM with the first name gets the list from the one with the last name.
     fleet.stall(0, STALL_TIME);
     thread::sleep(ANSWER_TIME);
     new.iter().for_each(|e| fleet.list(e));
     thread::sleep(USE_TIME);
     let mut streams = fleet.begin(STREAMS, 1..2);
     assert!(streams.iter().any(|s| s.release() == Some("r2")));
-    // Otherwise the VM would have the new list a moment after it goes on.
+    // With a live reader, the paused VM would receive the new list right after the pause.
     fleet.kill(2..3);
     streams.iter_mut().for_each(StreamResponse::close);
     fleet.send(&resume(&streams), 0..1);
