--- a/crates/origins/src/origins.rs
+++ b/crates/origins/src/origins.rs
@@ -108,7 +108,7 @@
         let is_current = self.history.is_current(now);
         let services = self.history.services().filter(|_| is_current);
         let only: BTreeMap<_, _> = services
-            .filter_map(|s| Some((s.clone(), self.history.only(now, s)?)))
+            .filter_map(|s| Some((s.clone(), self.history.sole(now, s)?)))
             .collect();
         let lost: BTreeSet<_> = self
             .only
--- a/crates/origins/tests/origin_fleet.rs
+++ b/crates/origins/tests/origin_fleet.rs
@@ -11,6 +11,8 @@
 /// VMs, zones, and new streams a second.
 const FLEETS: [(usize, usize, f64); 3] = [(8, 1, 70.0), (60, 4, 300.0), (300, 10, 900.0)];
 const LIFE: Duration = Duration::from_secs(20);
+/// Seeds of the fleets with an isolated VM.
+const ISOLATED_SEEDS: u64 = 20;
 /// Smallest share of callers who come back to which a VM can name the release, without cut VMs.
 const MIN_KNOWN: f64 = 0.9;
 /// Most bytes of control a second of a VM that is no hub.
@@ -126,6 +128,26 @@
     }
 }
 
+/// A VM that had just started used a new release before a VM that is cut off from the others could know, which took the old
+/// release for the only one.
+#[test]
+fn isolated_vm_does_not_resume_streams_of_a_vm_that_has_just_started() {
+    for seed in 0..ISOLATED_SEEDS {
+        let mut fleet = Fleet::new(8, 1, LIFE, seed);
+        fleet.kill(2);
+        // It starts again half a second after the release is listed.
+        fleet.run(Duration::from_millis(3_500), 70.0);
+        fleet.isolate(1, secs(10));
+        fleet.list(&[1, 2]);
+        fleet.run(Duration::from_millis(1_600), 400.0);
+        fleet.take_tally();
+        fleet.kill(2);
+        fleet.run(secs(2), 70.0);
+        let tally = fleet.take_tally();
+        assert_eq!(tally.wrong(), 0, "seed {seed}: {:?}", tally.all);
+    }
+}
+
 /// Callers of a release whose last endpoint had gone were served by the one that was left.
 #[test]
 fn callers_of_a_release_that_is_gone_are_known() {
