Tests: a rejected VM starts with a fresh state in a fleet with hubs

Change: two tests with 44 VMs in two zones, one of which the platform rejects: a VM that starts there, and one that becomes its first hub. They guard; they were not run on the code before.

--- a/crates/relay/tests/common/cut_fleet.rs
+++ b/crates/relay/tests/common/cut_fleet.rs
@@ -29,6 +29,7 @@
 /// A fleet whose zones can be cut off from all endpoints.
 pub(crate) struct CutFleet {
     pub(crate) zones: Vec<CutZone>,
+    pub(crate) ports: Ports,
 }
 
 impl CutFleet {
@@ -45,7 +46,10 @@
     ) -> Self {
         let ports = Ports::free();
         let mut seeds = Vec::new();
-        let mut fleet = Self { zones: Vec::new() };
+        let mut fleet = Self {
+            zones: Vec::new(),
+            ports,
+        };
         let mut started = 0;
         for (number, vms) in zones.iter().enumerate() {
             let gates: Vec<_> = servers.iter().map(|s| Gate::start(s.addr)).collect();
--- a/crates/relay/tests/stale_starts.rs
+++ b/crates/relay/tests/stale_starts.rs
@@ -4,8 +4,8 @@
 
 use {
     common::{
-        FakeEndpoint, Ports, Router, RouterSpec, Script, config_change, endpoint, response_head,
-        route,
+        CutFleet, FakeEndpoint, Ports, Router, RouterSpec, Script, config_change, endpoint,
+        response_head, route,
     },
     relay::{FeedChange, FeedKind, RouteKind},
     std::{
@@ -21,7 +21,9 @@
 const APPLY_TIME: Duration = Duration::from_secs(2);
 /// Time after which the state of a VM that can't read the platform is stale.
 const STALE_TIME: Duration = Duration::from_millis(1_500);
-/// The reader of the zone in all tests: the VM with the last name.
+/// Time in which all VMs of a large fleet find their hubs.
+const HUB_TIME: Duration = Duration::from_secs(6);
+/// The reader of the zone in small fleets: the VM with the last name.
 const READER: &str = "vm-9";
 
 fn request() -> Vec<u8> {
@@ -155,3 +157,55 @@
     let age = age_when_closed(&zone.vms[0], read);
     assert!(age < APPLY_TIME, "{age:?}");
 }
+
+/// A fleet with hubs whose second zone the platform rejects. All VMs of the first one know the newer configuration.
+fn large_fleet_with_rejected_zone(server: &FakeEndpoint) -> CutFleet {
+    let fleet = CutFleet::start(RouteKind::Once, &[22, 22], std::slice::from_ref(server));
+    thread::sleep(HUB_TIME);
+    for vm in &fleet.zones[1].vms {
+        vm.feed.down.store(true, SeqCst);
+    }
+    for vm in &fleet.zones[0].vms {
+        vm.feed.push(FeedKind::Configuration, closed_route());
+    }
+    thread::sleep(STALE_TIME);
+    fleet
+}
+
+/// Starts a VM that the platform rejects in the second zone; returns its age when it acts on the newer configuration.
+fn start_rejected(fleet: &CutFleet, server: &FakeEndpoint, name: &'static str) -> Duration {
+    let spec = RouterSpec {
+        name,
+        zone: "z1",
+        ip: [127, 0, 0, 100].into(),
+        ports: fleet.ports,
+        seeds: fleet.zones[0].vms[..3]
+            .iter()
+            .map(|vm| vm.control)
+            .collect(),
+        config: None,
+        ..RouterSpec::new(RouteKind::Once, vec![endpoint("e0", server.addr)])
+    };
+    spec.feed.down.store(true, SeqCst);
+    let begun = Instant::now();
+    let vm = Router::start(spec);
+    age_when_closed(&vm, begun)
+}
+
+/// As in small fleets, with a zone whose hubs use the state of other zones.
+#[test]
+fn rejected_vm_of_a_fleet_with_hubs_starts_with_a_fresh_state() {
+    let server = responding();
+    let fleet = large_fleet_with_rejected_zone(&server);
+    let age = start_rejected(&fleet, &server, "vm-000x");
+    assert!(age < CONTACT_TIME, "{age:?}");
+}
+
+/// As above; the VM becomes the first hub of its zone.
+#[test]
+fn rejected_first_hub_of_a_zone_starts_with_a_fresh_state() {
+    let server = responding();
+    let fleet = large_fleet_with_rejected_zone(&server);
+    let age = start_rejected(&fleet, &server, "vm-999");
+    assert!(age < CONTACT_TIME, "{age:?}");
+}
