--- a/crates/once/src/claimer.rs
+++ b/crates/once/src/claimer.rs
@@ -1,13 +1,16 @@
 //! Claims idempotency keys for the requests of this process.
 
 use {
-    super::{ClaimKey, ClaimOp, ClaimState, ClaimTable, Fingerprint, StoredResponse},
+    super::{
+        ClaimKey, ClaimOp, ClaimState, ClaimTable, Fingerprint, StoredResponse,
+        batch::{ClaimBatch, ReadOp},
+    },
     async_channel::{Receiver, Sender, unbounded},
     clock::{Instant, SharedClock, timeout},
     coord::{Follower, ReadOutcome},
     event_listener::Event,
     parking_lot::Mutex,
-    ports::{Log, Stream},
+    ports::{Log, Record, Stream},
     std::{
         error::Error,
         fmt,
@@ -190,15 +193,11 @@
         loop {
             match follower.read_next().await {
                 Ok(ReadOutcome::Records(records)) => {
-                    let mut claims = self.claims.lock();
                     for record in records {
-                        let ops: Vec<ClaimOp> =
-                            serde_json::from_str(&record.data).unwrap_or_default();
-                        for op in ops {
-                            claims.fold(record.at_ms, op);
-                        }
+                        self.apply(&record);
                     }
-                    metrics::gauge!("celerystage_claims").set(claims.len() as f64);
+                    let count = self.claims.lock().len();
+                    metrics::gauge!("celerystage_claims").set(count as f64);
                 }
                 Ok(ReadOutcome::Lost(first)) => follower.seek(first),
                 Err(e) => log::warn!(error:% = e; "cannot read the claim stream"),
@@ -207,6 +206,25 @@
         }
     }
 
+    fn apply(&self, record: &Record) {
+        let batch = ClaimBatch::decode(&record.data);
+        if batch.unreadable > 0 {
+            log::error!(offset = record.offset, operations = batch.unreadable; "cannot read operations on claims");
+            metrics::counter!("celerystage_claim_ops_unreadable_total")
+                .increment(batch.unreadable as u64);
+        }
+        let mut claims = self.claims.lock();
+        for op in batch.ops {
+            match op {
+                ReadOp::Known(op) => claims.fold(record.at_ms, op),
+                ReadOp::Unknown(key, request) => {
+                    log::warn!(offset = record.offset, request:% = request; "unknown operation on a claim, its key counts as claimed");
+                    claims.fold_unknown(record.at_ms, key, request);
+                }
+            }
+        }
+    }
+
     /// Appends queued operations in batches, one append at a time. Runs until it is dropped. A
     /// batch whose append failed is appended again, which is safe as its operations are idempotent.
     pub async fn write_log(self: Arc<Self>) {
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -2,6 +2,7 @@
 //! claim their key on the platform's log; only the first claim of a key in log order may be
 //! executed.
 
+mod batch;
 mod claimer;
 mod record;
 mod table;
--- a/crates/once/src/table.rs
+++ b/crates/once/src/table.rs
@@ -18,7 +18,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Claim {
     request: RequestId,
-    fingerprint: Fingerprint,
+    /// `None` if the operation that claimed the key doesn't tell it.
+    fingerprint: Option<Fingerprint>,
     progress: Progress,
 }
 
@@ -81,8 +82,11 @@
         let Some(claim) = self.claims.get(&key) else {
             return ClaimState::Unclaimed;
         };
-        if claim.fingerprint != fingerprint {
-            return ClaimState::Mismatch;
+        match claim.fingerprint {
+            Some(known) if known != fingerprint => return ClaimState::Mismatch,
+            // Its response may be that of another request.
+            None => return ClaimState::Pending(claim.request),
+            Some(_) => {}
         }
         match &claim.progress {
             Progress::Pending => ClaimState::Pending(claim.request),
@@ -98,14 +102,13 @@
     /// Applies an operation of a record that was appended to the log at `at_ms`, Unix time in
     /// milliseconds.
     pub fn fold(&mut self, at_ms: u64, op: ClaimOp) {
-        self.newest_ms = self.newest_ms.max(at_ms);
-        self.expire_old();
+        self.advance(at_ms);
         match op {
             ClaimOp::Claim {
                 key,
                 print,
                 request,
-            } => self.claim(key, print, request),
+            } => self.claim(key, Some(print), request),
             ClaimOp::Complete {
                 key,
                 request,
@@ -121,7 +124,18 @@
         }
     }
 
-    fn claim(&mut self, key: ClaimKey, fingerprint: Fingerprint, request: RequestId) {
+    /// Applies an operation of an unknown kind. Its request may be executed, so that no other one may.
+    pub fn fold_unknown(&mut self, at_ms: u64, key: ClaimKey, request: RequestId) {
+        self.advance(at_ms);
+        self.claim(key, None, request);
+    }
+
+    fn advance(&mut self, at_ms: u64) {
+        self.newest_ms = self.newest_ms.max(at_ms);
+        self.expire_old();
+    }
+
+    fn claim(&mut self, key: ClaimKey, fingerprint: Option<Fingerprint>, request: RequestId) {
         if self.claims.contains_key(&key) || self.released.contains(&request) {
             return;
         }
