Log a usage record that cannot be decoded

The state of the usage stream skipped such a record without a line. Skipping it stays: all readers of one release see the same record, and a seal after it refers to the last one that they know.

--- a/crates/usage/src/usage_state.rs
+++ b/crates/usage/src/usage_state.rs
@@ -79,7 +79,10 @@
                 self.unreported.remove(&window);
                 FoldOutcome::Reported
             }
-            Err(_) => FoldOutcome::Skipped,
+            Err(e) => {
+                log::error!(offset = offset, error:% = e; "cannot decode a usage record");
+                FoldOutcome::Skipped
+            }
         }
     }
 
