Large request bodies share a quarter of the memory

Callers: many large requests at once took more memory than the settings name, and the VM was ended with all that it served. 40 requests of 3 MiB at a VM of 100 MB: 30 in progress together, 188,743,680 bytes with the copy that is sent (large_requests_leave_memory_for_others, failed before).

Cause: each body had a bound, their sum had none. A body reserves twice its size, less 64 KiB, from a budget of a quarter of the memory before it is read. One of known length waits up to 0.4 s and holds nothing meanwhile, so that waiting requests can't block each other; then it is refused as not run, with a Retry-After that spreads the callers. A chunked body that outgrows the budget is refused at once.

The test passes; each of the 40 is served or refused as not run, and a small request is served meanwhile.

--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod front;
 mod internal;
+mod request_body;
 mod session;
 
 pub(crate) use {
--- a/crates/relay/src/connection/session.rs
+++ b/crates/relay/src/connection/session.rs
@@ -1,21 +1,24 @@
 //! Serves the requests of a caller's connection, one after the other.
 
 use {
+    super::request_body::{BodyFailure, RequestBody, read_body},
     crate::{
         process::{ConnectionGuard, Node},
         request::{Response, RoutedRequest, StreamOutcome, accept, run_buffered, run_stream},
     },
     clock::{Instant, timeout},
     futures_lite::FutureExt,
-    h1::{BodyError, BodyReader, Conn, Framing, HeadError, RequestHead, request_framing},
+    h1::{Conn, HeadError, RequestHead},
     std::{sync::Arc, time::Duration},
     types::{Reason, Refusal, Verdict},
 };
 
 /// Timeout for sending a buffered response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time within which a request body must arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// `Retry-After` of a request for whose body there is no memory, and the range over which such callers are
+/// spread.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(300);
+const NO_ROOM_SPREAD_MS: u64 = 600;
 /// Time for which a connection is still read after a request was refused unread. Closing it at once
 /// would reset it, and the caller might lose the response.
 const LINGER_TIME: Duration = Duration::from_millis(500);
@@ -75,43 +78,16 @@
     let _open = node.lifecycle.open_request();
     let body = match read_body(node, conn, &head).await {
         Ok(body) => body,
-        Err(Some((status, text))) => return refuse_unread(node, conn, status, text).await,
-        Err(None) => return Disposition::Close,
-    };
-    route_request(node, conn, (head, body), arrived).await
-}
-
-/// Reads a request's body. An error is the status and text to answer with, or `None` if the
-/// connection was lost.
-async fn read_body(
-    node: &Arc<Node>,
-    conn: &mut Conn,
-    head: &RequestHead,
-) -> Result<Vec<u8>, Option<(u16, &'static str)>> {
-    let limit = node.caller_limits().body;
-    let framing = request_framing(head).map_err(|e| {
-        log::debug!(error:% = e; "request refused");
-        Some((400, "ambiguous or malformed body length"))
-    })?;
-    if let Framing::Length(size) = framing
-        && size > limit.0
-    {
-        return Err(Some((413, "body over the size limit")));
-    }
-    if head.headers.has_token("expect", "100-continue") {
-        let interim = conn.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-        interim.map_err(|_| None)?;
-    }
-    let mut reader = BodyReader::new(framing);
-    match timeout(&*node.clock, BODY_TIMEOUT, reader.read_all(conn, limit)).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::Io(_))) => Err(None),
-        Ok(Err(BodyError::Malformed)) => Err(Some((400, "malformed chunk"))),
-        Ok(Err(BodyError::TooLarge | BodyError::NoRoom)) => {
-            Err(Some((413, "body over the size limit")))
+        Err(BodyFailure::Lost) => return Disposition::Close,
+        Err(BodyFailure::Invalid(status, text)) => {
+            return refuse_unread(node, conn, status, text).await;
         }
-        Err(_) => Err(Some((408, "body took too long"))),
-    }
+        Err(BodyFailure::NoRoom) => return refuse_without_room(node, conn).await,
+    };
+    let RequestBody { bytes, held } = body;
+    let disposition = route_request(node, conn, (head, bytes), arrived).await;
+    drop(held);
+    disposition
 }
 
 /// Refuses a request that was not read to its end, and closes the connection.
@@ -121,9 +97,30 @@
     status: u16,
     text: &'static str,
 ) -> Disposition {
-    log::info!(status = status, cause = text; "request refused unread");
     let mut response = Response::refusal(Refusal::not_run(Reason::BadRequest, text));
     response.head.status = status;
+    close_unread(node, conn, &response, text).await
+}
+
+/// Refuses a request for whose body there is no memory, and closes the connection.
+async fn refuse_without_room(node: &Arc<Node>, conn: &mut Conn) -> Disposition {
+    const TEXT: &str = "no memory left for the body";
+    metrics::counter!("celerystage_requests_without_room_total").increment(1);
+    let spread = Duration::from_millis(fastrand::u64(..NO_ROOM_SPREAD_MS));
+    let refusal = Refusal::not_run(Reason::Overloaded, TEXT);
+    let refusal = refusal.with_retry_after(NO_ROOM_RETRY_AFTER + spread);
+    close_unread(node, conn, &Response::refusal(refusal), TEXT).await
+}
+
+/// Sends the response to a request that was not read to its end, and closes the connection.
+async fn close_unread(
+    node: &Arc<Node>,
+    conn: &mut Conn,
+    response: &Response,
+    cause: &'static str,
+) -> Disposition {
+    let status = response.head.status;
+    log::info!(status = status, cause = cause; "request refused unread");
     let bytes = response.bytes(true, false);
     if !matches!(
         timeout(&*node.clock, WRITE_TIMEOUT, conn.write_all(&bytes)).await,
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -46,8 +46,9 @@
 /// after that time take less than three seconds in all.
 const MAX_READER_START: Duration = Duration::from_millis(1_500);
 
-/// The budget for buffered responses is this fraction of the memory: one part in so many.
-const RESPONSE_SHARE: u64 = 4;
+/// The budgets for the bodies of requests and of buffered responses are each this fraction of the memory: one
+/// part in so many.
+const BODY_SHARE: u64 = 4;
 
 /// State shared by all tasks.
 pub(crate) struct Node {
@@ -81,6 +82,8 @@
     pub(super) carried: AtomicUsize,
     /// Sequence number of the next gossip message.
     pub(crate) gossip_seq: AtomicU64,
+    /// Memory budget of the bodies of callers' requests.
+    pub(crate) request_bytes: Arc<ByteBudget>,
     /// Memory budget of buffered responses.
     pub(crate) response_bytes: Arc<ByteBudget>,
     pub(crate) window_counter: Mutex<WindowCounter>,
@@ -134,7 +137,8 @@
             carriers: Mutex::new(CarrierTable::new(fastrand::u64(..))),
             carried: AtomicUsize::new(0),
             gossip_seq: AtomicU64::new(1),
-            response_bytes: ByteBudget::new(Bytes(settings.memory.0 / RESPONSE_SHARE)),
+            request_bytes: ByteBudget::new(Bytes(settings.memory.0 / BODY_SHARE)),
+            response_bytes: ByteBudget::new(Bytes(settings.memory.0 / BODY_SHARE)),
             window_counter: Mutex::default(),
             count_keeper: Mutex::default(),
             count_backlog: Mutex::default(),
