--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -1,7 +1,10 @@
 //! Calls whose response is read into memory.
 
 use {
-    super::{BodyError, BodyReader, Pool, RequestHead, ResponseHead, response_framing},
+    super::{
+        BodyError, BodyReader, Pool, RequestHead, ResponseHead, response_framing,
+        send_permission::SendPermission,
+    },
     clock::{Clock, Instant, timeout},
     std::{error::Error, fmt, net::SocketAddr, time::Duration},
     types::{Bytes, Verdict},
@@ -91,12 +94,17 @@
             verdict: Verdict::NotRun,
             cause: e.into(),
         })?;
-    if limits.send_by.is_some_and(|by| clock.now() >= by) {
-        return Err(CallError::timed_out(Verdict::NotRun));
+    let permission = limits.send_by.map(|by| SendPermission::new(clock, by));
+    if let Some(Err(e)) = permission.as_ref().map(SendPermission::check) {
+        return Err(CallError {
+            verdict: Verdict::NotRun,
+            cause: e.into(),
+        });
     }
     let exchange = async {
         let conn = &mut pooled.conn;
-        let (response, fully_sent) = conn.exchange(&bytes, MAX_HEAD_SIZE).await?;
+        let exchange = conn.exchange_while(permission.as_ref(), &bytes, MAX_HEAD_SIZE);
+        let (response, fully_sent) = exchange.await?;
         let framing =
             response_framing(&response, &head.method).map_err(|_| BodyError::Malformed)?;
         let body = BodyReader::new(framing)
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -1,7 +1,7 @@
 //! A TCP connection with a read buffer.
 
 use {
-    super::{HeadError, RequestHead, ResponseHead},
+    super::{HeadError, RequestHead, ResponseHead, send_permission::SendPermission},
     async_io::Async,
     futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt},
     rustix::net::sockopt,
@@ -229,15 +229,26 @@
         &mut self,
         request: &[u8],
         limit: Bytes,
+    ) -> io::Result<(ResponseHead, bool)> {
+        self.exchange_while(None, request, limit).await
+    }
+
+    /// The same for a request of which nothing is written once its permission has run out.
+    pub(crate) async fn exchange_while(
+        &mut self,
+        permission: Option<&SendPermission<'_>>,
+        request: &[u8],
+        limit: Bytes,
     ) -> io::Result<(ResponseHead, bool)> {
         self.unanswered = true;
-        let answer = self.send_and_read_head(request, limit).await?;
+        let answer = self.send_and_read_head(permission, request, limit).await?;
         self.unanswered = !answer.1;
         Ok(answer)
     }
 
     async fn send_and_read_head(
         &mut self,
+        permission: Option<&SendPermission<'_>>,
         request: &[u8],
         limit: Bytes,
     ) -> io::Result<(ResponseHead, bool)> {
@@ -258,6 +269,9 @@
             }
             let rest = &request[sent..];
             let step = poll_fn(|cx| {
+                if let Some(Err(e)) = permission.map(SendPermission::check) {
+                    return Poll::Ready(Err(Err(e)));
+                }
                 if let Poll::Ready(done) = Pin::new(&mut &self.io).poll_write(cx, rest) {
                     return Poll::Ready(Ok(done));
                 }
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -11,6 +11,7 @@
 mod framing;
 mod head;
 mod pool;
+mod send_permission;
 mod sse;
 
 pub use {
--- /dev/null
+++ b/crates/h1/tests/send_permission.rs
@@ -0,0 +1,106 @@
+//! Calls whose permission runs out while their bytes are under way.
+
+use {
+    async_io::block_on,
+    clock::{Clock, TestClock},
+    h1::{CallLimits, Headers, Pool, RequestHead, call},
+    rustix::net::sockopt,
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        thread,
+        time::Duration,
+    },
+    types::Bytes,
+};
+
+/// Receive buffer of a peer that doesn't read, in bytes.
+const RECEIVE_BUFFER: usize = 4 * 1024;
+/// Size of a body that fits into no buffer, so that it isn't written at once.
+const LARGE_BODY: usize = 16 * 1024 * 1024;
+/// Time for a sender to write what its buffer takes.
+const WRITE_TIME: Duration = Duration::from_millis(200);
+/// Time after which a peer gives up waiting for bytes.
+const READ_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A peer with a small receive buffer.
+fn small_listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    sockopt::set_socket_recv_buffer_size(&listener, RECEIVE_BUFFER).unwrap();
+    let addr = listener.local_addr().unwrap();
+    (listener, addr)
+}
+
+/// Posts a body with a permission that lasts for `permitted`; whether it was answered.
+fn post(clock: &dyn Clock, addr: SocketAddr, size: usize, permitted: Duration) -> bool {
+    let head = RequestHead {
+        method: "POST".into(),
+        target: "/usage".into(),
+        minor_version: 1,
+        headers: Headers::default(),
+    };
+    let limits = CallLimits {
+        timeout: 10 * permitted,
+        max_body: Bytes(1024),
+        send_by: Some(clock.now() + permitted),
+    };
+    let body = vec![b'x'; size];
+    let pool = Pool::default();
+    block_on(call(clock, &pool, addr, (head, &body), limits)).is_ok()
+}
+
+/// Accepts a connection and waits for its first bytes without reading them.
+fn accept_unread(listener: &TcpListener) -> TcpStream {
+    let (conn, _) = listener.accept().unwrap();
+    conn.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    assert_eq!(conn.peek(&mut [0; 1]).unwrap(), 1);
+    thread::sleep(WRITE_TIME);
+    conn
+}
+
+/// Reads a request with a body of `size` bytes, and answers it if it is complete; whether it was.
+fn receives_all(mut conn: TcpStream, size: usize) -> bool {
+    let mut buf = vec![0; 64 * 1024];
+    let mut body = 0;
+    while body < size {
+        match conn.read(&mut buf) {
+            Ok(n) if n > 0 => body += buf[..n].iter().filter(|b| **b == b'x').count(),
+            _ => return false,
+        }
+    }
+    conn.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        .unwrap();
+    true
+}
+
+/// A request that was written in part was finished after the permission to send it had run out.
+#[test]
+fn partial_write_is_not_finished_once_the_permission_has_run_out() {
+    let (listener, addr) = small_listener();
+    let clock = TestClock::default();
+    let permitted = Duration::from_secs(1);
+    let sender = {
+        let clock = clock.clone();
+        thread::spawn(move || post(&clock, addr, LARGE_BODY, permitted))
+    };
+    let conn = accept_unread(&listener);
+    clock.advance(permitted);
+    assert!(!receives_all(conn, LARGE_BODY));
+    assert!(!sender.join().unwrap());
+}
+
+/// The same sender and peer within the permission.
+#[test]
+fn partial_write_is_finished_while_the_permission_lasts() {
+    let (listener, addr) = small_listener();
+    let clock = TestClock::default();
+    let permitted = Duration::from_secs(1);
+    let sender = {
+        let clock = clock.clone();
+        thread::spawn(move || post(&clock, addr, LARGE_BODY, permitted))
+    };
+    let conn = accept_unread(&listener);
+    clock.advance(permitted / 2);
+    assert!(receives_all(conn, LARGE_BODY));
+    assert!(sender.join().unwrap());
+}
