--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -233,16 +233,24 @@
         self.exchange_while(None, request, limit).await
     }
 
-    /// The same for a request of which nothing is written once its permission has run out.
+    /// The same for a request of which nothing is written once its permission has run out, and which
+    /// doesn't outlive this process.
     pub(crate) async fn exchange_while(
         &mut self,
         permission: Option<&SendPermission<'_>>,
         request: &[u8],
         limit: Bytes,
     ) -> io::Result<(ResponseHead, bool)> {
+        if permission.is_some() {
+            // `Drop` doesn't run in a process that is killed.
+            sockopt::set_socket_linger(self.io.get_ref(), Some(Duration::ZERO))?;
+        }
         self.unanswered = true;
         let answer = self.send_and_read_head(permission, request, limit).await?;
         self.unanswered = !answer.1;
+        if permission.is_some() && !self.unanswered {
+            sockopt::set_socket_linger(self.io.get_ref(), None)?;
+        }
         Ok(answer)
     }
 
--- a/crates/h1/tests/send_permission.rs
+++ b/crates/h1/tests/send_permission.rs
@@ -1,13 +1,15 @@
-//! Calls whose permission runs out while their bytes are under way.
+//! Calls whose permission runs out, or whose process ends, while their bytes are under way.
 
 use {
     async_io::block_on,
-    clock::{Clock, TestClock},
+    clock::{Clock, SystemClock, TestClock},
     h1::{CallLimits, Headers, Pool, RequestHead, call},
     rustix::net::sockopt,
     std::{
+        env,
         io::{Read, Write},
         net::{SocketAddr, TcpListener, TcpStream},
+        process::{Child, Command},
         thread,
         time::Duration,
     },
@@ -16,12 +18,16 @@
 
 /// Receive buffer of a peer that doesn't read, in bytes.
 const RECEIVE_BUFFER: usize = 4 * 1024;
+/// Size of a body that fits into the sender's buffer, but not into the peer's.
+const BUFFERED_BODY: usize = 48 * 1024;
 /// Size of a body that fits into no buffer, so that it isn't written at once.
 const LARGE_BODY: usize = 16 * 1024 * 1024;
 /// Time for a sender to write what its buffer takes.
 const WRITE_TIME: Duration = Duration::from_millis(200);
 /// Time after which a peer gives up waiting for bytes.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
+/// Address that the process to kill sends to.
+const ADDR_VAR: &str = "H1_TEST_KILLED_SENDER_ADDR";
 
 /// A peer with a small receive buffer.
 fn small_listener() -> (TcpListener, SocketAddr) {
@@ -104,3 +110,33 @@
     assert!(receives_all(conn, LARGE_BODY));
     assert!(sender.join().unwrap());
 }
+
+/// Runs only in the process that the next test starts.
+#[test]
+fn killed_sender() {
+    let Ok(addr) = env::var(ADDR_VAR) else {
+        return;
+    };
+    let addr = addr.parse().unwrap();
+    post(&SystemClock, addr, BUFFERED_BODY, Duration::from_secs(5));
+}
+
+fn start_sender(addr: SocketAddr) -> Child {
+    Command::new(env::current_exe().unwrap())
+        .args(["--exact", "killed_sender"])
+        .env(ADDR_VAR, addr.to_string())
+        .spawn()
+        .unwrap()
+}
+
+/// The system went on sending the request of a process that had been killed, and it arrived
+/// whenever the peer read on.
+#[test]
+fn request_of_a_killed_process_does_not_arrive() {
+    let (listener, addr) = small_listener();
+    let mut sender = start_sender(addr);
+    let conn = accept_unread(&listener);
+    sender.kill().unwrap();
+    sender.wait().unwrap();
+    assert!(!receives_all(conn, BUFFERED_BODY));
+}
