--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -1,7 +1,7 @@
 //! A TCP connection with a read buffer.
 
 use {
-    super::{HeadError, RequestHead, ResponseHead},
+    super::{HeadError, RequestHead, ResponseHead, send_permission::SendPermission},
     async_io::Async,
     futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt},
     rustix::net::sockopt,
@@ -230,14 +230,33 @@
         request: &[u8],
         limit: Bytes,
     ) -> io::Result<(ResponseHead, bool)> {
+        self.exchange_while(None, request, limit).await
+    }
+
+    /// The same for a request of which nothing is written once its permission has run out, and which
+    /// doesn't outlive this process.
+    pub(crate) async fn exchange_while(
+        &mut self,
+        permission: Option<&SendPermission<'_>>,
+        request: &[u8],
+        limit: Bytes,
+    ) -> io::Result<(ResponseHead, bool)> {
+        if permission.is_some() {
+            // `Drop` doesn't run in a process that is killed.
+            sockopt::set_socket_linger(self.io.get_ref(), Some(Duration::ZERO))?;
+        }
         self.unanswered = true;
-        let answer = self.send_and_read_head(request, limit).await?;
+        let answer = self.send_and_read_head(permission, request, limit).await?;
         self.unanswered = !answer.1;
+        if permission.is_some() && !self.unanswered {
+            sockopt::set_socket_linger(self.io.get_ref(), None)?;
+        }
         Ok(answer)
     }
 
     async fn send_and_read_head(
         &mut self,
+        permission: Option<&SendPermission<'_>>,
         request: &[u8],
         limit: Bytes,
     ) -> io::Result<(ResponseHead, bool)> {
@@ -258,6 +277,9 @@
             }
             let rest = &request[sent..];
             let step = poll_fn(|cx| {
+                if let Some(Err(e)) = permission.map(SendPermission::check) {
+                    return Poll::Ready(Err(Err(e)));
+                }
                 if let Poll::Ready(done) = Pin::new(&mut &self.io).poll_write(cx, rest) {
                     return Poll::Ready(Ok(done));
                 }
