--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        BodyError, BodyReader, Pool, RequestHead, ResponseHead, response_framing,
+        BodyError, BodyReader, CallTimes, Pool, RequestHead, ResponseHead, response_framing,
         send_permission::SendPermission,
     },
     clock::{Clock, Instant, timeout},
@@ -20,6 +20,8 @@
     pub head: ResponseHead,
     /// Body.
     pub body: Vec<u8>,
+    /// When the request was written, if the permission to send it is limited.
+    pub times: CallTimes,
 }
 
 /// Limits of a call.
@@ -50,6 +52,9 @@
     pub verdict: Verdict,
     /// The failure.
     pub cause: BodyError,
+    /// What was done before the failure; whether the request was written is known only if the
+    /// permission to send it is limited.
+    pub times: CallTimes,
 }
 
 impl fmt::Display for CallError {
@@ -61,9 +66,21 @@
 impl Error for CallError {}
 
 impl CallError {
-    fn timed_out(verdict: Verdict) -> Self {
-        let cause = std::io::Error::from(std::io::ErrorKind::TimedOut).into();
-        Self { verdict, cause }
+    fn new(verdict: Verdict, cause: impl Into<BodyError>, times: CallTimes) -> Self {
+        let cause = cause.into();
+        Self {
+            verdict,
+            cause,
+            times,
+        }
+    }
+
+    fn timed_out(verdict: Verdict, times: CallTimes) -> Self {
+        Self::new(
+            verdict,
+            std::io::Error::from(std::io::ErrorKind::TimedOut),
+            times,
+        )
     }
 }
 
@@ -88,47 +105,35 @@
         pool.take_or_connect(clock.now(), addr),
     )
     .await;
+    let mut times = CallTimes::default();
     let mut pooled = opened
-        .map_err(|_| CallError::timed_out(Verdict::NotRun))?
-        .map_err(|e| CallError {
-            verdict: Verdict::NotRun,
-            cause: e.into(),
-        })?;
-    let permission = limits.send_by.map(|by| SendPermission::new(clock, by));
+        .map_err(|_| CallError::timed_out(Verdict::NotRun, times))?
+        .map_err(|e| CallError::new(Verdict::NotRun, e, times))?;
+    times.opened = Some(clock.now());
+    let mut permission = limits.send_by.map(|by| SendPermission::new(clock, by));
     if let Some(Err(e)) = permission.as_ref().map(SendPermission::check) {
-        return Err(CallError {
-            verdict: Verdict::NotRun,
-            cause: e.into(),
-        });
+        return Err(CallError::new(Verdict::NotRun, e, times));
     }
     let exchange = async {
         let conn = &mut pooled.conn;
-        let exchange = conn.exchange_while(permission.as_ref(), &bytes, MAX_HEAD_SIZE);
+        let exchange = conn.exchange_while(permission.as_mut(), &bytes, MAX_HEAD_SIZE);
         let (response, fully_sent) = exchange.await?;
         let framing =
             response_framing(&response, &head.method).map_err(|_| BodyError::Malformed)?;
         let body = BodyReader::new(framing)
             .read_all(conn, limits.max_body)
             .await?;
-        Ok((
-            Response {
-                head: response,
-                body,
-            },
-            fully_sent,
-        ))
+        Ok((response, body, fully_sent))
     };
     let outcome = timeout(clock, limits.timeout, exchange).await;
-    let (response, fully_sent) = outcome
-        .map_err(|_| CallError::timed_out(Verdict::MayHaveRun))?
-        .map_err(|cause| CallError {
-            verdict: Verdict::MayHaveRun,
-            cause,
-        })?;
+    times.written = permission.and_then(|p| p.written);
+    let (head, body, fully_sent) = outcome
+        .map_err(|_| CallError::timed_out(Verdict::MayHaveRun, times))?
+        .map_err(|cause: BodyError| CallError::new(Verdict::MayHaveRun, cause, times))?;
     if fully_sent {
-        pool.put_back(clock.now(), addr, pooled, &response.head);
+        pool.put_back(clock.now(), addr, pooled, &head);
     }
-    Ok(response)
+    Ok(Response { head, body, times })
 }
 
 /// Sends a `GET` request; the limits are those of [`call`].
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -237,18 +237,19 @@
     /// doesn't outlive this process.
     pub(crate) async fn exchange_while(
         &mut self,
-        permission: Option<&SendPermission<'_>>,
+        permission: Option<&mut SendPermission<'_>>,
         request: &[u8],
         limit: Bytes,
     ) -> io::Result<(ResponseHead, bool)> {
-        if permission.is_some() {
+        let is_limited = permission.is_some();
+        if is_limited {
             // `Drop` doesn't run in a process that is killed.
             sockopt::set_socket_linger(self.io.get_ref(), Some(Duration::ZERO))?;
         }
         self.unanswered = true;
         let answer = self.send_and_read_head(permission, request, limit).await?;
         self.unanswered = !answer.1;
-        if permission.is_some() && !self.unanswered {
+        if is_limited && !self.unanswered {
             sockopt::set_socket_linger(self.io.get_ref(), None)?;
         }
         Ok(answer)
@@ -256,7 +257,7 @@
 
     async fn send_and_read_head(
         &mut self,
-        permission: Option<&SendPermission<'_>>,
+        mut permission: Option<&mut SendPermission<'_>>,
         request: &[u8],
         limit: Bytes,
     ) -> io::Result<(ResponseHead, bool)> {
@@ -264,6 +265,9 @@
         let mut write_failed = false;
         loop {
             let fully_sent = sent == request.len();
+            if fully_sent && let Some(permission) = &mut permission {
+                permission.finish();
+            }
             if let Ok(Some((head, size))) = ResponseHead::parse(self.buffered())
                 && head.status >= 200
             {
@@ -277,7 +281,7 @@
             }
             let rest = &request[sent..];
             let step = poll_fn(|cx| {
-                if let Some(Err(e)) = permission.map(SendPermission::check) {
+                if let Some(Err(e)) = permission.as_ref().map(|p| p.check()) {
                     return Poll::Ready(Err(Err(e)));
                 }
                 if let Poll::Ready(done) = Pin::new(&mut &self.io).poll_write(cx, rest) {
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod body;
 mod call;
+mod call_times;
 mod conn;
 mod framing;
 mod head;
@@ -17,6 +18,7 @@
 pub use {
     body::{BodyError, BodyReader},
     call::{CallError, CallLimits, Response, call, get},
+    call_times::CallTimes,
     conn::Conn,
     framing::{Framing, FramingError, request_framing, response_framing},
     head::{HeadError, Headers, MAX_HEADERS, RequestHead, ResponseHead},
--- a/crates/h1/src/send_permission.rs
+++ b/crates/h1/src/send_permission.rs
@@ -9,11 +9,17 @@
 pub(crate) struct SendPermission<'a> {
     clock: &'a dyn Clock,
     until: Instant,
+    /// When the request was fully written.
+    pub(crate) written: Option<Instant>,
 }
 
 impl<'a> SendPermission<'a> {
     pub(crate) fn new(clock: &'a dyn Clock, until: Instant) -> Self {
-        Self { clock, until }
+        Self {
+            clock,
+            until,
+            written: None,
+        }
     }
 
     /// Fails once the permission has run out.
@@ -23,4 +29,9 @@
         }
         Ok(())
     }
+
+    /// Notes that the request is fully written.
+    pub(crate) fn finish(&mut self) {
+        self.written.get_or_insert(self.clock.now());
+    }
 }
