--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -6,10 +6,13 @@
         send_permission::SendPermission,
     },
     clock::{Clock, Instant, timeout},
-    std::{error::Error, fmt, net::SocketAddr, time::Duration},
+    futures_lite::FutureExt,
+    std::{error::Error, fmt, future::pending, io, net::SocketAddr, time::Duration},
     types::{Bytes, Verdict},
 };
 
+/// Interval between two looks whether a call with a permission has expired.
+const EXPIRY_POLL: Duration = Duration::from_millis(100);
 /// Largest accepted response head.
 const MAX_HEAD_SIZE: Bytes = Bytes(16 * 1024);
 
@@ -76,11 +79,7 @@
     }
 
     fn timed_out(verdict: Verdict, times: CallTimes) -> Self {
-        Self::new(
-            verdict,
-            std::io::Error::from(std::io::ErrorKind::TimedOut),
-            times,
-        )
+        Self::new(verdict, io::Error::from(io::ErrorKind::TimedOut), times)
     }
 }
 
@@ -125,6 +124,8 @@
             .await?;
         Ok((response, body, fully_sent))
     };
+    let expires = limits.send_by.map(|_| clock.now() + limits.timeout);
+    let exchange = exchange.or(until_expired(clock, expires));
     let outcome = timeout(clock, limits.timeout, exchange).await;
     times.written = permission.and_then(|p| p.written);
     let (head, body, fully_sent) = outcome
@@ -136,6 +137,18 @@
     Ok(Response { head, body, times })
 }
 
+/// Fails once a call with a permission has expired. Timers don't count the time for which the machine is
+/// suspended, and the system would go on sending the request after it.
+async fn until_expired<T>(clock: &dyn Clock, expires: Option<Instant>) -> Result<T, BodyError> {
+    let Some(expires) = expires else {
+        return pending().await;
+    };
+    while clock.now() < expires {
+        clock.sleep(EXPIRY_POLL).await;
+    }
+    Err(io::Error::from(io::ErrorKind::TimedOut).into())
+}
+
 /// Sends a `GET` request; the limits are those of [`call`].
 pub async fn get(
     clock: &dyn Clock,
--- a/crates/h1/tests/send_permission.rs
+++ b/crates/h1/tests/send_permission.rs
@@ -2,7 +2,7 @@
 
 use {
     async_io::block_on,
-    clock::{Clock, SystemClock, TestClock},
+    clock::{Clock, Instant, Sleep, SystemClock, TestClock},
     h1::{CallLimits, Headers, Pool, RequestHead, call},
     rustix::net::sockopt,
     std::{
@@ -10,6 +10,10 @@
         io::{Read, Write},
         net::{SocketAddr, TcpListener, TcpStream},
         process::{Child, Command},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering::SeqCst},
+        },
         thread,
         time::Duration,
     },
@@ -26,6 +30,8 @@
 const WRITE_TIME: Duration = Duration::from_millis(200);
 /// Time after which a peer gives up waiting for bytes.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after a suspension in which a late call isn't held against its sender.
+const WAKE_TIME: Duration = Duration::from_millis(300);
 /// Address that the process to kill sends to.
 const ADDR_VAR: &str = "H1_TEST_KILLED_SENDER_ADDR";
 
@@ -140,3 +146,47 @@
     sender.wait().unwrap();
     assert!(!receives_all(conn, BUFFERED_BODY));
 }
+
+/// A clock that counts the time in which the machine was suspended; its timers don't.
+#[derive(Clone, Default)]
+struct SuspendedClock {
+    suspended_ms: Arc<AtomicU64>,
+}
+
+impl SuspendedClock {
+    fn suspend(&self, span: Duration) {
+        self.suspended_ms.fetch_add(span.as_millis() as u64, SeqCst);
+    }
+}
+
+impl Clock for SuspendedClock {
+    fn now(&self) -> Instant {
+        SystemClock.now() + Duration::from_millis(self.suspended_ms.load(SeqCst))
+    }
+
+    fn unix_time(&self) -> Duration {
+        SystemClock.unix_time()
+    }
+
+    fn sleep(&self, span: Duration) -> Sleep {
+        SystemClock.sleep(span)
+    }
+}
+
+/// After its machine was suspended, a request stayed in the send buffer for the rest of its timeout, as timers
+/// don't count that time.
+#[test]
+fn request_ends_soon_after_its_machine_was_suspended_beyond_its_timeout() {
+    let (listener, addr) = small_listener();
+    let clock = SuspendedClock::default();
+    let permitted = Duration::from_secs(1);
+    let sender = {
+        let clock = clock.clone();
+        thread::spawn(move || post(&clock, addr, BUFFERED_BODY, permitted))
+    };
+    let conn = accept_unread(&listener);
+    clock.suspend(20 * permitted);
+    thread::sleep(WAKE_TIME);
+    assert!(!receives_all(conn, BUFFERED_BODY));
+    assert!(!sender.join().unwrap());
+}
