Walk: two releases with late appends, dropped records and the contenders of larger fleets

A walk by hand does both with 6, 12 and 15 contenders (three a zone in two, four and five zones), and tells which release made the wrong call: the process now carries its release.

--- a/crates/coord/tests/duty_walk_sim/fault_mix.rs
+++ b/crates/coord/tests/duty_walk_sim/fault_mix.rs
@@ -44,6 +44,19 @@
     Unreadable,
 ];
 
+/// The faults of a walk with two releases.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum MixedFaults {
+    /// Those that earlier releases bear.
+    Earlier,
+    /// Those, and a log that is slow or drops records.
+    DroppedRecords,
+}
+
+const DROP_FAULTS: [Fault; 10] = [
+    Freeze, Slow, Restart, PowerOff, Reject, CutOff, Outage, SlowLog, Expire, Compact,
+];
+
 /// The kinds of faults of one walk, and how often they happen.
 #[derive(Debug, Clone)]
 pub(crate) struct FaultMix {
@@ -99,6 +112,16 @@
         }
     }
 
+    /// Some of the faults for a walk with two releases.
+    pub(crate) fn mixed(faults: MixedFaults, rng: &mut Rng) -> Self {
+        let mut mix = Self::random(Fleet::Earlier, rng);
+        if faults == MixedFaults::DroppedRecords {
+            let kinds = DROP_FAULTS.map(|kind| rng.bool().then_some(kind));
+            mix.kinds.extend(kinds.into_iter().flatten());
+        }
+        mix
+    }
+
     pub(crate) fn pick(&self, rng: &mut Rng) -> Option<Fault> {
         rng.choice(self.kinds.iter().copied())
     }
--- a/crates/coord/tests/duty_walk_sim/platform.rs
+++ b/crates/coord/tests/duty_walk_sim/platform.rs
@@ -15,6 +15,8 @@
 pub(crate) struct Process {
     pub(crate) vm: usize,
     pub(crate) incarnation: u64,
+    /// Whether it runs an earlier release.
+    pub(crate) earlier: bool,
 }
 
 impl fmt::Display for Process {
--- a/crates/coord/tests/duty_walk_sim/simulation.rs
+++ b/crates/coord/tests/duty_walk_sim/simulation.rs
@@ -4,7 +4,7 @@
     super::{
         current_lease::CurrentLease,
         earlier_lease::EarlierLease,
-        fault_mix::{Fault, FaultMix, Fleet},
+        fault_mix::{Fault, FaultMix, Fleet, MixedFaults},
         lease_view::LeaseView,
         log::Log,
         platform::{Call, Platform, Process, Violation},
@@ -101,6 +101,10 @@
     rng: Rng,
     mix: FaultMix,
     rechecks: bool,
+    /// Whether appends of earlier releases take effect late too.
+    late_earlier: bool,
+    /// The sender of the newest call, and the one of the counted call before it.
+    senders: (Option<Process>, Option<Process>),
     /// Whether the whole system starts for the first time.
     is_new: bool,
     now: u64,
@@ -127,6 +131,24 @@
         Self::with_mix(rng, mix)
     }
 
+    /// A fleet of two releases with this many VMs that contend, in which appends of both take effect
+    /// late.
+    pub(crate) fn mixed(seed: u64, contenders: usize, kinds: MixedFaults) -> Self {
+        let mut rng = Rng::with_seed(seed);
+        let mix = FaultMix::mixed(kinds, &mut rng);
+        let mut simulation = Self::with_mix(rng, mix);
+        simulation.late_earlier = true;
+        for index in simulation.machines.len()..contenders {
+            simulation.add_machine(index);
+        }
+        simulation
+    }
+
+    /// The sender of the newest call, and the one of the counted call before it.
+    pub(crate) fn senders(&self) -> (Option<Process>, Option<Process>) {
+        self.senders
+    }
+
     /// A fleet without faults of its own.
     pub(crate) fn without_faults(seed: u64) -> Self {
         Self::with_mix(Rng::with_seed(seed), FaultMix::none())
@@ -143,6 +165,8 @@
             rng,
             mix,
             rechecks: true,
+            late_earlier: false,
+            senders: (None, None),
             is_new: base == 0,
             now: START_MS,
             queue: BTreeMap::new(),
@@ -306,6 +330,7 @@
         let process = Process {
             vm: index,
             incarnation,
+            earlier: self.machines[index].earlier,
         };
         let rechecks = self.rechecks;
         self.machines[index].vm = Some(Vm::new(process, lease, rechecks));
@@ -541,7 +566,7 @@
         };
         let lost = self.mix.lost_requests;
         let unanswered = lost + self.mix.lost_answers;
-        let late = match self.machines[index].earlier {
+        let late = match self.machines[index].earlier && !self.late_earlier {
             true => 0,
             false => unanswered + self.mix.late_appends,
         };
@@ -621,6 +646,8 @@
             let note = if excused { " (excused)" } else { "" };
             format!("platform: {sender} acts with token {token}, {figure:?}{note}")
         });
+        let before = self.platform.last_call.map(|(_, sender)| sender);
+        self.senders = (Some(call.sender), before);
         self.platform.receive(self.now, call, excused)?;
         if !self.is_stale(index, generation) {
             let done = self.rare(2) == 0;
