A second seal that an earlier release writes of a closed window isn't reported

In the walk of mixed fleets with dropped records, a VM of this release reported other figures for a window than a VM before it.

A seal without a trailer, of a window whose seal may have been dropped unread, is now ignored, so the window isn't reported by this VM. The test failed before. Windows that an earlier release has sealed and not reported when a VM of this release first reads an expired log are given up too, like those that weren't sealed.

The tests of the duty lease pass.

--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -154,6 +154,8 @@
                 Some(trailer) if trailer.era < self.era() => {
                     self.windows.close(sealed.window);
                 }
+                // Earlier releases don't know that the seal of a closed window may have been dropped.
+                None if !self.windows.is_open(sealed.window) => {}
                 _ => self.windows.add(sealed),
             }
         }
--- a/crates/coord/tests/duty_holders.rs
+++ b/crates/coord/tests/duty_holders.rs
@@ -279,6 +279,28 @@
     assert!(matches!(b.next_step(at(5_400)), DutyStep::Append(..)));
 }
 
+/// A VM reported the figures of a second seal, by a VM of an earlier release that didn't know that the first
+/// one had been dropped.
+#[test]
+fn second_seal_of_an_earlier_release_after_missed_records_is_not_reported() {
+    let seal = |window| {
+        let counts = [("org".parse().unwrap(), 9)].into();
+        let sealed = SealedWindow { window, counts };
+        let entry: DutyEntry = DutyRecord::Seal("a".parse().unwrap(), INCARNATION, sealed).into();
+        entry
+    };
+    let mut b = lease("b", 0);
+    b.observe(at(0), position(0, 1), unix(WINDOW - 1));
+    b.fold(at(0), 0, &renewal("a"));
+    b.read_to(at(0), 1);
+    b.observe(at(5_000), position(0, 4), unix(WINDOW));
+    b.read_to(at(5_000), 4);
+    b.fold(at(5_500), 4, &seal(WINDOW - 1));
+    b.fold(at(5_600), 5, &seal(WINDOW));
+    assert_eq!(b.sealed(WINDOW - 1), None);
+    assert!(b.sealed(WINDOW).is_some());
+}
+
 /// A VM whose clock was behind when it skipped a seal that it could not decode sealed the window twice.
 #[test]
 fn window_is_not_sealed_again_after_an_unreadable_record_and_a_wrong_time() {
