A window with two different seals isn't reported

Of two seals with different figures none is kept now: a VM that has missed one of them may have reported the other. Records of this release alone never have two. The test failed before.

--- a/crates/coord/src/duty/lease.rs
+++ b/crates/coord/src/duty/lease.rs
@@ -155,7 +155,7 @@
                     self.windows.close(sealed.window);
                 }
                 // Earlier releases don't know that the seal of a closed window may have been dropped.
-                None if !self.windows.is_open(sealed.window) => {}
+                None if self.windows.lacks_seal(sealed.window) => {}
                 _ => self.windows.add(sealed),
             }
         }
--- a/crates/coord/src/duty/sealed_windows.rs
+++ b/crates/coord/src/duty/sealed_windows.rs
@@ -57,12 +57,17 @@
         u64::try_from(number).unwrap_or(u64::MAX)
     }
 
-    /// Remembers a seal that was read.
+    /// Remembers a seal that was read. Of two with different figures none is kept, as VMs that have
+    /// missed one of them may report the other.
     pub(super) fn add(&mut self, sealed: &SealedWindow) {
         self.close(sealed.window);
         self.lost.remove(&sealed.window);
-        let entry = self.sealed.entry(sealed.window);
-        entry.or_insert_with(|| sealed.clone());
+        let known = self.sealed.get(&sealed.window);
+        if known.is_some_and(|k| k != sealed) {
+            self.sealed.remove(&sealed.window);
+            return;
+        }
+        self.sealed.insert(sealed.window, sealed.clone());
         while self.sealed.len() > MAX_SEALED {
             self.sealed.pop_first();
         }
@@ -103,6 +108,11 @@
         self.sealed.get(&window)
     }
 
+    /// Whether a window is closed without figures, as its seal may have been dropped.
+    pub(super) fn lacks_seal(&self, window: u64) -> bool {
+        !self.is_open(window) && !self.sealed.contains_key(&window)
+    }
+
     /// The figures of a window whose seal the log has lost.
     pub(super) fn lost(&self, window: u64) -> Option<&SealedWindow> {
         self.lost.get(&window)
--- a/crates/coord/tests/duty_holders.rs
+++ b/crates/coord/tests/duty_holders.rs
@@ -301,6 +301,27 @@
     assert!(b.sealed(WINDOW).is_some());
 }
 
+/// A VM reported the figures of the first of two seals, after the VM of an earlier release that had missed it had
+/// reported those of the second one.
+#[test]
+fn window_with_two_different_seals_is_not_reported() {
+    let seal = |count| {
+        let counts = [("org".parse().unwrap(), count)].into();
+        let window = WINDOW - 1;
+        let sealed = SealedWindow { window, counts };
+        let entry: DutyEntry = DutyRecord::Seal("a".parse().unwrap(), INCARNATION, sealed).into();
+        entry
+    };
+    let mut b = lease("b", 0);
+    b.observe(at(0), position(0, 3), unix(WINDOW));
+    b.fold(at(0), 0, &seal(7));
+    b.fold(at(0), 1, &seal(7));
+    assert!(b.sealed(WINDOW - 1).is_some());
+    b.fold(at(0), 2, &seal(9));
+    assert_eq!(b.sealed(WINDOW - 1), None);
+    assert!(!b.is_open(WINDOW - 1));
+}
+
 /// A VM whose clock was behind when it skipped a seal that it could not decode sealed the window twice.
 #[test]
 fn window_is_not_sealed_again_after_an_unreadable_record_and_a_wrong_time() {
