Calls: the rest of a partial write isn't sent after the permission

What the platform saw: a call that was written in part while the permission held was completed after it had run out. The platform stopped reading in the middle of a call of 5.6 MB and went on 100 ms after the end of the permission; it got all of the call. Without a limit in force, a VM that pauses between the two parts completes the call at any later time: the exchange is polled before its timeout.

Cause: `send_by` was checked once, before the first write. A write that doesn't fit into the send buffer waits, and its rest was sent without a look at the time.

Change: each write of a call with `send_by` is preceded by the check. A call that is cut off this way resets its connection, as one that times out does, so the platform never has all of it.

--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -26,7 +26,7 @@
     pub timeout: Duration,
     /// Largest accepted response body.
     pub max_body: Bytes,
-    /// When the permission to send the request runs out.
+    /// When the permission to send the request runs out; nothing of it is written later.
     pub send_by: Option<Instant>,
 }
 
@@ -91,12 +91,14 @@
             verdict: Verdict::NotRun,
             cause: e.into(),
         })?;
-    if limits.send_by.is_some_and(|by| clock.now() >= by) {
+    let may_send = || limits.send_by.is_none_or(|by| clock.now() < by);
+    if !may_send() {
         return Err(CallError::timed_out(Verdict::NotRun));
     }
     let exchange = async {
         let conn = &mut pooled.conn;
-        let (response, fully_sent) = conn.exchange(&bytes, MAX_HEAD_SIZE).await?;
+        let sent = conn.exchange_while(&bytes, MAX_HEAD_SIZE, may_send);
+        let (response, fully_sent) = sent.await?;
         let framing =
             response_framing(&response, &head.method).map_err(|_| BodyError::Malformed)?;
         let body = BodyReader::new(framing)
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -229,9 +229,20 @@
         &mut self,
         request: &[u8],
         limit: Bytes,
+    ) -> io::Result<(ResponseHead, bool)> {
+        self.exchange_while(request, limit, || true).await
+    }
+
+    /// Like [`Conn::exchange`], but fails instead of writing a part of the request once `may_write`
+    /// is false.
+    pub(crate) async fn exchange_while(
+        &mut self,
+        request: &[u8],
+        limit: Bytes,
+        may_write: impl Fn() -> bool,
     ) -> io::Result<(ResponseHead, bool)> {
         self.unanswered = true;
-        let answer = self.send_and_read_head(request, limit).await?;
+        let answer = self.send_and_read_head(request, limit, may_write).await?;
         self.unanswered = !answer.1;
         Ok(answer)
     }
@@ -240,6 +251,7 @@
         &mut self,
         request: &[u8],
         limit: Bytes,
+        may_write: impl Fn() -> bool,
     ) -> io::Result<(ResponseHead, bool)> {
         let mut sent = 0;
         let mut write_failed = false;
@@ -258,6 +270,9 @@
             }
             let rest = &request[sent..];
             let step = poll_fn(|cx| {
+                if !may_write() {
+                    return Poll::Ready(Err(Err(io::ErrorKind::TimedOut.into())));
+                }
                 if let Poll::Ready(done) = Pin::new(&mut &self.io).poll_write(cx, rest) {
                     return Poll::Ready(Ok(done));
                 }
