Calls: the system gives up a call soon after its permission

What the platform saw: a VM froze after it had written a call of 46 KB that the platform had not read yet. Three seconds later, with the VM still frozen, the platform read on and got all of the call, out of the send buffer of the VM's system. The same holds for a VM that is killed, and by reading for a link that drops packets: the system retransmits in the background for 120 s, at doubling intervals, so that a call may arrive seconds after the link has healed.

Cause: the connection is reset by the process when the call times out, and a frozen or killed process resets nothing.

Change: during a call with `send_by` the user timeout is two timeouts of the call (1.2 s for the duty holder). A process that runs still resets first, after one. Calls without `send_by` keep the 120 s, also on the same connection later.

call_of_a_frozen_vm_is_not_delivered_later failed before ("the platform has the call") and passes. Cost: two more system calls a call of the duty holder.

--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -9,6 +9,9 @@
 
 /// Largest accepted response head.
 const MAX_HEAD_SIZE: Bytes = Bytes(16 * 1024);
+/// Time for which the system goes on sending a call with `send_by`, in timeouts. At more than one, the
+/// process that times out can still reset the connection.
+const DELIVERY_TIMEOUTS: u32 = 2;
 
 /// A complete response.
 #[derive(Debug, Clone)]
@@ -95,6 +98,16 @@
     if !may_send() {
         return Err(CallError::timed_out(Verdict::NotRun));
     }
+    let has_limit = limits.send_by.is_some();
+    if has_limit {
+        let limited = pooled
+            .conn
+            .limit_delivery(Some(limits.timeout * DELIVERY_TIMEOUTS));
+        limited.map_err(|e| CallError {
+            verdict: Verdict::NotRun,
+            cause: e.into(),
+        })?;
+    }
     let exchange = async {
         let conn = &mut pooled.conn;
         let sent = conn.exchange_while(&bytes, MAX_HEAD_SIZE, may_send);
@@ -119,7 +132,9 @@
             verdict: Verdict::MayHaveRun,
             cause,
         })?;
-    if fully_sent {
+    // Other calls need the default, so a connection that keeps the limit isn't reused.
+    let is_restored = !has_limit || pooled.conn.limit_delivery(None).is_ok();
+    if fully_sent && is_restored {
         pool.put_back(clock.now(), addr, pooled, &response.head);
     }
     Ok(response)
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -66,20 +66,35 @@
     fn with_timeout(io: Async<TcpStream>, timeout: Duration) -> io::Result<Self> {
         let socket = io.get_ref();
         let probes = timeout.as_secs() / KEEPALIVE_INTERVAL.as_secs();
-        let timeout_ms = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
         socket.set_nodelay(true)?;
         sockopt::set_socket_keepalive(socket, true)?;
         sockopt::set_tcp_keepidle(socket, KEEPALIVE_INTERVAL)?;
         sockopt::set_tcp_keepintvl(socket, KEEPALIVE_INTERVAL)?;
         sockopt::set_tcp_keepcnt(socket, u32::try_from(probes).unwrap_or(u32::MAX))?;
-        sockopt::set_tcp_user_timeout(socket, timeout_ms)?;
-        Ok(Self {
+        let conn = Self {
             io,
             buf: Vec::new(),
             pos: 0,
             unanswered: false,
             reads_in_a_row: 0,
-        })
+        };
+        conn.set_user_timeout(timeout)?;
+        Ok(conn)
+    }
+
+    fn set_user_timeout(&self, timeout: Duration) -> io::Result<()> {
+        let timeout_ms = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
+        Ok(sockopt::set_tcp_user_timeout(
+            self.io.get_ref(),
+            timeout_ms,
+        )?)
+    }
+
+    /// Limits the time for which the system goes on sending bytes that the peer doesn't acknowledge,
+    /// even while this process is frozen or after it was killed; `None` restores the default of a
+    /// connection that was opened.
+    pub(crate) fn limit_delivery(&self, timeout: Option<Duration>) -> io::Result<()> {
+        self.set_user_timeout(timeout.unwrap_or(OPENED_TIMEOUT))
     }
 
     /// Connects to `addr`.
