Walk of the duty lease: the way of a call from its write to the platform

The walk let a call arrive up to one timeout after its write; nothing else could happen to it. In half of the walks of fleets of this release now: the VM's link to the platform is cut, and calls wait in the network or in the sender's system (retransmitted at doubling intervals) until the sender resets them, the system gives them up, or the link heals; the platform closes a kept connection; a call is written in two parts; answers are late. Fleets have 3 to 15 contenders there, as three a zone in fleets of 8, 60 and 300 VMs of up to five zones. These walks draw from a generator of their own: the other half are the walks of before.

The platform's stand-in now counts the token of an excused call as seen: a lower one after it is a fall. Before, excused calls left no trace there.

--- a/crates/coord/tests/duty_walk.rs
+++ b/crates/coord/tests/duty_walk.rs
@@ -124,3 +124,25 @@
     println!("without a holder for {median} ms (median), {longest} ms (longest)");
     assert!(longest <= REPLACEMENT_MS, "{longest} ms");
 }
+
+/// First seed whose walk fails without a guard.
+fn first_failure(without: impl Fn(Simulation) -> Simulation) -> Option<(u64, Violation)> {
+    (0..SEEDS).find_map(|seed| {
+        let outcome = without(walk(seed)).run(FAULTS_MS);
+        outcome.err().map(|violation| (seed, violation))
+    })
+}
+
+#[test]
+fn platform_sees_two_holders_if_the_rest_of_a_call_is_sent_without_a_check() {
+    let found = first_failure(Simulation::without_part_check);
+    println!("{found:?}");
+    assert!(found.is_some());
+}
+
+#[test]
+fn platform_sees_two_holders_if_systems_deliver_calls_without_a_limit() {
+    let found = first_failure(Simulation::without_delivery_limit);
+    println!("{found:?}");
+    assert!(found.is_some());
+}
--- a/crates/coord/tests/duty_walk_sim/mod.rs
+++ b/crates/coord/tests/duty_walk_sim/mod.rs
@@ -1,6 +1,7 @@
 //! Simulation of VMs that contend for the duty lease, of the log that they share, and of the
 //! platform that receives the holder's calls.
 
+mod call_path;
 mod current_lease;
 mod earlier_lease;
 mod fault_mix;
--- a/crates/coord/tests/duty_walk_sim/platform.rs
+++ b/crates/coord/tests/duty_walk_sim/platform.rs
@@ -97,12 +97,13 @@
         self.figures.len()
     }
 
-    /// Handles a call. The order of excused calls doesn't count.
+    /// Handles a call. The order of excused calls doesn't count, but their tokens have been seen.
     pub(crate) fn receive(&mut self, now: u64, call: Call, excused: bool) -> Result<(), Violation> {
         self.calls += 1;
         self.check_owner(call)?;
         self.check_figure(call)?;
         if excused {
+            self.highest = self.highest.max(Some(call.token));
             return Ok(());
         }
         self.check_order(call)?;
--- a/crates/coord/tests/duty_walk_sim/simulation.rs
+++ b/crates/coord/tests/duty_walk_sim/simulation.rs
@@ -2,13 +2,14 @@
 
 use {
     super::{
+        call_path::{CallPath, EXCHANGE_LIMIT_MS, Route},
         current_lease::CurrentLease,
         earlier_lease::EarlierLease,
         fault_mix::{Fault, FaultMix, Fleet},
         lease_view::LeaseView,
         log::Log,
         platform::{Call, Platform, Process, Violation},
-        vm::{Action, Step, Vm, WINDOW_MS},
+        vm::{Action, CallChecks, Step, Vm, WINDOW_MS},
         wire::{Append, AppendAnswer},
     },
     clock::Instant,
@@ -57,6 +58,8 @@
     /// An append arrives at the log; whether its answer comes back.
     AppendAtLog(usize, u64, Append, bool),
     CallArrives(usize, u64, Call),
+    /// A call that waited behind a cut link may arrive.
+    HeldCall(usize, u64, u64),
     Start(usize),
     Fault,
 }
@@ -100,7 +103,8 @@
 pub(crate) struct Simulation {
     rng: Rng,
     mix: FaultMix,
-    rechecks: bool,
+    checks: CallChecks,
+    path: CallPath,
     /// Whether the whole system starts for the first time.
     is_new: bool,
     now: u64,
@@ -124,25 +128,34 @@
     pub(crate) fn new(seed: u64, fleet: Fleet) -> Self {
         let mut rng = Rng::with_seed(seed);
         let mix = FaultMix::random(fleet, &mut rng);
-        Self::with_mix(rng, mix)
+        // VMs of the earlier release don't guard the way of a call.
+        let path = match fleet {
+            Fleet::Earlier => CallPath::sound(),
+            Fleet::Current | Fleet::OtherFormat => CallPath::new(seed),
+        };
+        Self::with_mix(rng, mix, path)
     }
 
     /// A fleet without faults of its own.
     pub(crate) fn without_faults(seed: u64) -> Self {
-        Self::with_mix(Rng::with_seed(seed), FaultMix::none())
+        Self::with_mix(Rng::with_seed(seed), FaultMix::none(), CallPath::sound())
     }
 
-    fn with_mix(mut rng: Rng, mix: FaultMix) -> Self {
+    fn with_mix(mut rng: Rng, mix: FaultMix, mut path: CallPath) -> Self {
         let base = match mix.fleet != Fleet::Earlier && rng.bool() {
             true => rng.u64(1..1_000),
             false => 0,
         };
         let era = rng.u64(..3);
-        let count = rng.usize(3..=8);
+        let count = path.contenders(rng.usize(3..=8));
         let mut simulation = Self {
             rng,
             mix,
-            rechecks: true,
+            checks: CallChecks {
+                first: true,
+                parts: true,
+            },
+            path,
             is_new: base == 0,
             now: START_MS,
             queue: BTreeMap::new(),
@@ -180,7 +193,19 @@
 
     /// Takes out the check of the permission right before a call is sent.
     pub(crate) fn without_recheck(mut self) -> Self {
-        self.rechecks = false;
+        self.checks.first = false;
+        self
+    }
+
+    /// Takes out the check of the permission before the rest of a call is written.
+    pub(crate) fn without_part_check(mut self) -> Self {
+        self.checks.parts = false;
+        self
+    }
+
+    /// Lets the systems of senders go on sending for minutes.
+    pub(crate) fn without_delivery_limit(mut self) -> Self {
+        self.path.limits_delivery = false;
         self
     }
 
@@ -236,6 +261,7 @@
             machine.cut_until = self.now;
             self.last_fault = self.last_fault.max(machine.frozen_until);
         }
+        self.last_fault = self.last_fault.max(self.path.end_faults(self.now));
         self.note(|| "the faults end".into());
     }
 
@@ -290,6 +316,9 @@
             Event::CallArrives(index, generation, call) => {
                 return self.receive(index, generation, call);
             }
+            Event::HeldCall(index, generation, number) => {
+                return self.receive_held(index, generation, number);
+            }
             Event::Fault => self.fault(),
         }
         Ok(())
@@ -307,8 +336,7 @@
             vm: index,
             incarnation,
         };
-        let rechecks = self.rechecks;
-        self.machines[index].vm = Some(Vm::new(process, lease, rechecks));
+        self.machines[index].vm = Some(Vm::new(process, lease, self.checks));
         self.note(|| format!("{process} starts"));
         self.next_step(index, Step::Poll);
     }
@@ -398,6 +426,11 @@
         if self.machines[index].frozen_until > self.now {
             return self.defer(index, generation, step);
         }
+        if let Step::GiveUp(_, number) = step
+            && !self.path.reset(self.now, number)
+        {
+            return;
+        }
         let now = self.local_time(index);
         let unix = self.wall_time(index);
         let machine = &mut self.machines[index];
@@ -454,6 +487,9 @@
             Action::Pause(pause) => self.step_after(index, pause, Step::Poll),
             Action::Read(from) => self.send_read(index, from),
             Action::Append(append) => self.send_append(index, append),
+            Action::Connect(call, _) if self.path.blocks_connecting(self.now, index) => {
+                self.step_after(index, CALL_LIMIT_MS, Step::CallDone(call, false));
+            }
             Action::Connect(call, permission) => {
                 let delay = self.rng.u64(..3) + self.rare(CALL_LIMIT_MS);
                 let delay = match self.is_slow(index) {
@@ -469,7 +505,52 @@
                 };
                 self.step_after(index, delay, Step::WriteCall(call));
             }
-            Action::Send(call) => self.send_call(index, call),
+            Action::Send(call) => match self.path.route(self.now, index, call) {
+                Route::Direct => self.send_call(index, call),
+                Route::Closed => self.step_after(index, 1, Step::CallDone(call, false)),
+                Route::InParts(pause) => {
+                    let pause = pause + self.slow_delay(index, SLOW_STEP_MS);
+                    self.step_after(index, pause, Step::WriteRest(call));
+                }
+                Route::Held(number) => self.wait_for_link(index, call, number),
+            },
+            Action::SendRest(call) => self.send_call(index, call),
+        }
+    }
+
+    fn slow_delay(&mut self, index: usize, limit: u64) -> u64 {
+        match self.is_slow(index) {
+            true => self.rng.u64(..limit),
+            false => 0,
+        }
+    }
+
+    /// Handles a call behind a cut link: the sender gives it up, or the link heals first.
+    fn wait_for_link(&mut self, index: usize, call: Call, number: u64) {
+        self.note(|| format!("call of {} waits for the link", call.sender));
+        let limit = EXCHANGE_LIMIT_MS + self.slow_delay(index, SLOW_STEP_MS);
+        self.step_after(index, limit, Step::GiveUp(call, number));
+        let generation = self.machines[index].generation;
+        if let Some(at) = self.path.delivery(self.now, index, number) {
+            self.schedule(at, Event::HeldCall(index, generation, number));
+        }
+    }
+
+    fn receive_held(
+        &mut self,
+        index: usize,
+        generation: u64,
+        number: u64,
+    ) -> Result<(), Violation> {
+        if self.path.is_cut(self.now, index) {
+            if let Some(at) = self.path.delivery(self.now, index, number) {
+                self.schedule(at, Event::HeldCall(index, generation, number));
+            }
+            return Ok(());
+        }
+        match self.path.deliver(self.now, number) {
+            Some(call) => self.receive(index, generation, call),
+            None => Ok(()),
         }
     }
 
@@ -611,7 +692,8 @@
     fn receive(&mut self, index: usize, generation: u64, call: Call) -> Result<(), Violation> {
         let now = self.now;
         let is_recent = |at: &u64| *at <= now && now <= at + THAW_SLACK_MS;
-        let excused = self.machines[index].thaws.iter().any(is_recent);
+        let thawed = self.machines[index].thaws.iter().any(is_recent);
+        let excused = thawed || self.path.healed_recently(now, index);
         self.note(|| {
             let Call {
                 sender,
@@ -625,7 +707,8 @@
         if !self.is_stale(index, generation) {
             let done = self.rare(2) == 0;
             let delay = self.rng.u64(1..4);
-            self.step_after(index, delay, Step::CallDone(call, done));
+            let (in_time, delay) = self.path.slow_answer(now).unwrap_or((true, delay));
+            self.step_after(index, delay, Step::CallDone(call, done && in_time));
         }
         Ok(())
     }
@@ -671,6 +754,10 @@
             self.stats.faults += 1;
             self.inject(fault);
         }
+        let holder = self.holder();
+        if let Some(line) = holder.and_then(|i| self.path.inject(self.now, i)) {
+            self.note(|| line);
+        }
         let pause = self.rng.u64(1..=self.mix.pause_ms.max(1));
         self.schedule(self.now + pause, Event::Fault);
     }
--- a/crates/coord/tests/duty_walk_sim/vm.rs
+++ b/crates/coord/tests/duty_walk_sim/vm.rs
@@ -36,6 +36,10 @@
     /// A connection for the call is open.
     Connected(Call, Permission),
     WriteCall(Call),
+    /// The rest of a call may be written.
+    WriteRest(Call),
+    /// The exchange of the call with this number behind a cut link timed out.
+    GiveUp(Call, u64),
     CallDone(Call, bool),
 }
 
@@ -51,14 +55,25 @@
     /// Writes a call to its open connection.
     Write(Call),
     Send(Call),
+    SendRest(Call),
+}
+
+/// Checks of the permission while a call is sent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallChecks {
+    /// Before the call is written.
+    pub(crate) first: bool,
+    /// Before each further part of it.
+    pub(crate) parts: bool,
 }
 
 /// One process.
 pub(crate) struct Vm {
     pub(crate) process: Process,
     pub(crate) lease: Box<dyn LeaseView>,
-    /// Whether the permission is checked again before a call is written.
-    rechecks: bool,
+    checks: CallChecks,
+    /// When the permission of the call that is written runs out.
+    send_by: Option<Instant>,
     reported: BTreeSet<u64>,
     /// Whether capacity was ordered since the last poll.
     ordered: bool,
@@ -67,11 +82,12 @@
 }
 
 impl Vm {
-    pub(crate) fn new(process: Process, lease: Box<dyn LeaseView>, rechecks: bool) -> Self {
+    pub(crate) fn new(process: Process, lease: Box<dyn LeaseView>, checks: CallChecks) -> Self {
         Self {
             process,
             lease,
-            rechecks,
+            checks,
+            send_by: None,
             reported: BTreeSet::new(),
             ordered: false,
             started: None,
@@ -106,6 +122,8 @@
             Step::Act => self.act(now, unix, rng),
             Step::Connected(call, permission) => self.check_permission(now, call, permission),
             Step::WriteCall(call) => Action::Send(call),
+            Step::WriteRest(call) => self.write_rest(now, call),
+            Step::GiveUp(call, _) => self.end_call(call, false),
             Step::CallDone(call, done) => self.end_call(call, done),
         }
     }
@@ -171,12 +189,20 @@
     }
 
     fn check_permission(&mut self, now: Instant, call: Call, permission: Permission) -> Action {
-        if self.rechecks && now >= permission.until {
+        if self.checks.first && now >= permission.until {
             return self.pause();
         }
+        self.send_by = Some(permission.until);
         Action::Write(call)
     }
 
+    fn write_rest(&mut self, now: Instant, call: Call) -> Action {
+        if self.checks.parts && self.send_by.is_none_or(|by| now >= by) {
+            return self.end_call(call, false);
+        }
+        Action::SendRest(call)
+    }
+
     fn end_call(&mut self, call: Call, done: bool) -> Action {
         if !done {
             return self.pause();
