Leases: after a record that can't be decoded the holder is unknown

What the platform would see: two holders of a steward's lease. A record that this release can't decode was skipped as if it weren't in the log.

Change: such a record counts as the loss of all records below its end, unless it names another lease: nobody renews, and a claim waits as after lost records. The stream is decoded once a read for all leases, and unknown records are logged once a read.

--- a/crates/coord/src/lease/manager.rs
+++ b/crates/coord/src/lease/manager.rs
@@ -1,7 +1,7 @@
 //! Runs the contenders of a process: reads the lease stream and appends their records.
 
 use {
-    super::{Contender, Holder, LeaseDecision, LeaseId, LeaseRecord, LeaseTiming},
+    super::{Contender, Holder, LeaseDecision, LeaseId, LeaseRecord, LeaseTiming, read::LeaseRead},
     crate::{Follower, LeaseHandle, ReadOutcome},
     clock::{Instant, SharedClock},
     event_listener::Event,
@@ -90,11 +90,9 @@
             if let Ok(ReadOutcome::Lost(first)) = outcome {
                 follower.seek(first);
             }
-            if let Err(e) = &outcome {
-                log::warn!(error:% = e; "cannot read the lease stream");
-            }
+            let read = LeaseRead::decode(outcome);
             for managed in self.leases.values() {
-                managed.apply_read(outcome.as_ref().ok());
+                managed.apply_read(&read);
             }
         }
     }
@@ -145,17 +143,22 @@
 }
 
 impl ManagedLease {
-    /// Applies the result of a read; `None` if it failed.
-    fn apply_read(&self, outcome: Option<&ReadOutcome>) {
+    /// Applies the result of a read.
+    fn apply_read(&self, read: &LeaseRead) {
         let mut contender = self.contender.lock();
         let now = self.clock.now();
-        match outcome {
-            None => contender.read_failed(),
-            Some(ReadOutcome::Lost(first)) => contender.mark_lost(now, *first),
-            Some(ReadOutcome::Records(records)) => {
+        match read {
+            LeaseRead::Failed => contender.read_failed(),
+            LeaseRead::Lost(first) => contender.mark_lost(now, *first),
+            LeaseRead::Records(records) => {
                 for record in records {
-                    if let Ok(lease) = serde_json::from_str(&record.data) {
-                        contender.fold(now, record.offset, &lease);
+                    match record {
+                        Ok((offset, lease)) => contender.fold(now, *offset, lease),
+                        // Another release may hold the lease now.
+                        Err(unknown) if unknown.may_concern(contender.lease()) => {
+                            contender.mark_lost(now, unknown.offset + 1);
+                        }
+                        Err(_) => {}
                     }
                 }
                 contender.read_succeeded(now);
--- a/crates/coord/src/lease/mod.rs
+++ b/crates/coord/src/lease/mod.rs
@@ -4,6 +4,7 @@
 mod contender;
 mod handle;
 mod manager;
+mod read;
 mod record;
 mod state;
 mod table;
