Platform client: a write that isn't sent soon after the lease check isn't sent

What the platform saw: a usage report that was sent nine seconds after the check of the lease. The process froze while the call connected; the connection was ready by the time the process ran again, and it was used before the timeout was looked at. Another process takes a lease over after 8.7 s.

Change: a call of the platform's client that writes has to be written within 500 ms of its start, the default time by which holders stop acting early. The time is looked at after connecting and before each further part of the request, so it holds after a pause too. `Call::send_within` is off by default.

--- a/crates/ports/src/http.rs
+++ b/crates/ports/src/http.rs
@@ -16,6 +16,9 @@
 const MAX_RESPONSE: Bytes = Bytes(16 * 1024 * 1024);
 /// Timeout of a call beyond the time that it asks the platform to wait.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time within which a write has to be sent. The holder of a lease checks it right before the call,
+/// and by default stops acting this long before the lease expires.
+const SEND_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The platform's HTTP API at one address.
 #[derive(Clone)]
@@ -46,6 +49,7 @@
     ) -> Result<T, PlatformError> {
         let bytes = serde_json::to_vec(body).map_err(|_| PlatformError::Refused(400))?;
         let call = Call::new(self.addr, Method::Post, path).body(bytes);
+        let call = call.send_within(SEND_TIMEOUT);
         self.send(call, Duration::ZERO).await
     }
 
--- a/crates/wire/src/client/call.rs
+++ b/crates/wire/src/client/call.rs
@@ -8,7 +8,7 @@
     },
     crate::conn::{Framing, Head, HeadKind, MessageStream, SharedStream},
     async_h1::client::{Encoder, decode},
-    clock::{SharedClock, timeout},
+    clock::{Instant, SharedClock, timeout},
     futures_lite::io::{AsyncReadExt, AsyncWriteExt},
     http_types::{Method, Request, Response, Url, headers::CONNECTION},
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -50,6 +50,9 @@
     /// Whether an idle connection may be used. Requests that must not be repeated use a new one,
     /// since the peer may be closing an idle one.
     pub reuse: bool,
+    /// Time from the start of the call after which nothing of the request is written any more. It
+    /// holds even if the process pauses while a connection or a write is awaited.
+    pub send_within: Option<Duration>,
 }
 
 impl Call {
@@ -65,6 +68,7 @@
             request,
             timeouts: CallTimeouts::default(),
             reuse: true,
+            send_within: None,
         }
     }
 
@@ -75,6 +79,13 @@
         self
     }
 
+    /// Sets the time within which the request has to be written.
+    #[must_use]
+    pub fn send_within(mut self, limit: Duration) -> Self {
+        self.send_within = Some(limit);
+        self
+    }
+
     /// Sets the timeouts.
     #[must_use]
     pub fn timeouts(mut self, timeouts: CallTimeouts) -> Self {
@@ -109,10 +120,13 @@
             request,
             timeouts,
             reuse,
+            send_within,
         } = call;
+        let send_by = send_within.map(|limit| self.clock.now() + limit);
         let is_head = request.method() == Method::Head;
         let mut conn = self.connect(addr, timeouts, reuse).await?;
-        self.write(&mut conn, request, timeouts).await?;
+        self.write(&mut conn, request, (timeouts.head, send_by))
+            .await?;
         let may_have_run = |kind| SendError {
             kind,
             verdict: Verdict::MayHaveRun,
@@ -171,7 +185,7 @@
         &self,
         conn: &mut SharedStream,
         request: Request,
-        timeouts: CallTimeouts,
+        (limit, send_by): (Duration, Option<Instant>),
     ) -> Result<(), SendError> {
         let mut encoder = Encoder::new(request);
         let mut buf = vec![0; WRITE_BUFFER_BYTES];
@@ -185,12 +199,18 @@
             if n == 0 {
                 return Ok(());
             }
+            if send_by.is_some_and(|by| self.clock.now() >= by) {
+                return Err(SendError {
+                    kind: SendErrorKind::Write,
+                    verdict,
+                });
+            }
             verdict = Verdict::MayHaveRun;
             let failed = SendError {
                 kind: SendErrorKind::Write,
                 verdict,
             };
-            timeout(&*self.clock, timeouts.head, conn.write_all(&buf[..n]))
+            timeout(&*self.clock, limit, conn.write_all(&buf[..n]))
                 .await
                 .map_err(|_| failed)?
                 .map_err(|_| failed)?;
