--- a/crates/coord/tests/duty_walk_sim/mod.rs
+++ b/crates/coord/tests/duty_walk_sim/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
 
+mod call_path;
 mod current_lease;
 mod earlier_lease;
 mod fault_mix;
--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -15,6 +15,9 @@
 const EXPIRY_POLL: Duration = Duration::from_millis(100);
 /// Largest accepted response head.
 const MAX_HEAD_SIZE: Bytes = Bytes(16 * 1024);
+/// Time for which the system goes on sending a call with `send_by`, in timeouts. At more than one, the
+/// process that times out can still reset the connection.
+const DELIVERY_TIMEOUTS: u32 = 2;
 
 /// A complete response.
 #[derive(Debug, Clone)]
@@ -34,7 +37,7 @@
     pub timeout: Duration,
     /// Largest accepted response body.
     pub max_body: Bytes,
-    /// When the permission to send the request runs out.
+    /// When the permission to send the request runs out; nothing of it is written later.
     pub send_by: Option<Instant>,
 }
 
@@ -113,6 +116,13 @@
     if let Some(Err(e)) = permission.as_ref().map(SendPermission::check) {
         return Err(CallError::new(Verdict::NotRun, e, times));
     }
+    let has_limit = limits.send_by.is_some();
+    if has_limit {
+        let limited = pooled
+            .conn
+            .limit_delivery(Some(limits.timeout * DELIVERY_TIMEOUTS));
+        limited.map_err(|e| CallError::new(Verdict::NotRun, e, times))?;
+    }
     let exchange = async {
         let conn = &mut pooled.conn;
         let exchange = conn.exchange_while(permission.as_mut(), &bytes, MAX_HEAD_SIZE);
@@ -131,7 +141,9 @@
     let (head, body, fully_sent) = outcome
         .map_err(|_| CallError::timed_out(Verdict::MayHaveRun, times))?
         .map_err(|cause: BodyError| CallError::new(Verdict::MayHaveRun, cause, times))?;
-    if fully_sent {
+    // Other calls need the default, so a connection that keeps the limit isn't reused.
+    let is_restored = !has_limit || pooled.conn.limit_delivery(None).is_ok();
+    if fully_sent && is_restored {
         pool.put_back(clock.now(), addr, pooled, &head);
     }
     Ok(Response { head, body, times })
