A heartbeat that is done late lists no endpoint that has left (DRAIN)

Cause: an entry was believed whenever it was read. A write without an answer may be done seconds later, and neither the number of the heartbeat nor the removal was kept.

The registry remembers for a minute which start and heartbeat was removed; an entry of the same start is listed only with a higher number, one of an earlier start not at all. A later start and a higher number are listed at once. What is held back is listed if it stays in the list for 10 s (an older copy of the store, a clock set back). VMs tell each other no numbers: the format is unchanged. A VM that becomes the reader believes the second heartbeat after a removal.

--- a/crates/relay/src/endpoints/endpoint.rs
+++ b/crates/relay/src/endpoints/endpoint.rs
@@ -31,4 +31,8 @@
     /// Release of its software; `None` if a VM told of the endpoint that doesn't know releases.
     #[serde(default)]
     pub release: Option<Release>,
+    /// Number of the heartbeat that wrote the entry; `None` if another VM told of the endpoint, as VMs
+    /// pass on what they believe and no numbers.
+    #[serde(skip)]
+    pub sequence: Option<u64>,
 }
--- a/crates/relay/src/endpoints/mod.rs
+++ b/crates/relay/src/endpoints/mod.rs
@@ -4,6 +4,7 @@
 mod endpoint;
 mod read_span;
 mod registry;
+mod removals;
 
 pub(crate) use {
     change_history::{ChangeHistory, EndpointChange},
--- a/crates/relay/src/endpoints/registry.rs
+++ b/crates/relay/src/endpoints/registry.rs
@@ -10,13 +10,20 @@
 //! while another VM was able to read the list.
 //!
 //! An endpoint that leaves never returns under the same start time. Whatever said so first, the
-//! platform, the endpoint's own responses or another VM, an older list doesn't reopen it.
+//! platform, the endpoint's own responses or another VM, an older list doesn't reopen it. Neither does
+//! an entry that was written before its endpoint was removed, or before the entry that is listed.
 
 use {
-    super::Endpoint,
+    super::{
+        Endpoint,
+        removals::{EntryStamp, Heartbeats, Removals},
+    },
     clock::Instant,
     route::{LimitNotice, NoticeTable, Restriction},
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
     types::{EndpointId, PerSecond},
 };
 
@@ -41,6 +48,8 @@
     Removed,
     /// The entry lapsed in an outage; it is kept until it is listed again or the grace period ends.
     Lapsed,
+    /// The entry is older than what is known of its endpoint, and has no effect as yet.
+    Outdated,
 }
 
 #[derive(Debug, Clone)]
@@ -54,6 +63,7 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     rows: BTreeMap<EndpointId, Row>,
+    removals: Removals,
     /// What the endpoints have said of themselves, listed or not.
     notices: NoticeTable,
     /// First and last failed read since the last successful one.
@@ -78,8 +88,12 @@
     /// Records that a read succeeded; call it before applying the changes of the read. With
     /// `read_by_others`, other VMs were able to read the list while the reads of this one failed.
     pub fn read_succeeded(&mut self, now: Instant, read_by_others: bool) {
-        let failed = self.failed_reads.take().filter(|_| !read_by_others);
+        let failed = self.failed_reads.take();
         let outage = failed.filter(|(first, _)| now.since(*first) >= MIN_LAPSE_OUTAGE);
+        if outage.is_some() {
+            self.removals.restart_holds(now);
+        }
+        let outage = outage.filter(|_| !read_by_others);
         self.lapse_end = outage.map(|(_, last)| last + LAPSE_GRACE);
     }
 
@@ -89,9 +103,55 @@
         self.lapse_end = None;
     }
 
-    /// Adds or updates an endpoint. One that leaves stays closed until it is listed with a later
-    /// start time.
-    pub fn upsert(&mut self, now: Instant, mut endpoint: Endpoint) -> RegistryChange {
+    /// Adds or updates an endpoint, unless the entry is outdated. One that leaves stays closed until
+    /// it is listed with a later start time.
+    pub fn upsert(&mut self, now: Instant, endpoint: Endpoint) -> RegistryChange {
+        let row = self.rows.get(&endpoint.id);
+        let known = row.map(|r| EntryStamp::of(&r.endpoint));
+        if known.is_some_and(|k| EntryStamp::of(&endpoint).precedes(k)) {
+            let lapsed = row.is_some_and(|r| r.expires.is_some());
+            if known.is_some_and(|k| k.born == endpoint.born) && !lapsed {
+                return RegistryChange::None;
+            }
+            return self.hold(now, endpoint);
+        }
+        if self.removals.is_outdated(&endpoint) {
+            return self.hold(now, endpoint);
+        }
+        self.list(now, endpoint)
+    }
+
+    /// Keeps an outdated entry aside.
+    fn hold(&mut self, now: Instant, endpoint: Endpoint) -> RegistryChange {
+        if self.removals.hold(now, endpoint) {
+            return RegistryChange::Outdated;
+        }
+        RegistryChange::None
+    }
+
+    /// Lists outdated entries that were not removed in the time in which those of ended endpoints
+    /// are, and returns their ids.
+    pub fn list_confirmed(&mut self, now: Instant) -> Vec<(EndpointId, RegistryChange)> {
+        if self.failed_reads.is_some() {
+            // The entry may have been removed meanwhile.
+            return Vec::new();
+        }
+        let confirmed = self.removals.take_confirmed(now).into_iter();
+        let listed = confirmed.map(|endpoint| {
+            let id = endpoint.id.clone();
+            (id, self.list(now, endpoint))
+        });
+        listed.collect()
+    }
+
+    fn list(&mut self, now: Instant, mut endpoint: Endpoint) -> RegistryChange {
+        let row = self.rows.get(&endpoint.id);
+        let listed = row.map(|r| EntryStamp::of(&r.endpoint));
+        let removed = self.removals.last_of(now, &endpoint.id).map(|(s, _)| s);
+        // Other VMs don't tell the number.
+        let known = listed.or(removed).filter(|k| k.born == endpoint.born);
+        endpoint.sequence = endpoint.sequence.max(known.and_then(|k| k.sequence));
+        self.removals.forget(&endpoint.id);
         endpoint.leaving |= self.notices.has_left(&endpoint.id, endpoint.born);
         if endpoint.leaving {
             self.notices.depart(now, &endpoint.id, endpoint.born, false);
@@ -174,33 +234,70 @@
         self.notices.tell_limits(now, relays)
     }
 
-    /// Removes an entry, or marks it as lapsed if it may have expired in an outage.
+    /// Removes an entry whose removal was read, or marks it as lapsed if it may have expired in an
+    /// outage.
     pub fn remove(&mut self, now: Instant, id: &EndpointId) -> RegistryChange {
+        self.remove_or_lapse(now, id, Heartbeats::Read)
+    }
+
+    /// The same for an entry that is absent from a complete list.
+    pub fn remove_absent(&mut self, now: Instant, id: &EndpointId) -> RegistryChange {
+        self.remove_or_lapse(now, id, Heartbeats::Unread)
+    }
+
+    fn remove_or_lapse(
+        &mut self,
+        now: Instant,
+        id: &EndpointId,
+        heartbeats: Heartbeats,
+    ) -> RegistryChange {
         let lapse_end = self.lapse_end.filter(|end| now < *end);
-        let Some(row) = self.rows.get_mut(id) else {
-            return RegistryChange::None;
-        };
-        if lapse_end.is_some() && !row.endpoint.leaving {
+        if lapse_end.is_some()
+            && let Some(row) = self.rows.get_mut(id)
+            && !row.endpoint.leaving
+        {
+            self.removals.release(id);
             row.expires = lapse_end;
             return RegistryChange::Lapsed;
         }
-        self.rows.remove(id);
+        self.remove_row(now, id, heartbeats)
+    }
+
+    fn remove_row(
+        &mut self,
+        now: Instant,
+        id: &EndpointId,
+        heartbeats: Heartbeats,
+    ) -> RegistryChange {
+        self.removals.release(id);
+        let Some(row) = self.rows.remove(id) else {
+            return RegistryChange::None;
+        };
+        self.removals.add(now, &row.endpoint, heartbeats);
         RegistryChange::Removed
     }
 
+    /// The latest known start and heartbeat of an endpoint that was removed, and the time since.
+    pub(crate) fn last_removal(
+        &self,
+        now: Instant,
+        id: &EndpointId,
+    ) -> Option<(u64, u64, Duration)> {
+        let (stamp, since) = self.removals.last_of(now, id)?;
+        Some((stamp.born, stamp.sequence.unwrap_or_default(), since))
+    }
+
     /// Removes an entry without a grace period, because the VM that reads the platform for this one
     /// has already applied it.
-    pub fn remove_now(&mut self, id: &EndpointId) -> RegistryChange {
-        match self.rows.remove(id) {
-            Some(_) => RegistryChange::Removed,
-            None => RegistryChange::None,
-        }
+    pub fn remove_now(&mut self, now: Instant, id: &EndpointId) -> RegistryChange {
+        self.remove_row(now, id, Heartbeats::Unread)
     }
 
     /// Entries that are absent from `listed`, a complete list.
     pub fn absent_from(&self, listed: &[EndpointId]) -> Vec<EndpointId> {
-        let absent = self.rows.keys().filter(|id| !listed.contains(id));
-        absent.cloned().collect()
+        let known = self.rows.keys().chain(self.removals.held_ids());
+        let absent: BTreeSet<_> = known.filter(|id| !listed.contains(id)).collect();
+        absent.into_iter().cloned().collect()
     }
 
     /// Removes lapsed entries whose grace period has ended, and returns their ids.
@@ -209,13 +306,20 @@
         let due = rows.filter(|(_, r)| r.expires.is_some_and(|at| at <= now));
         let due: Vec<_> = due.map(|(id, _)| id.clone()).collect();
         for id in &due {
-            self.rows.remove(id);
+            // Without a number a late entry can't be told from that of a running endpoint, which
+            // has to be listed at once.
+            if let Some(row) = self.rows.remove(id)
+                && row.endpoint.sequence.is_some()
+            {
+                self.removals.add(now, &row.endpoint, Heartbeats::Read);
+            }
         }
         due
     }
 
     /// Drops what endpoints have said long ago, and returns those whose limit ended thereby.
     pub fn expire_notices(&mut self, now: Instant) -> Vec<EndpointId> {
+        self.removals.expire(now);
         let rows = &self.rows;
         self.notices.expire(now, |id| rows.contains_key(id))
     }
--- a/crates/relay/src/process/endpoint_list.rs
+++ b/crates/relay/src/process/endpoint_list.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Node, placement::endpoint_spec},
-    crate::endpoints::{Endpoint, EndpointChange, RegistryChange},
+    crate::endpoints::{Endpoint, EndpointChange, Registry, RegistryChange},
     types::EndpointId,
 };
 
@@ -12,14 +12,28 @@
         let now = self.clock.now();
         let mut registry = self.registry.lock();
         let change = registry.upsert(now, endpoint.clone());
-        if change == RegistryChange::None {
-            return;
+        match change {
+            RegistryChange::None => {}
+            RegistryChange::Outdated => self.log_outdated(&registry, &endpoint),
+            RegistryChange::Added
+            | RegistryChange::Changed
+            | RegistryChange::Leaving
+            | RegistryChange::Removed
+            | RegistryChange::Lapsed => self.apply_listed(&registry, &endpoint.id, &change),
         }
+    }
+
+    /// Records a change of a listed endpoint and applies it to its placer. Called with the registry
+    /// locked.
+    fn apply_listed(&self, registry: &Registry, id: &EndpointId, change: &RegistryChange) {
+        let now = self.clock.now();
         // A departure that is known from elsewhere overrides an older list.
-        let endpoint = registry.get(&endpoint.id).cloned().unwrap_or(endpoint);
+        let Some(endpoint) = registry.get(id).cloned() else {
+            return;
+        };
         log::info!(
             endpoint:% = endpoint.id, service:% = endpoint.service, zone:% = endpoint.zone,
-            addr:% = endpoint.addr, born = endpoint.born,
+            addr:% = endpoint.addr, born = endpoint.born, sequence = endpoint.sequence,
             release = endpoint.release.as_ref().map_or("", |r| r.as_str()), leaving = endpoint.leaving, cheap = endpoint.cheap, change:? = change;
             "endpoint listed"
         );
@@ -35,22 +49,43 @@
         }
     }
 
-    /// Removes an endpoint that the platform no longer lists, unless it may have lapsed in an
-    /// outage.
+    fn log_outdated(&self, registry: &Registry, entry: &Endpoint) {
+        let listed = registry.get(&entry.id);
+        let removal = registry.last_removal(self.clock.now(), &entry.id);
+        let (born, sequence, removed) = removal.unwrap_or_default();
+        log::info!(
+            endpoint:% = entry.id, born = entry.born, sequence = entry.sequence,
+            listed_born = listed.map(|e| e.born), listed_sequence = listed.and_then(|e| e.sequence),
+            removed_born = born, removed_sequence = sequence, removed_ms = removed.as_millis() as u64;
+            "entry held back: older than what is known of its endpoint"
+        );
+    }
+
+    /// Removes an endpoint whose removal was read, unless it may have lapsed in an outage.
     pub(crate) fn remove_endpoint(&self, id: &EndpointId) {
-        let now = self.clock.now();
         let mut registry = self.registry.lock();
-        let change = registry.remove(now, id);
+        let change = registry.remove(self.clock.now(), id);
         log::info!(endpoint:% = id, change:? = change; "endpoint removed from the list");
         if change == RegistryChange::Removed {
             self.remove_from_placers(std::slice::from_ref(id));
         }
     }
 
+    /// Removes an endpoint that is absent from a complete list, unless it may have lapsed in an
+    /// outage.
+    pub(crate) fn remove_absent_endpoint(&self, id: &EndpointId) {
+        let mut registry = self.registry.lock();
+        let change = registry.remove_absent(self.clock.now(), id);
+        log::info!(endpoint:% = id, change:? = change; "endpoint is absent from the list");
+        if change == RegistryChange::Removed {
+            self.remove_from_placers(std::slice::from_ref(id));
+        }
+    }
+
     /// Removes an endpoint that the zone's reader has removed.
     pub(crate) fn remove_endpoint_now(&self, id: &EndpointId) {
         let mut registry = self.registry.lock();
-        let change = registry.remove_now(id);
+        let change = registry.remove_now(self.clock.now(), id);
         log::info!(endpoint:% = id, change:? = change; "endpoint removed by the zone's reader");
         if change == RegistryChange::Removed {
             self.remove_from_placers(std::slice::from_ref(id));
@@ -71,6 +106,10 @@
             log::info!(endpoint:% = id; "lapsed endpoint removed");
         }
         self.remove_from_placers(&expired);
+        for (id, change) in registry.list_confirmed(now) {
+            log::info!(endpoint:% = id; "outdated entry is still listed, and believed");
+            self.apply_listed(&registry, &id, &change);
+        }
         for id in registry.expire_notices(now) {
             log::info!(endpoint:% = id; "limit of an endpoint expired");
             self.restrict(&registry, &id);
--- a/crates/relay/src/process/feed_reader.rs
+++ b/crates/relay/src/process/feed_reader.rs
@@ -136,7 +136,9 @@
                 self.apply_changes(changes);
                 if self.kind == FeedKind::Endpoints {
                     let absent = self.node.absent_endpoints(&listed);
-                    absent.iter().for_each(|id| self.node.remove_endpoint(id));
+                    absent
+                        .iter()
+                        .for_each(|id| self.node.remove_absent_endpoint(id));
                     self.node.registry.lock().read_applied();
                     self.node.observe_list(sent);
                 }
--- a/crates/relay/tests/common/router.rs
+++ b/crates/relay/tests/common/router.rs
@@ -106,6 +106,7 @@
         cold: Duration::ZERO,
         born: FIRST_START,
         release: Some("r1".parse().unwrap()),
+        sequence: None,
     }
 }
 
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -22,6 +22,7 @@
         cold: Duration::ZERO,
         born: 1,
         release: None,
+        sequence: None,
     }
 }
 
@@ -161,9 +162,15 @@
     registry.upsert(at(0), one.clone());
     registry.read_failed(at(0));
     registry.read_succeeded(at(5_000), false);
-    assert_eq!(registry.remove_now(&one.id), RegistryChange::Removed);
+    assert_eq!(
+        registry.remove_now(at(5_000), &one.id),
+        RegistryChange::Removed
+    );
     assert!(registry.accepting(&one.id).is_none());
-    assert_eq!(registry.remove_now(&one.id), RegistryChange::None);
+    assert_eq!(
+        registry.remove_now(at(5_000), &one.id),
+        RegistryChange::None
+    );
 }
 
 #[test]
