--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -43,6 +43,9 @@
     unanswered: bool,
     /// Reads since the last one that had to wait.
     reads_in_a_row: u32,
+    /// How the connection failed, if a write has met that. The system reports a failure once, and what
+    /// is read after it ends like a connection that was closed.
+    failure: Option<io::ErrorKind>,
 }
 
 /// Discards undelivered bytes of a request that was given up. Otherwise the system would go on
@@ -79,6 +82,7 @@
             pos: 0,
             unanswered: false,
             reads_in_a_row: 0,
+            failure: None,
         })
     }
 
@@ -124,7 +128,10 @@
             Poll::Ready(_) => self.reads_in_a_row + 1,
             Poll::Pending => 0,
         };
-        polled
+        match (polled, self.failure) {
+            (Poll::Ready(Ok(0)), Some(failure)) => Poll::Ready(Err(failure.into())),
+            (polled, _) => polled,
+        }
     }
 
     /// Reads more bytes into the buffer and returns their number; zero at the end of the stream.
@@ -266,7 +273,12 @@
             match pin!(step).await {
                 Ok(Ok(size)) => sent += size,
                 // A peer that no longer accepts bytes may still have sent a response.
-                Ok(Err(_)) => write_failed = true,
+                Ok(Err(e)) => {
+                    write_failed = true;
+                    // A broken pipe means that the peer closed first: all that it sent has arrived.
+                    let was_closed = e.kind() == io::ErrorKind::BrokenPipe;
+                    self.failure = (!was_closed).then_some(e.kind());
+                }
                 Err(Ok(0)) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 Err(Ok(_)) => {}
                 Err(Err(e)) => return Err(e),
--- a/crates/h1/tests/framing.rs
+++ b/crates/h1/tests/framing.rs
@@ -253,3 +253,38 @@
     drop(conn);
     assert_eq!(read_to_end(peer), Some(ErrorKind::ConnectionReset));
 }
+
+/// A failed write took the error of the reset, and a body that ends with its connection looked complete.
+#[test]
+fn body_until_close_is_cut_by_a_reset_that_a_write_has_met() {
+    let (mut conn, mut peer) = connected_pair();
+    peer.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").unwrap();
+    rustix::net::sockopt::set_socket_linger(&peer, Some(Duration::ZERO)).unwrap();
+    drop(peer);
+    thread::sleep(Duration::from_millis(50));
+    let (head, written) = block_on(conn.exchange(b"POST / HTTP/1.1\r\n\r\n", SIZE_LIMIT)).unwrap();
+    assert!(!written);
+    let framing = response_framing(&head, "POST").unwrap();
+    assert_eq!(framing, Framing::Close);
+    let read = block_on(BodyReader::new(framing).read_all(&mut conn, SIZE_LIMIT));
+    assert!(
+        matches!(&read, Err(BodyError::Io(e)) if e.kind() == ErrorKind::ConnectionReset),
+        "{read:?}"
+    );
+}
+
+/// A peer that has closed before it resets has sent all of its body.
+#[test]
+fn body_until_close_is_complete_if_the_reset_follows_the_close() {
+    let (mut conn, mut peer) = connected_pair();
+    peer.write_all(b"HTTP/1.1 200 OK\r\n\r\nwhole").unwrap();
+    drop(peer);
+    thread::sleep(Duration::from_millis(50));
+    block_on(conn.write_all(b"x")).unwrap();
+    thread::sleep(Duration::from_millis(50));
+    let (head, written) = block_on(conn.exchange(b"POST / HTTP/1.1\r\n\r\n", SIZE_LIMIT)).unwrap();
+    assert!(!written);
+    let mut reader = BodyReader::new(response_framing(&head, "POST").unwrap());
+    let read = block_on(reader.read_all(&mut conn, SIZE_LIMIT));
+    assert_eq!(read.unwrap(), b"whole");
+}
