--- a/crates/relay/src/request/buffered.rs
+++ b/crates/relay/src/request/buffered.rs
@@ -81,7 +81,7 @@
     mut slot: SlotLease,
     pending: PendingResponse,
 ) -> Result<Response, &'static str> {
-    let read = pending.read_body(node, &slot, &request.held).await;
+    let read = pending.read_checked(node, &slot, request).await;
     node.count_usage(request);
     let Ok((head, body)) = read else {
         node.note_cut(request, &slot, "answer cut short");
--- a/crates/relay/src/request/caller_stream.rs
+++ b/crates/relay/src/request/caller_stream.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         attempt::AttemptSpec,
+        close_check::CloseCheck,
         path::PendingResponse,
         response::{Response, add_connection_header},
         routed_request::RoutedRequest,
@@ -124,7 +125,7 @@
         // A failure that doesn't say "not run" ran as well.
         node.count_usage(request);
         let read = self
-            .watch(pending.read_body(&node, &slot, &request.held))
+            .watch(pending.read_checked(&node, &slot, request))
             .await;
         match read {
             WatchOutcome::CallerLeft => StreamOutcome::CallerLeft,
@@ -154,6 +155,7 @@
         let mut splitter = EventSplitter::default();
         let mut bytes = Vec::new();
         let mut has_events = false;
+        let mut is_done = false;
         // Bytes that complete no event don't count: a stalled stream may send some now and then.
         let mut since = self.node.clock.now();
         let resumes_after = self.last_event;
@@ -173,10 +175,12 @@
                 proven: spec.proven || self.last_event.is_some(),
                 since,
             };
+            // Any other end is that of a broken stream, or is marked by an event.
+            let is_open = has_events && splitter.is_empty() && !is_done;
+            let check =
+                is_open.then(|| CloseCheck::new(&node, slot.target.addr, &request.caller.id));
             let reading = async {
-                let next = pending
-                    .reader
-                    .next(&mut pending.path.pooled.conn, &mut bytes);
+                let next = pending.next(check, &mut bytes);
                 let next = async { Waited::Arrived(next.await) };
                 let silent = async {
                     if may_relocate(request) {
@@ -228,6 +232,7 @@
                 continue;
             }
             since = self.node.clock.now();
+            is_done = events.last().is_some_and(Event::is_done);
             if has_events {
                 slot.next_event();
                 if slot.passes_trial() {
--- a/crates/relay/src/request/carry.rs
+++ b/crates/relay/src/request/carry.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         carried_request::{CARRY_LOSS, CARRY_REFUSAL, CarriedRequest},
+        close_check::CloseCheck,
         endpoint_call::{CONNECT_TIMEOUT, EndpointCall, EndpointResponse},
         endpoint_target::EndpointTarget,
         path::PendingResponse,
@@ -196,7 +197,8 @@
     write(node, conn, &bytes).await?;
     let mut pending = PendingResponse::direct(response);
     if has_body {
-        forward_body(node, conn, &mut pending, carried).await?;
+        let check = CloseCheck::new(node, addr, &carried.attempt);
+        forward_body(node, conn, &mut pending, (carried, check)).await?;
     }
     pending.return_connection(node, addr);
     Some(())
@@ -206,14 +208,12 @@
     node: &Arc<Node>,
     conn: &mut Conn,
     pending: &mut PendingResponse,
-    carried: &CarriedRequest,
+    (carried, check): (&CarriedRequest, CloseCheck<'_>),
 ) -> Option<()> {
     let mut body = Vec::new();
     loop {
         body.clear();
-        let reading = pending
-            .reader
-            .next(&mut pending.path.pooled.conn, &mut body);
+        let reading = pending.next(Some(check), &mut body);
         let reading = async { Some(reading.await) };
         let left = async {
             conn.wait_closed().await;
--- a/crates/relay/src/request/mod.rs
+++ b/crates/relay/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod caller_stream;
 mod carried_request;
 mod carry;
+mod close_check;
 mod endpoint_call;
 mod endpoint_target;
 mod path;
--- a/crates/relay/src/request/path.rs
+++ b/crates/relay/src/request/path.rs
@@ -3,8 +3,10 @@
 use {
     super::{
         carried_request::{CARRY_LOSS, CARRY_PATH, CARRY_REFUSAL, CarriedRequest},
+        close_check::CloseCheck,
         endpoint_call::{EndpointCall, EndpointResponse, MAX_BODY, MAX_HEAD},
         endpoint_target::EndpointTarget,
+        routed_request::RoutedRequest,
         slot_lease::SlotLease,
     },
     crate::process::{ByteLease, CarrierLease, Node},
@@ -218,6 +220,38 @@
         }
     }
 
+    /// Appends the next bytes of the body to `out`; returns `false` at its end. Where only the close of the
+    /// connection shows the end, `check` confirms it.
+    pub(super) async fn next(
+        &mut self,
+        check: Option<CloseCheck<'_>>,
+        out: &mut Vec<u8>,
+    ) -> Result<bool, BodyError> {
+        let conn = &mut self.path.pooled.conn;
+        let has_more = self.reader.next(conn, out).await?;
+        if let Some(check) = check.filter(|_| self.until_close && !has_more) {
+            check.confirm().await?;
+        }
+        Ok(has_more)
+    }
+
+    /// Reads the body of a response that is sent to the caller, with a check of its end where only the close of
+    /// the connection shows it.
+    pub(super) async fn read_checked(
+        self,
+        node: &Node,
+        slot: &SlotLease,
+        request: &RoutedRequest,
+    ) -> Result<(ResponseHead, Vec<u8>), BodyError> {
+        let until_close = self.until_close;
+        let response = self.read_body(node, slot, &request.held).await?;
+        if until_close {
+            let check = CloseCheck::new(node, slot.target.addr, &request.caller.id);
+            check.confirm().await?;
+        }
+        Ok(response)
+    }
+
     /// Reads the body, and returns the connection to the pool if it can be reused.
     pub(super) async fn read_body(
         mut self,
