Calls: a call that was written after the permission is reset

A VM froze between the last check of its permission and the write, and thawed while its link was cut. The call waited in the send buffer and was retransmitted after the link had healed, 600 ms after the thaw and 315 ms after the heal, when another VM had acted: its token was lower than one that had been seen.

Cause: nothing can come between a check and a write but a pause of the process, and a call that was written after such a pause was waited for like any other.

Change: the permission is looked at after each write as well. If it has run out, the connection is reset at once, and what hasn't left the VM is discarded. A call that ends with its permission may be reset needlessly; it is sent again.

--- a/crates/coord/tests/duty_walk_sim/simulation.rs
+++ b/crates/coord/tests/duty_walk_sim/simulation.rs
@@ -154,6 +154,7 @@
             checks: CallChecks {
                 first: true,
                 parts: true,
+                written: true,
             },
             path,
             is_new: base == 0,
@@ -505,13 +506,17 @@
                 };
                 self.step_after(index, delay, Step::WriteCall(call));
             }
-            Action::Send(call) => match self.path.route(self.now, index, call) {
+            Action::Send(call, is_late) => match self.path.route(self.now, index, call) {
                 Route::Direct => self.send_call(index, call),
                 Route::Closed => self.step_after(index, 1, Step::CallDone(call, false)),
                 Route::InParts(pause) => {
                     let pause = pause + self.slow_delay(index, SLOW_STEP_MS);
                     self.step_after(index, pause, Step::WriteRest(call));
                 }
+                Route::Held(number) if is_late => {
+                    self.path.reset(self.now, number);
+                    self.step_after(index, 0, Step::CallDone(call, false));
+                }
                 Route::Held(number) => self.wait_for_link(index, call, number),
             },
             Action::SendRest(call) => self.send_call(index, call),
--- a/crates/coord/tests/duty_walk_sim/vm.rs
+++ b/crates/coord/tests/duty_walk_sim/vm.rs
@@ -54,7 +54,8 @@
     Connect(Call, Permission),
     /// Writes a call to its open connection.
     Write(Call),
-    Send(Call),
+    /// Sends a call, and resets it at once if it was written too late.
+    Send(Call, bool),
     SendRest(Call),
 }
 
@@ -65,6 +66,8 @@
     pub(crate) first: bool,
     /// Before each further part of it.
     pub(crate) parts: bool,
+    /// After a write.
+    pub(crate) written: bool,
 }
 
 /// One process.
@@ -121,7 +124,10 @@
             }
             Step::Act => self.act(now, unix, rng),
             Step::Connected(call, permission) => self.check_permission(now, call, permission),
-            Step::WriteCall(call) => Action::Send(call),
+            Step::WriteCall(call) => {
+                let is_late = self.send_by.is_none_or(|by| now >= by);
+                Action::Send(call, is_late && self.checks.written)
+            }
             Step::WriteRest(call) => self.write_rest(now, call),
             Step::GiveUp(call, _) => self.end_call(call, false),
             Step::CallDone(call, done) => self.end_call(call, done),
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -249,7 +249,7 @@
     }
 
     /// Like [`Conn::exchange`], but fails instead of writing a part of the request once `may_write`
-    /// is false.
+    /// is false, or was false by the end of a write.
     pub(crate) async fn exchange_while(
         &mut self,
         request: &[u8],
@@ -294,6 +294,8 @@
                 self.poll_fill(cx).map(Err)
             });
             match pin!(step).await {
+                // The process may have paused before the write; what it wrote is called back.
+                Ok(Ok(_)) if !may_write() => return Err(io::ErrorKind::TimedOut.into()),
                 Ok(Ok(size)) => sent += size,
                 // A peer that no longer accepts bytes may still have sent a response.
                 Ok(Err(_)) => write_failed = true,
