--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -312,7 +312,11 @@
                 self.poll_fill(cx).map(Err)
             });
             match pin!(step).await {
-                Ok(Ok(size)) => sent += size,
+                Ok(Ok(size)) => {
+                    sent += size;
+                    // The process may have paused before the write; what it wrote is called back.
+                    permission.as_ref().map_or(Ok(()), |p| p.check())?;
+                }
                 // A peer that no longer accepts bytes may still have sent a response.
                 Ok(Err(e)) => {
                     write_failed = true;
