--- a/crates/once/src/batch.rs
+++ b/crates/once/src/batch.rs
@@ -2,8 +2,10 @@
 
 use {
     super::{ClaimKey, ClaimOp},
+    compact_str::CompactString,
     serde::Deserialize,
-    serde_json::{Map, Value},
+    serde_json::value::RawValue,
+    std::collections::BTreeMap,
     types::RequestId,
 };
 
@@ -33,7 +35,7 @@
 impl ClaimBatch {
     /// Decodes a record. What cannot be read of it does not affect the rest.
     pub(crate) fn decode(data: &str) -> Self {
-        let Ok(values) = serde_json::from_str::<Vec<Value>>(data) else {
+        let Ok(values) = serde_json::from_str::<Vec<&RawValue>>(data) else {
             return Self {
                 ops: Vec::new(),
                 unreadable: 1,
@@ -41,7 +43,7 @@
         };
         let mut batch = Self::default();
         for value in values {
-            match read_op(value) {
+            match read_op(value.get()) {
                 Some(op) => batch.ops.push(op),
                 None => batch.unreadable += 1,
             }
@@ -50,13 +52,14 @@
     }
 }
 
-fn read_op(value: Value) -> Option<ReadOp> {
-    if let Ok(op) = ClaimOp::deserialize(&value) {
+fn read_op(text: &str) -> Option<ReadOp> {
+    if let Ok(op) = serde_json::from_str(text) {
         return Some(ReadOp::Known(op));
     }
-    // An operation is an object with one member, which is named for its kind.
-    let members: Map<String, Value> = serde_json::from_value(value).ok()?;
-    let (_, fields) = members.into_iter().next()?;
-    let UnknownOp { key, request } = serde_json::from_value(fields).ok()?;
+    // An operation is an object with a member that is named for its kind.
+    let members: BTreeMap<CompactString, &RawValue> = serde_json::from_str(text).ok()?;
+    let mut members = members.values();
+    let UnknownOp { key, request } =
+        members.find_map(|fields| serde_json::from_str(fields.get()).ok())?;
     Some(ReadOp::Unknown(key, request))
 }
--- a/crates/once/tests/unreadable_claims.rs
+++ b/crates/once/tests/unreadable_claims.rs
@@ -6,12 +6,14 @@
     once::{ClaimKey, ClaimOp, ClaimResult, ClaimState, Claimer, Fingerprint},
     parking_lot::Mutex,
     ports::{Appended, Log, Page, PlatformFuture, Record, Stream},
-    serde_json::json,
+    serde::Serialize,
     std::{sync::Arc, time::Duration},
     types::RequestId,
 };
 
 const RETENTION: Duration = Duration::from_secs(3600);
+/// Ids have 128 bits; this is added to the short ones of the tests.
+const LARGE_ID: u128 = 1 << 127;
 
 /// A log that appends records of other processes first.
 #[derive(Default)]
@@ -58,11 +60,19 @@
     Fingerprint::new("POST", "/permits/renewal", b"boiler 7")
 }
 
+fn id(request: u128) -> RequestId {
+    RequestId::from_bits(LARGE_ID + request)
+}
+
+fn to_json(value: &impl Serialize) -> String {
+    serde_json::to_string(value).unwrap()
+}
+
 fn claim(name: &str, request: u128) -> ClaimOp {
     ClaimOp::Claim {
         key: key(name),
         print: print(),
-        request: RequestId::from_bits(request),
+        request: id(request),
     }
 }
 
@@ -71,7 +81,7 @@
     let log = Arc::new(FakeLog::default());
     log.push(record);
     let claimer = Claimer::new(log, SystemClock::shared(), RETENTION);
-    let own = claimer.claim(key(name), print(), RequestId::from_bits(9));
+    let own = claimer.claim(key(name), print(), id(9));
     let follow = claimer.clone().follow_log();
     let write = claimer.clone().write_log();
     let tasks = async {
@@ -82,30 +92,48 @@
 }
 
 fn taken_by(request: u128) -> ClaimResult {
-    ClaimResult::Taken(ClaimState::Pending(RequestId::from_bits(request)))
+    ClaimResult::Taken(ClaimState::Pending(id(request)))
+}
+
+/// Operations with ids over 64 bits were taken for unreadable ones.
+#[test]
+fn known_operations_keep_their_meaning() {
+    let (key, request) = (key("renewal"), id(4));
+    let done = ClaimOp::Complete {
+        key,
+        request,
+        answer: None,
+    };
+    let completed = ClaimResult::Taken(ClaimState::Completed(request, None));
+    let batch = to_json(&[claim("renewal", 4), done]);
+    assert_eq!(claim_after(&batch, "renewal"), completed);
+    let batch = to_json(&[claim("renewal", 4), ClaimOp::Release { key, request }]);
+    assert_eq!(claim_after(&batch, "renewal"), ClaimResult::Granted);
 }
 
 /// The request ran a second time: one operation of another release hid all claims of its batch.
 #[test]
 fn claim_beside_an_unknown_operation_is_kept() {
-    let batch = json!([claim("renewal", 1), {"extend": {"days": 3}}]);
-    assert_eq!(claim_after(&batch.to_string(), "renewal"), taken_by(1));
+    let claim = to_json(&claim("renewal", 1));
+    let batch = format!(r#"[{claim}, {{"extend": {{"days": 3}}}}]"#);
+    assert_eq!(claim_after(&batch, "renewal"), taken_by(1));
 }
 
 /// The same for an operation of an unknown kind that names the key itself.
 #[test]
 fn unknown_operation_claims_the_key_that_it_names() {
-    let named = json!({"key": key("renewal"), "request": RequestId::from_bits(2), "more": [1]});
-    let batch = json!([{ "reserve": named }]);
-    assert_eq!(claim_after(&batch.to_string(), "renewal"), taken_by(2));
+    let (key, request) = (to_json(&key("renewal")), to_json(&id(2)));
+    let named = format!(r#"{{"key": {key}, "request": {request}, "more": [1]}}"#);
+    let batch = format!(r#"[{{"at": 7, "reserve": {named}}}]"#);
+    assert_eq!(claim_after(&batch, "renewal"), taken_by(2));
 }
 
 /// A claim whose fingerprint another release writes in another form.
 #[test]
 fn claim_with_an_unreadable_fingerprint_is_kept() {
-    let named = json!({"key": key("renewal"), "request": RequestId::from_bits(3), "print": [7]});
-    let batch = json!([{ "claim": named }]);
-    assert_eq!(claim_after(&batch.to_string(), "renewal"), taken_by(3));
+    let (key, request) = (to_json(&key("renewal")), to_json(&id(3)));
+    let batch = format!(r#"[{{"claim": {{"key": {key}, "request": {request}, "print": [7]}}}}]"#);
+    assert_eq!(claim_after(&batch, "renewal"), taken_by(3));
 }
 
 #[test]
