--- a/crates/coord/tests/duty_walk_sim/call_path.rs
+++ b/crates/coord/tests/duty_walk_sim/call_path.rs
@@ -2,7 +2,7 @@
 
 use {super::platform::Call, fastrand::Rng, std::collections::BTreeMap};
 
-/// Timeout of the exchange, and the time after which the system gives up what is not acknowledged.
+/// Timeout of the exchange, and the time after which the kernel drops unacknowledged bytes.
 pub(super) const EXCHANGE_LIMIT_MS: u64 = 600;
 const DELIVERY_LIMIT_MS: u64 = 2 * EXCHANGE_LIMIT_MS;
 /// First retransmission; the time doubles with each.
@@ -43,7 +43,7 @@
 pub(super) struct CallPath {
     rng: Rng,
     is_faulty: bool,
-    /// Whether the system of a sender gives up what is not acknowledged.
+    /// Whether a sender's kernel drops unacknowledged bytes after a timeout.
     pub(super) limits_delivery: bool,
     cuts: BTreeMap<usize, u64>,
     held: BTreeMap<u64, HeldCall>,
--- a/crates/coord/tests/duty_walk_sim/simulation.rs
+++ b/crates/coord/tests/duty_walk_sim/simulation.rs
@@ -228,7 +228,7 @@
         self
     }
 
-    /// Lets the systems of senders go on sending for minutes.
+    /// Lets the kernels of senders retransmit for minutes.
     pub(crate) fn without_delivery_limit(mut self) -> Self {
         self.path.limits_delivery = false;
         self
--- a/crates/coord/tests/lease_formats.rs
+++ b/crates/coord/tests/lease_formats.rs
@@ -69,7 +69,7 @@
 }
 
 /// Runs a holder of the lease `orders`, and adds a record to the log while it holds the lease.
-/// Returns whether it gives up its token, and whether it claims the lease anew.
+/// Returns whether it loses its token, and whether it claims the lease again.
 fn add_record(data: &str) -> (bool, bool) {
     let clock = SystemClock::shared();
     let log = Arc::new(MemoryLog {
--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -15,8 +15,8 @@
 const EXPIRY_POLL: Duration = Duration::from_millis(100);
 /// Largest accepted response head.
 const MAX_HEAD_SIZE: Bytes = Bytes(16 * 1024);
-/// Time for which the system goes on sending a call with `send_by`, in timeouts. At more than one, the
-/// process that times out can still reset the connection.
+/// `TCP_USER_TIMEOUT` of a call with `send_by`, as a multiple of its timeout. Above one, so that a running
+/// process resets the connection first.
 const DELIVERY_TIMEOUTS: u32 = 2;
 
 /// A complete response.
@@ -150,7 +150,7 @@
 }
 
 /// Fails once a call with a permission has expired. Timers don't count the time for which the machine is
-/// suspended, and the system would go on sending the request after it.
+/// suspended, and the kernel would keep transmitting the request afterwards.
 async fn until_expired<T>(clock: &dyn Clock, expires: Option<Instant>) -> Result<T, BodyError> {
     let Some(expires) = expires else {
         return pending().await;
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -94,9 +94,8 @@
         )?)
     }
 
-    /// Limits the time for which the system goes on sending bytes that the peer doesn't acknowledge,
-    /// even while this process is frozen or after it was killed; `None` restores the default of a
-    /// connection that was opened.
+    /// Limits how long the kernel retransmits unacknowledged bytes, also while this process is frozen
+    /// or after it was killed (`TCP_USER_TIMEOUT`); `None` restores the default of an opened connection.
     pub(crate) fn limit_delivery(&self, timeout: Option<Duration>) -> io::Result<()> {
         self.set_user_timeout(timeout.unwrap_or(OPENED_TIMEOUT))
     }
@@ -314,7 +313,7 @@
             match pin!(step).await {
                 Ok(Ok(size)) => {
                     sent += size;
-                    // The process may have paused before the write; what it wrote is called back.
+                    // The process may have paused before the write; the reset discards unsent bytes.
                     permission.as_ref().map_or(Ok(()), |p| p.check())?;
                 }
                 // A peer that no longer accepts bytes may still have sent a response.
--- a/crates/h1/tests/send_permission.rs
+++ b/crates/h1/tests/send_permission.rs
@@ -1,4 +1,4 @@
-//! Calls whose permission runs out, or whose process ends, while their bytes are under way.
+//! In-flight calls whose permission expires or whose process ends.
 
 use {
     async_io::block_on,
@@ -28,7 +28,7 @@
 const LARGE_BODY: usize = 16 * 1024 * 1024;
 /// Time for a sender to write what its buffer takes.
 const WRITE_TIME: Duration = Duration::from_millis(200);
-/// Time after which a peer gives up waiting for bytes.
+/// Read timeout of a peer.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after a suspension in which a late call isn't held against its sender.
 const WAKE_TIME: Duration = Duration::from_millis(300);
--- a/crates/relay/src/endpoints/endpoint.rs
+++ b/crates/relay/src/endpoints/endpoint.rs
@@ -31,8 +31,8 @@
     /// Release of its software; `None` if a VM told of the endpoint that doesn't know releases.
     #[serde(default)]
     pub release: Option<Release>,
-    /// Number of the heartbeat that wrote the entry; `None` if another VM told of the endpoint, as VMs
-    /// pass on what they believe and no numbers.
+    /// Sequence number of the heartbeat that wrote the entry; `None` for an entry from another VM, as
+    /// gossip carries no sequence numbers.
     #[serde(skip)]
     pub sequence: Option<u64>,
 }
--- a/crates/relay/src/request/close_check.rs
+++ b/crates/relay/src/request/close_check.rs
@@ -1,6 +1,6 @@
 //! Whether a response that ended with its connection is complete. The system closes the connections of a
 //! killed process like those of a process that has sent everything, so the response is taken for complete
-//! only if the endpoint goes on accepting connections.
+//! only if the endpoint still accepts connections.
 
 use {
     super::endpoint_call::CONNECT_TIMEOUT,
--- a/crates/relay/tests/late_entries.rs
+++ b/crates/relay/tests/late_entries.rs
@@ -164,7 +164,7 @@
     assert!(accepts(&registry));
 }
 
-/// While the platform can't be read, nobody sees the removal of the entry.
+/// The removal of an entry is not visible while the platform can't be read.
 #[test]
 fn time_of_an_outdated_entry_begins_again_after_an_outage() {
     let mut registry = after_removal();
