Review: a fleet of 32 VMs spends more than the retry budget

Cause: a new budget gets an eighth of the extra, whatever the size of the fleet, and is corrected only when another VM is discovered later. Change: case 10 in review/, a script. Nothing is fixed.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+program=target/review-2/release/case10
+[ -x "$program" ] || { echo "review/build-2.sh hasn't run"; exit 2; }
+exec "$program" review/10/record.txt
