--- a/review/standins-2/src/bin/case10.rs
+++ b/review/standins-2/src/bin/case10.rs
@@ -35,10 +35,12 @@
 const CLIENTS: u64 = 60;
 /// Mean time between two requests of a client.
 const INTERVAL: Duration = Duration::from_millis(600);
-/// From the start of the traffic to that of the failures, and their length.
+/// From the start of the traffic to that of the failures, their length, and the pause between two times of them.
 const QUIET: Duration = Duration::from_secs(12);
-const FAILING: Duration = Duration::from_millis(6_500);
-const REST: Duration = Duration::from_secs(4);
+const FAILING: Duration = Duration::from_secs(4);
+const PAUSE: Duration = Duration::from_secs(1);
+const TIMES: u32 = 2;
+const REST: Duration = Duration::from_secs(3);
 /// The bounds of the deployment.
 const RATIO: f64 = 0.2;
 const WINDOW: f64 = 10.0;
@@ -94,21 +96,24 @@
     fleet.wait_ready();
     let vip = Vip::start(fleet.nodes.iter().map(|n| n.front()).collect());
     thread::sleep(Duration::from_secs(4));
-    let end = Instant::now() + QUIET + FAILING + REST;
+    let end = Instant::now() + QUIET + (FAILING + PAUSE) * TIMES + REST;
     let clients = (0..CLIENTS).map(|number| {
         let (vip, record, seen) = (vip.clone(), record.clone(), seen.clone());
         thread::spawn(move || run_client(number, &vip, &record, &seen, end))
     });
     let clients: Vec<_> = clients.collect();
     thread::sleep(QUIET);
-    if trouble() {
-        failing.store(true, SeqCst);
-        record.say(format!(
-            "replicas fail {FAILURES} of their requests for {FAILING:?}"
-        ));
+    for _ in 0..TIMES {
+        if trouble() {
+            failing.store(true, SeqCst);
+            record.say(format!(
+                "replicas fail {FAILURES} of their requests for {FAILING:?}"
+            ));
+        }
+        thread::sleep(FAILING);
+        failing.store(false, SeqCst);
+        thread::sleep(PAUSE);
     }
-    thread::sleep(FAILING);
-    failing.store(false, SeqCst);
     for client in clients {
         client.join().unwrap();
     }
