--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -8,7 +8,7 @@
         net::{IpAddr, SocketAddr, TcpStream},
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -22,7 +22,7 @@
 pub const PLATFORM: u8 = 200;
 pub const FIRST_REPLICA: u8 = 100;
 /// Command of the deploy file.
-const PROGRAM: &str = "target/release/celery-node";
+pub const PROGRAM: &str = "target/release/celery-node";
 
 /// A temporary folder that is removed at the end.
 pub struct Folder(PathBuf);
@@ -53,6 +53,8 @@
     pub name: String,
     ip: IpAddr,
     child: Option<Child>,
+    /// The program that it runs.
+    pub program: String,
     settings: PathBuf,
     log: PathBuf,
     body: String,
@@ -68,8 +70,13 @@
 impl Fleet {
     /// Starts one machine in each entry of `zones`.
     pub fn start(net: Network, zones: &[&str], record: &Record) -> Self {
-        if !Path::new(PROGRAM).exists() {
-            crate::fail("the program of the deploy file isn't built");
+        Self::start_with(PROGRAM, net, zones, record)
+    }
+
+    /// The same with another program at first.
+    pub fn start_with(program: &str, net: Network, zones: &[&str], record: &Record) -> Self {
+        if !Path::new(PROGRAM).exists() || !Path::new(program).exists() {
+            crate::fail("the program isn't built");
         }
         let folder = Folder::create();
         let count = zones.len();
@@ -84,6 +91,7 @@
                 name,
                 ip,
                 child: None,
+                program: program.to_owned(),
                 body,
             }
         });
@@ -109,7 +117,7 @@
         let Ok(errors) = log.try_clone() else {
             crate::fail("cannot write to the temporary folder");
         };
-        let mut command = Command::new(PROGRAM);
+        let mut command = Command::new(&node.program);
         command.env_clear();
         for name in ["PATH", "HOME", "LANG"] {
             if let Some(value) = std::env::var_os(name) {
@@ -137,6 +145,30 @@
         self.record.say(format!("{name} killed"));
     }
 
+    /// SIGTERM, then SIGKILL after `graceS` unless the process has ended.
+    pub fn stop(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        let Some(child) = &mut node.child else {
+            return;
+        };
+        let id = child.id().to_string();
+        let name = node.name.clone();
+        self.record.say(format!("{name}: SIGTERM"));
+        let sent = Command::new("kill").args(["-TERM", &id]).status();
+        if !sent.is_ok_and(|s| s.success()) {
+            self.end();
+            crate::fail("cannot send SIGTERM");
+        }
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_secs(8) {
+            if child.try_wait().is_ok_and(|s| s.is_some()) {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        self.kill(at);
+    }
+
     /// Waits until all machines say that they are ready.
     pub fn wait_ready(&mut self) {
         for _ in 0..200 {
