Review: cases inside the limits that they quote

Cause: case 9 killed a quarter of the nodes where the site file has 0.16, clients of cases 8 and 9 tried three times where the sheet has one, case 7 used a privileged port, and a run that couldn't go on left its nodes.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,8 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/case9
 [ -x "$program" ] || { echo "review/build-2.sh hasn't run"; exit 2; }
-exec "$program" review/9/record.txt
+"$program" review/9/record.txt &
+id=$!
+# The program ends its processes itself; this is for a script that is ended early.
+trap 'pkill -KILL -P "$id"; kill "$id"; exit 2' INT TERM HUP
+wait "$id"
--- a/review/standins-2/src/bin/case7.rs
+++ b/review/standins-2/src/bin/case7.rs
@@ -63,7 +63,7 @@
     let mut fleet = Fleet::start(net, &ZONES, &record);
     fleet.wait_ready();
     if trouble() {
-        let addr = net.at(STRANGER, 80);
+        let addr = net.at(STRANGER, 8081);
         serve_stranger(addr, &record);
         // `sequence`, `coldLeftMs` and `born` are missing.
         let entry = format!(
--- a/review/standins-2/src/bin/case8.rs
+++ b/review/standins-2/src/bin/case8.rs
@@ -28,6 +28,8 @@
 const WARM_UP: Duration = Duration::from_secs(20);
 /// Time until the processes are started again.
 const DOWN: Duration = Duration::from_millis(1_100);
+/// A client takes its stream up when the machines have run again for over `contactMs`.
+const PAUSE: Duration = Duration::from_millis(5_500);
 const REST: Duration = Duration::from_secs(22);
 
 const CONFIG: &str = r#"{"version":7,"routes":[
@@ -70,7 +72,7 @@
     ];
     for number in 0..CLIENTS {
         let shared = (vip.clone(), record.clone(), tries.clone());
-        streams::start(number, shared, fields.clone(), end);
+        streams::start(number, PAUSE, shared, fields.clone(), end);
     }
     thread::sleep(WARM_UP);
     let from = record.at();
--- a/review/standins-2/src/bin/case9.rs
+++ b/review/standins-2/src/bin/case9.rs
@@ -19,15 +19,17 @@
     },
 };
 
-const ZONES: [&str; 4] = ["z1", "z2", "z1", "z2"];
+const ZONES: [&str; 8] = ["z1", "z2", "z1", "z2", "z1", "z2", "z1", "z2"];
 const STREAM: Stream = Stream {
     events: 66,
     pause: Duration::from_millis(200),
 };
-const CLIENTS: u64 = 192;
+const CLIENTS: u64 = 400;
 const WARM_UP: Duration = Duration::from_secs(20);
 /// From the new configuration to the kill: over `configApplyMs`.
 const APPLY: Duration = Duration::from_millis(2_500);
+/// A client takes its stream up so much later.
+const PAUSE: Duration = Duration::from_millis(500);
 const REST: Duration = Duration::from_secs(22);
 
 fn config(version: u32, first: u32, second: u32) -> String {
@@ -80,7 +82,7 @@
     ];
     for number in 0..CLIENTS {
         let shared = (vip.clone(), record.clone(), tries.clone());
-        streams::start(number, shared, fields.clone(), end);
+        streams::start(number, PAUSE, shared, fields.clone(), end);
     }
     thread::sleep(WARM_UP);
     // For information: each disruption without the other.
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -11,9 +11,11 @@
 pub mod vip;
 
 use std::{
-    env,
+    env, fs,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
-    process,
+    path::PathBuf,
+    process::{self, Command},
+    sync::{Mutex, PoisonError},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -76,12 +78,29 @@
     }
 }
 
-/// Ends the run because the case couldn't run.
+/// Processes that run, and folders that have to go, by the end of the run.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
+
+/// Ends the run because the case couldn't run, and all processes that it has started.
 pub fn fail(text: &str) -> ! {
     println!("cannot run: {text}");
+    let started = STARTED.lock().unwrap_or_else(PoisonError::into_inner);
+    started.iter().for_each(|id| signal(*id, "KILL"));
+    let folders = FOLDERS.lock().unwrap_or_else(PoisonError::into_inner);
+    for folder in folders.iter() {
+        let _ = fs::remove_dir_all(folder);
+    }
     process::exit(2)
 }
 
+/// Sends a signal to a process that this one has started.
+fn signal(id: u32, name: &str) {
+    let _ = Command::new("sh")
+        .args(["-c", &format!("kill -{name} {id}")])
+        .status();
+}
+
 /// Numbers in [0, 1) that look drawn.
 #[derive(Debug, Clone)]
 pub struct Chance(u64);
--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -34,6 +34,7 @@
         if let Err(e) = fs::create_dir_all(&path) {
             crate::fail(&format!("no temporary folder: {e}"));
         }
+        crate::FOLDERS.lock().unwrap().push(path.clone());
         Self(path)
     }
 }
@@ -127,7 +128,10 @@
         command.env("CELERYSTAGE_NODE_FILE", &node.settings);
         command.stdin(Stdio::null()).stdout(log).stderr(errors);
         match command.spawn() {
-            Ok(child) => node.child = Some(child),
+            Ok(child) => {
+                crate::STARTED.lock().unwrap().push(child.id());
+                node.child = Some(child);
+            }
             Err(e) => crate::fail(&format!("cannot start a node: {e}")),
         }
         let name = node.name.clone();
@@ -137,10 +141,7 @@
     /// SIGKILL.
     pub fn kill(&mut self, at: usize) {
         let node = &mut self.nodes[at];
-        if let Some(mut child) = node.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        node.end();
         let name = node.name.clone();
         self.record.say(format!("{name} killed"));
     }
@@ -151,14 +152,9 @@
         let Some(child) = &mut node.child else {
             return;
         };
-        let id = child.id().to_string();
         let name = node.name.clone();
         self.record.say(format!("{name}: SIGTERM"));
-        let sent = Command::new("kill").args(["-TERM", &id]).status();
-        if !sent.is_ok_and(|s| s.success()) {
-            self.end();
-            crate::fail("cannot send SIGTERM");
-        }
+        crate::signal(child.id(), "TERM");
         let began = Instant::now();
         while began.elapsed() < Duration::from_secs(8) {
             if child.try_wait().is_ok_and(|s| s.is_some()) {
@@ -186,12 +182,7 @@
 impl Fleet {
     /// Ends all processes.
     fn end(&mut self) {
-        for node in &mut self.nodes {
-            if let Some(mut child) = node.child.take() {
-                let _ = child.kill();
-                let _ = child.wait();
-            }
-        }
+        self.nodes.iter_mut().for_each(Node::end);
     }
 }
 
@@ -202,6 +193,16 @@
 }
 
 impl Node {
+    /// Ends its process.
+    fn end(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let id = child.id();
+            let _ = child.kill();
+            let _ = child.wait();
+            crate::STARTED.lock().unwrap().retain(|s| *s != id);
+        }
+    }
+
     pub fn front(&self) -> SocketAddr {
         SocketAddr::new(self.ip, FRONT_PORT)
     }
--- a/review/standins-2/src/streams.rs
+++ b/review/standins-2/src/streams.rs
@@ -15,8 +15,6 @@
 };
 
 const DEADLINE: Duration = Duration::from_secs(15);
-/// Pauses before the tries to take a stream up; an answer's `Retry-After` may make them longer.
-const PAUSES_MS: [u64; 3] = [500, 1_500, 4_000];
 /// Time without an event after which a client gives a connection up: four times the objective of 400 ms, eight times
 /// the pause of 200 ms, and two seconds, whichever is longest.
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -84,9 +82,10 @@
     }
 }
 
-/// Starts a client that has one stream after the other until `end`.
+/// Starts a client that has one stream after the other until `end`. It takes a stream that was cut up once, `pause` later.
 pub fn start(
     number: u64,
+    pause: Duration,
     (vip, record, tries): (Vip, Record, Arc<Mutex<Tries>>),
     fields: Vec<(&'static str, String)>,
     end: Instant,
@@ -97,13 +96,13 @@
         let mut next = number << 16;
         while Instant::now() < end {
             next += 1;
-            run(next, &vip, &record, &tries, &fields, &mut chance);
+            run((next, pause), &vip, &record, &tries, &fields, &mut chance);
         }
     })
 }
 
 fn run(
-    stream: u64,
+    (stream, pause): (u64, Duration),
     vip: &Vip,
     record: &Record,
     tries: &Mutex<Tries>,
@@ -114,7 +113,7 @@
     let first = new_id();
     let mut last = 0_u64;
     let mut versions: Vec<String> = Vec::new();
-    let mut pauses = PAUSES_MS.iter();
+    let mut tried = false;
     loop {
         let left = DEADLINE.saturating_sub(began.elapsed());
         if left < Duration::from_millis(200) {
@@ -124,11 +123,7 @@
             break;
         }
         let (machine, front) = vip.choose(chance.draw());
-        let id = if versions.is_empty() && last == 0 && pauses.len() == PAUSES_MS.len() {
-            first.clone()
-        } else {
-            new_id()
-        };
+        let id = if !tried { first.clone() } else { new_id() };
         let mut request = Request {
             method: "POST",
             path: "/memo/2f".to_owned(),
@@ -159,7 +154,7 @@
             machine + 1
         ));
         let mut client = Client::default();
-        let (whole, wait, text) = events(&mut client, front, &request, &mut last, &mut versions);
+        let (whole, text) = events(&mut client, front, &request, &mut last, &mut versions);
         one.brought = last > after;
         let place = if one.in_touch {
             "in touch"
@@ -176,12 +171,10 @@
         if whole {
             break;
         }
-        let Some(pause) = pauses.next() else {
+        if tried {
             break;
-        };
-        let left = DEADLINE.saturating_sub(began.elapsed());
-        let named = wait.unwrap_or_default().min(left / 3);
-        let pause = Duration::from_millis(*pause).max(named);
+        }
+        tried = true;
         thread::sleep(pause);
     }
     versions.sort();
@@ -191,33 +184,31 @@
     }
 }
 
-/// Reads the events of one try: whether they are whole, the time after which the client may come again, and a line for
-/// the record.
+/// Reads the events of one try: whether they are whole, and a line for the record.
 fn events(
     client: &mut Client,
     front: std::net::SocketAddr,
     request: &Request,
     last: &mut u64,
     versions: &mut Vec<String>,
-) -> (bool, Option<Duration>, String) {
+) -> (bool, String) {
     let head = match client.begin(front, request) {
         Ok(head) => head,
-        Err(Outcome::Refused) => return (false, None, "no connection".to_owned()),
-        Err(outcome) => return (false, None, outcome.describe()),
+        Err(Outcome::Refused) => return (false, "no connection".to_owned()),
+        Err(outcome) => return (false, outcome.describe()),
     };
     if status(&head) != 200 {
-        let wait = head.get("retry-after").and_then(|v| v.parse().ok());
         let body = client.body(&head).unwrap_or_default();
         let body = String::from_utf8_lossy(&body);
         let text = format!("{} {}", status(&head), body.trim());
-        return (false, wait.map(Duration::from_secs_f64), text);
+        return (false, text);
     }
     let mut unread = String::new();
     loop {
         match client.part(PATIENCE) {
-            Ok(part) if part.is_empty() => return (true, None, "200, whole".to_owned()),
+            Ok(part) if part.is_empty() => return (true, "200, whole".to_owned()),
             Ok(part) => unread.push_str(&String::from_utf8_lossy(&part)),
-            Err(e) => return (false, None, format!("200, broken off: {e}")),
+            Err(e) => return (false, format!("200, broken off: {e}")),
         }
         while let Some(end) = unread.find("\n\n") {
             let event: String = unread.drain(..end + 2).collect();
