An assignment that was lost and written again is not taken for the first one

A VM of an earlier release writes records without their assignment, and a later VM writes one again. Its buckets counted their changes from zero again, so that a VM which had seen the first assignment took them for unchanged since then, and dropped releases at which streams had begun in between. After a restart of all VMs these could have been joined at another release (ORDER).

The count begins with the offset of the record now, which is higher than any count of before. assignment_that_was_lost_and_written_again_is_another_one failed before.

--- a/crates/origins/src/assignment.rs
+++ b/crates/origins/src/assignment.rs
@@ -25,8 +25,9 @@
     pub(crate) open: bool,
     /// The releases at which streams may have begun that can still be resumed; `None`: any.
     pub(crate) begun: Option<BTreeSet<Release>>,
-    /// Number of changes of `current` and `open`.
-    pub(crate) changes: u32,
+    /// Rises with each change of `current` and `open`. It begins with the offset of the first record, so that it is higher than
+    /// in an assignment that was lost before.
+    pub(crate) changes: u64,
 }
 
 /// The releases at which streams of a service begin, by hash bucket. All VMs read it from the platform's log before they begin
@@ -56,10 +57,11 @@
 
 impl ReleaseAssignment {
     /// The first assignment: streams may have begun at the releases `begun`, at any if it is `None`, and begin in proportion
-    /// to the capacities from now on. `None` without capacity.
+    /// to the capacities from now on. `offset` is that of its record. `None` without capacity.
     pub(crate) fn first(
         capacity: &BTreeMap<Release, u32>,
         begun: Option<&BTreeSet<Release>>,
+        offset: u64,
     ) -> Option<Self> {
         let quotas = quotas(capacity);
         let releases = quotas.iter().flat_map(|(r, n)| std::iter::repeat_n(*r, *n));
@@ -68,7 +70,7 @@
                 current: release.clone(),
                 open: false,
                 begun: begun.map(|b| b.iter().chain([release]).cloned().collect()),
-                changes: 0,
+                changes: offset,
             })
             .collect();
         (buckets.len() == BUCKETS).then_some(Self { buckets })
@@ -213,7 +215,7 @@
 }
 
 /// A bucket with its releases as indexes: current one, whether it is open, those that began streams, changes.
-type PackedBucket = (u8, bool, Option<Vec<u8>>, u32);
+type PackedBucket = (u8, bool, Option<Vec<u8>>, u64);
 
 /// The encoded form.
 #[derive(Serialize, Deserialize)]
--- a/crates/origins/src/assignment_tests.rs
+++ b/crates/origins/src/assignment_tests.rs
@@ -17,7 +17,7 @@
 
 /// An assignment of a fleet whose streams all began by it.
 fn first(endpoints: &[u32]) -> ReleaseAssignment {
-    ReleaseAssignment::first(&capacity(endpoints), Some(&BTreeSet::new())).unwrap()
+    ReleaseAssignment::first(&capacity(endpoints), Some(&BTreeSet::new()), 0).unwrap()
 }
 
 fn update(assignment: &ReleaseAssignment, endpoints: &[u32]) -> ReleaseAssignment {
--- a/crates/origins/src/release_ledger.rs
+++ b/crates/origins/src/release_ledger.rs
@@ -56,8 +56,8 @@
 /// Since when this VM knows an assignment as it is.
 #[derive(Debug, Default)]
 struct Observed {
-    /// For each bucket the number of its changes, and since when it is that.
-    buckets: Vec<(u32, Instant)>,
+    /// For each bucket its `changes`, and since when they are that.
+    buckets: Vec<(u64, Instant)>,
     /// The releases that have too few buckets, and since when.
     lacking: BTreeMap<Release, Instant>,
 }
@@ -201,7 +201,7 @@
                 true => Some(BTreeSet::new()),
                 false => known,
             };
-            let first = ReleaseAssignment::first(&capacity, begun.as_ref());
+            let first = ReleaseAssignment::first(&capacity, begun.as_ref(), self.end.offset);
             return first.filter(|_| binding == Binding::Bound);
         };
         let observed = self.observed.entry(service.clone()).or_default();
--- a/crates/origins/tests/release_ledger.rs
+++ b/crates/origins/tests/release_ledger.rs
@@ -137,6 +137,38 @@
     assert_eq!(ReleaseRecord::decode(&later).unwrap(), recorded);
 }
 
+/// The assignment of a record was lost when a VM of an earlier release wrote it, and written again by another VM. Its buckets were
+/// taken for unchanged since the first one, although streams had begun anywhere in between.
+#[test]
+fn assignment_that_was_lost_and_written_again_is_another_one() {
+    let mut vm = started(&[1, 2]);
+    vm.begin_system();
+    vm.set_binding(Binding::Bound);
+    let mut ledger = ReleaseLedger::new(Duration::ZERO);
+    ledger.apply(at(100), end(0), [].into(), &mut vm);
+    let LedgerStep::Write(_, first, _) = next(&mut ledger, &vm, at(100)) else {
+        panic!("no record");
+    };
+    let position = |offset| LogPosition {
+        era: Era(0),
+        offset,
+    };
+    ledger.written(at(100), (service(), first.clone()), position(2), &mut vm);
+    read(&mut vm, &[1, 2], 250, 100_000);
+    // Another VM that started then has written it, after one of an earlier release had written a record without it.
+    let mut other = ReleaseLedger::new(Duration::ZERO);
+    let stripped = || [(service(), record(&[1, 2], WINDOW, 0))].into();
+    other.apply(at(100_000), position(7), stripped(), &mut vm);
+    let LedgerStep::Write(_, second, _) = next(&mut other, &vm, at(100_000)) else {
+        panic!("no record");
+    };
+    let records = || [(service(), second.clone())].into();
+    ledger.apply(at(100_100), position(8), records(), &mut vm);
+    read(&mut vm, &[1, 2], 100_000, 125_000);
+    ledger.apply(at(125_000), position(8), records(), &mut vm);
+    assert_eq!(next(&mut ledger, &vm, at(125_000)), LedgerStep::Wait);
+}
+
 /// A record as dfd247d reads and writes it.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct RecordDfd247d {
