Fewer reads of the release records, and no wait for them at VMs that have just started

Readers read the records five times a second for streams whose origin these don't tell, and each new stream wrote a log line.

Such a VM reads the records once itself. A stream is looked for in the records once a second, and streams that don't wait log nothing. Log lines of reads are written when there is something new.

--- a/crates/origins/src/assignments.rs
+++ b/crates/origins/src/assignments.rs
@@ -125,6 +125,12 @@
         self.assignments.snapshot.as_ref()
     }
 
+    /// Whether this VM has read the list, but neither the assignments nor the state of another VM with them.
+    pub fn lacks_assignments(&self) -> bool {
+        let is_unread = self.assignments.snapshot.is_none() && !self.assignments.is_unsupported;
+        is_unread && self.history.observed_since().is_some()
+    }
+
     /// Applies assignments that were read from the platform, by this VM or by the one that it follows; returns whether they
     /// are newer than those that it knew.
     pub fn set_assignments(&mut self, now: Instant, snapshot: AssignmentSnapshot) -> bool {
@@ -200,19 +206,18 @@
 
     /// Learns the origins that were sought before the records were read, at `read`.
     pub(crate) fn answer_from_records(&mut self, now: Instant, read: Instant) {
-        for (key, question) in self.questions.take_before(read) {
-            let service = &question.service;
-            let assignment = self.assignments.get(service);
+        for (key, service, askers) in self.questions.close_before(read) {
+            let assignment = self.assignments.get(&service);
             let release = assignment.and_then(|a| a.origin(&key)).cloned();
             if let Some(release) = release
                 && self.table.find(now, &key).is_none()
             {
-                let window = self.history.window(now, service).as_millis();
+                let window = self.history.window(now, &service).as_millis();
                 self.table.learn(
                     now,
                     &OriginRecord {
                         key,
-                        service: service.clone(),
+                        service,
                         release: Some(release),
                         ends_ms: u32::try_from(window).unwrap_or(u32::MAX),
                     },
@@ -221,11 +226,12 @@
             let Some(record) = self.table.tell(now, &key) else {
                 continue;
             };
+            self.questions.remove(&key);
             let news = OriginNews {
                 origins: vec![record],
                 ..OriginNews::default()
             };
-            let answers = question.askers.into_iter().map(|a| (a, news.clone()));
+            let answers = askers.into_iter().map(|a| (a, news.clone()));
             self.answers.extend(answers);
         }
     }
--- a/crates/origins/src/record_questions.rs
+++ b/crates/origins/src/record_questions.rs
@@ -21,14 +21,16 @@
 
 /// A stream whose origin is sought.
 #[derive(Debug)]
-pub(crate) struct Question {
-    pub(crate) service: ServiceId,
+struct Question {
+    service: ServiceId,
     /// When it was first asked for. Records that were read later name the release of the stream.
-    pub(crate) asked: Instant,
+    asked: Instant,
     /// How often it was asked for.
     asks: u32,
+    /// Whether the records haven't been read since.
+    is_open: bool,
     /// The other VMs that ask.
-    pub(crate) askers: BTreeSet<SocketAddr>,
+    askers: BTreeSet<SocketAddr>,
 }
 
 /// The streams whose origin is sought.
@@ -43,14 +45,21 @@
         (key, service): (StreamKey, &ServiceId),
         asker: Option<SocketAddr>,
     ) {
-        self.expire(now);
+        if self.0.len() >= MAX_STREAMS {
+            self.expire(now);
+        }
         if self.0.len() >= MAX_STREAMS && !self.0.contains_key(&key) {
             return;
         }
+        let known = self.0.get(&key);
+        if known.is_some_and(|q| now.since(q.asked) >= QUESTION_TIME) {
+            self.0.remove(&key);
+        }
         let question = self.0.entry(key).or_insert_with(|| Question {
             service: service.clone(),
             asked: now,
             asks: 0,
+            is_open: true,
             askers: BTreeSet::new(),
         });
         question.asks += 1;
@@ -61,13 +70,31 @@
 
     /// When the last stream was first asked for that has been asked for again.
     pub(crate) fn last_asked(&self) -> Option<Instant> {
-        let repeated = self.0.values().filter(|q| q.asks >= MIN_ASKS);
+        let repeated = self.0.values();
+        let repeated = repeated.filter(|q| q.is_open && q.asks >= MIN_ASKS);
         repeated.map(|q| q.asked).max()
     }
 
-    /// Takes the questions that were asked before `read`.
-    pub(crate) fn take_before(&mut self, read: Instant) -> Vec<(StreamKey, Question)> {
-        self.0.extract_if(.., |_, q| q.asked <= read).collect()
+    /// The streams that were asked for before `read`, with the VMs that ask. Their questions are closed, so that the records
+    /// aren't read for them again.
+    pub(crate) fn close_before(
+        &mut self,
+        read: Instant,
+    ) -> Vec<(StreamKey, ServiceId, BTreeSet<SocketAddr>)> {
+        let closed = self.0.iter_mut();
+        let closed = closed.filter(|(_, q)| q.is_open && q.asked <= read);
+        closed
+            .map(|(key, question)| {
+                question.is_open = false;
+                let askers = std::mem::take(&mut question.askers);
+                (*key, question.service.clone(), askers)
+            })
+            .collect()
+    }
+
+    /// Drops the question for a stream whose origin is known now.
+    pub(crate) fn remove(&mut self, key: &StreamKey) {
+        self.0.remove(key);
     }
 
     pub(crate) fn expire(&mut self, now: Instant) {
--- a/crates/origins/src/release_ledger.rs
+++ b/crates/origins/src/release_ledger.rs
@@ -231,6 +231,11 @@
         })
     }
 
+    /// End of the topic when the records were last read or written.
+    pub fn position(&self) -> Option<LogPosition> {
+        self.last.as_ref().map(|_| self.end)
+    }
+
     /// Applies all records, as they were when the topic ended at `end`.
     pub fn apply(
         &mut self,
--- a/crates/relay/src/process/release_records.rs
+++ b/crates/relay/src/process/release_records.rs
@@ -3,6 +3,7 @@
 use {
     super::Node,
     crate::adapter::{AppendOutcome, KeyedRecords, SharedLog, Topic},
+    clock::Instant,
     futures_lite::FutureExt,
     origins::{LedgerStep, ReleaseLedger, ReleaseRecord},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
@@ -23,7 +24,7 @@
         let poll = async { node.clock.sleep(POLL).await };
         poll.or(asked).await;
         let now = node.clock.now();
-        let reads = !node.lifecycle.is_stopping() && node.reads_platform(now);
+        let reads = !node.lifecycle.is_stopping() && reads_records(&node, now);
         node.origins.lock().known.set_reads_records(reads);
         if !reads {
             ledger.reset();
@@ -45,6 +46,12 @@
     }
 }
 
+/// Whether this VM reads the records: as the reader of its zone, or once at the start if it has a list before it follows a reader.
+fn reads_records(node: &Node, now: Instant) -> bool {
+    let follows = !node.peers.lock().readers(now).is_empty();
+    node.reads_platform(now) || !follows && node.origins.lock().known.lacks_assignments()
+}
+
 fn next_step(node: &Node, ledger: &mut ReleaseLedger) -> LedgerStep {
     ledger.step(node.clock.now(), &node.origins.lock().known)
 }
@@ -54,7 +61,8 @@
         Ok(KeyedRecords { records, end }) => {
             let decoded = records.iter().filter_map(|(key, value)| decode(key, value));
             let records: BTreeMap<_, _> = decoded.collect();
-            for (service, record) in &records {
+            let is_news = ledger.position() != Some(end);
+            for (service, record) in records.iter().filter(|_| is_news) {
                 log::info!(service:% = service, releases:% = record, era = record.era.0, end:% = end; "releases read");
             }
             let now = node.clock.now();
--- a/crates/relay/src/process/stream_origins.rs
+++ b/crates/relay/src/process/stream_origins.rs
@@ -122,6 +122,9 @@
 
     /// Waits until it is known where a new stream may begin, for a second at most.
     pub(crate) async fn await_assignment(&self, request: &RoutedRequest) {
+        if self.begin_at(request) != Begin::Wait {
+            return;
+        }
         let known = async {
             loop {
                 let learned = self.origins_learned.listen();
@@ -134,12 +137,10 @@
         let asked = self.clock.now();
         let waited = timeout(&*self.clock, ASSIGNMENT_WAIT, known).await;
         let took = self.clock.now().since(asked);
-        if waited.is_err() || !took.is_zero() {
-            log::info!(
-                request:% = request.caller.id, service:% = request.service, known = waited.is_ok(), took_ms = took.as_millis() as u64;
-                "stream waited for the releases of its service"
-            );
-        }
+        log::info!(
+            request:% = request.caller.id, service:% = request.service, known = waited.is_ok(), took_ms = took.as_millis() as u64;
+            "stream waited for the releases of its service"
+        );
     }
 
     /// Notes that no endpoint of the release at which a stream has to begin took it.
