Streams go on at their service after a change of weights (LOST)

Cause: the service of a stream is drawn by the weights in force, and its origin is kept by service. After the change most streams were drawn to the other service, where nobody knew them. Where that service had one release, they went on there, though it had never begun them.

Change: a stream that is taken up is looked for under all services of its route. For the time in which streams of before a change can be resumed, VMs tell each other the origins of the streams of these services, also where each has one release, and infer none for each other. The services' records name the weights, so that after a restart of all VMs no origin is told by weights that have just changed.

--- a/crates/origins/src/assignments.rs
+++ b/crates/origins/src/assignments.rs
@@ -208,6 +208,7 @@
     pub(crate) fn answer_from_records(&mut self, now: Instant, read: Instant) {
         for (key, service, askers) in self.questions.close_before(read) {
             let assignment = self.assignments.get(&service);
+            let assignment = assignment.filter(|_| self.weights.is_settled(&service));
             let release = assignment.and_then(|a| a.origin(&key)).cloned();
             if let Some(release) = release
                 && self.table.find(now, &key).is_none()
--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -9,6 +9,7 @@
 mod askers;
 mod assignment;
 mod assignments;
+mod contested;
 mod doubt_queue;
 mod origin_news;
 mod origin_table;
@@ -19,6 +20,7 @@
 mod release_ledger;
 mod release_record;
 mod stream_key;
+mod weights;
 
 pub use {
     assignment::ReleaseAssignment,
@@ -28,6 +30,6 @@
     origins::{Doubts, Lookup, Origins, Reaction},
     release_history::{MAX_LIST_AGE, ReleaseHistory, SETTLE_TIME},
     release_ledger::{LedgerStep, ReleaseLedger},
-    release_record::ReleaseRecord,
+    release_record::{ReleaseRecord, WeightRecord},
     stream_key::StreamKey,
 };
--- a/crates/origins/src/origins.rs
+++ b/crates/origins/src/origins.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         Known, Origin, OriginAsk, OriginNews, OriginRecord, OriginTable, ReleaseHistory, StreamKey,
-        askers::Askers, assignments::Assignments, doubt_queue::DoubtQueue,
-        record_questions::RecordQuestions, relay_queue::RelayQueue,
+        askers::Askers, assignments::Assignments, contested::Contested, doubt_queue::DoubtQueue,
+        record_questions::RecordQuestions, relay_queue::RelayQueue, weights::Weights,
     },
     clock::Instant,
     std::{
@@ -69,6 +69,8 @@
     doubts: DoubtQueue,
     askers: Askers,
     pub(super) assignments: Assignments,
+    pub(super) contested: Contested,
+    pub(super) weights: Weights,
     pub(super) questions: RecordQuestions,
     /// Whether this VM reads the platform's records, and its answers from them.
     pub(super) reads_records: bool,
@@ -113,6 +115,7 @@
     pub(super) fn update_only(&mut self, now: Instant) {
         let is_current = self.history.is_current(now);
         let services = self.history.services().filter(|_| is_current);
+        let services = services.filter(|s| !self.contested.contains(now, s));
         let only: BTreeMap<_, _> = services
             .filter_map(|s| Some((s.clone(), self.history.sole(now, s)?)))
             .collect();
@@ -143,6 +146,11 @@
             .flatten()
     }
 
+    /// The time for which streams of a service may be resumed.
+    pub fn window(&self, now: Instant, service: &ServiceId) -> Duration {
+        self.history.window(now, service)
+    }
+
     /// Whether new streams may begin at a release; see [`ReleaseHistory::is_settled`].
     pub fn is_settled(&self, now: Instant, service: &ServiceId, release: Option<&Release>) -> bool {
         self.history.is_settled(now, service, release)
@@ -362,6 +370,9 @@
         if let Some(record) = self.table.tell(now, &ask.key) {
             return Some(record);
         }
+        if self.contested.contains(now, &ask.service) {
+            return None;
+        }
         let release = self.sole(now, &ask.service)?;
         let window = self.history.window(now, &ask.service).as_millis();
         Some(OriginRecord {
@@ -378,6 +389,7 @@
         self.askers.expire(now);
         self.questions.expire(now);
         self.assignments.expire(now);
+        self.contested.expire(now);
         self.update_only(now);
     }
 
--- a/crates/origins/src/release_ledger.rs
+++ b/crates/origins/src/release_ledger.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        AssignmentSnapshot, Binding, Origins, ReleaseAssignment, ReleaseRecord,
+        AssignmentSnapshot, Binding, Origins, ReleaseAssignment, ReleaseRecord, WeightRecord,
         assignment::AssignmentUpdate, assignments::FIRST_WRITE_TIME,
     },
     clock::Instant,
@@ -10,7 +10,7 @@
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
-    types::{Era, LogPosition, Release, ServiceId},
+    types::{Era, LogPosition, Release, ServiceId, Version},
 };
 
 /// Time after which records are read again although nothing has changed: the store may have started a new era.
@@ -60,6 +60,8 @@
     buckets: Vec<(u64, Instant)>,
     /// The releases that have too few buckets, and since when.
     lacking: BTreeMap<Release, Instant>,
+    /// The configuration that the weights are of, and since when they are.
+    weights: Option<(Version, Instant)>,
 }
 
 impl Observed {
@@ -73,6 +75,14 @@
         self.buckets = noted.collect();
     }
 
+    fn note_weights(&mut self, now: Instant, weights: Option<&WeightRecord>) {
+        let known = self.weights;
+        self.weights = weights.map(|weights| {
+            let known = known.filter(|known| known.0 == weights.version);
+            known.unwrap_or((weights.version, now))
+        });
+    }
+
     /// Notes the releases that have too few buckets; returns those that have had for long.
     fn note_lacking(&mut self, now: Instant, lacking: BTreeSet<Release>) -> BTreeSet<Release> {
         self.lacking.retain(|release, _| lacking.contains(release));
@@ -133,6 +143,7 @@
         let mut due = origins.release_records(now, self.end.era);
         for (service, record) in &mut due {
             record.assignment = self.next_assignment(now, origins, service, record);
+            record.weights = self.next_weights(now, origins, service, record);
             self.omit_unused(service, record);
         }
         due.retain(|service, record| match self.stored.get(service) {
@@ -153,6 +164,24 @@
         LedgerStep::Write(service, record, self.end.offset)
     }
 
+    /// The weights that the record of a service should name.
+    fn next_weights(
+        &self,
+        now: Instant,
+        origins: &Origins,
+        service: &ServiceId,
+        record: &ReleaseRecord,
+    ) -> Option<WeightRecord> {
+        let stored = self.stored.get(service).and_then(|r| r.weights.as_ref());
+        let since = self.observed.get(service).and_then(|o| o.weights);
+        let hold_time = record.window() + MAX_ASSIGNMENT_AGE;
+        let is_held = since.is_some_and(|(_, since)| now.since(since) >= hold_time);
+        let is_first = origins.history.is_first_within(now, FIRST_WRITE_TIME);
+        origins
+            .weights
+            .next_record(service, stored, (is_held, is_first))
+    }
+
     /// Leaves out releases that no stream can have begun at, as they were never assigned to any: they needn't be written before.
     fn omit_unused(&self, service: &ServiceId, record: &mut ReleaseRecord) {
         let Some(assignment) = &record.assignment else {
@@ -273,14 +302,20 @@
     /// Puts the assignments that are stored in force.
     fn publish(&mut self, now: Instant, origins: &mut Origins) {
         let mut services = BTreeMap::new();
+        let mut settled = BTreeMap::new();
         for (service, record) in &self.stored {
+            let observed = self.observed.entry(service.clone()).or_default();
+            observed.note_weights(now, record.weights.as_ref());
+            if let Some(weights) = record.weights.filter(|w| w.settled) {
+                settled.insert(service.clone(), weights.digest);
+            }
             let Some(assignment) = &record.assignment else {
                 continue;
             };
-            let observed = self.observed.entry(service.clone()).or_default();
             observed.note(now, assignment);
             services.insert(service.clone(), assignment.clone());
         }
+        origins.set_settled_weights(settled);
         let at = self.end;
         origins.set_assignments(now, AssignmentSnapshot { at, services });
     }
--- a/crates/origins/src/release_record.rs
+++ b/crates/origins/src/release_record.rs
@@ -5,7 +5,7 @@
     rmp_serde::{decode, encode},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeSet, fmt, time::Duration},
-    types::{Era, Release},
+    types::{Era, Release, Version},
 };
 
 /// Name in log lines of a release that isn't known.
@@ -25,6 +25,20 @@
     /// At which of them new streams begin, if all VMs follow it. Earlier releases of the router neither read nor write it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub assignment: Option<ReleaseAssignment>,
+    /// The weights by which streams are sent here rather than to another service, if a route has several.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub weights: Option<WeightRecord>,
+}
+
+/// The weights of the routes that send streams to a service and to others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightRecord {
+    /// Digest of the weights.
+    pub digest: u64,
+    /// The configuration that they were first seen in.
+    pub version: Version,
+    /// Whether all streams that can still be resumed began by these weights.
+    pub settled: bool,
 }
 
 impl ReleaseRecord {
@@ -35,6 +49,7 @@
             window_ms: u64::try_from(window.as_millis()).unwrap_or(u64::MAX),
             era,
             assignment: None,
+            weights: None,
         }
     }
 
--- a/crates/origins/tests/origin_fleet.rs
+++ b/crates/origins/tests/origin_fleet.rs
@@ -85,6 +85,21 @@
     }
 }
 
+/// After a change of weights between two services, nobody knew which of them had begun the streams of killed VMs: none was told
+/// while each service had one release.
+#[test]
+fn callers_are_known_after_weights_have_changed() {
+    for (vms, zones, rate) in FLEETS {
+        let mut fleet = Fleet::new(vms, zones, LIFE, 4);
+        fleet.run(secs(5), rate);
+        fleet.contested = Some(fleet.now);
+        fleet.run(secs(3), rate);
+        fleet.take_tally();
+        run_with_trouble(&mut fleet, 10, rate);
+        check("weights", vms, 4, &fleet.take_tally());
+    }
+}
+
 /// After a rollback callers of the release between were served by the old one.
 #[test]
 fn callers_come_back_to_their_release_after_a_rollback() {
--- a/crates/origins/tests/origin_sim/callers.rs
+++ b/crates/origins/tests/origin_sim/callers.rs
@@ -4,7 +4,7 @@
     super::Fleet,
     crate::origin_common::{key, origin, service},
     clock::Instant,
-    origins::{Begin, Lookup, Origins},
+    origins::{Begin, Known, Lookup, Origins},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
@@ -227,7 +227,7 @@
                 self.callers.returning.insert((back, asking.stream));
                 continue;
             };
-            let lookup = origins.look_up(now, &key(asking.stream as u64), &service());
+            let lookup = self.look_up(origins, asking.stream);
             match lookup {
                 Lookup::Ask if now < asking.until => {
                     let mut asking = asking;
@@ -273,8 +273,7 @@
         let Some(origins) = &self.vms[vm].origins else {
             return;
         };
-        let key = key(stream as u64);
-        let lookup = origins.look_up(now, &key, &service());
+        let lookup = self.look_up(origins, stream);
         if lookup != Lookup::Ask {
             self.resolve(stream, vm, &lookup);
             return;
@@ -288,6 +287,19 @@
         });
     }
 
+    /// What a VM knows of a stream, or was told if its service is contested.
+    fn look_up(&self, origins: &Origins, stream: usize) -> Lookup {
+        let key = key(stream as u64);
+        if self.contested.is_none() {
+            return origins.look_up(self.now, &key, &service());
+        }
+        match origins.find(self.now, &key) {
+            Some(Known::Release(release)) => Lookup::Release(release),
+            Some(Known::Unknown) => Lookup::Unknown,
+            None => Lookup::Ask,
+        }
+    }
+
     /// A VM asks the others, and reads the records if it can.
     fn ask(&mut self, vm: usize, stream: usize) {
         let key = key(stream as u64);
@@ -295,7 +307,11 @@
             origins.ask_records(self.now, (key, &service()), None);
         }
         let targets = self.targets(vm);
-        self.send_all(vm, &targets, &Origins::ask(key, &service()));
+        let question = match self.contested {
+            Some(_) => Origins::ask_told([key]),
+            None => Origins::ask(key, &service()),
+        };
+        self.send_all(vm, &targets, &question);
     }
 
     /// A VM serves a caller, or refuses.
--- a/crates/relay/src/connection/session.rs
+++ b/crates/relay/src/connection/session.rs
@@ -159,6 +159,10 @@
     };
     node.earn_retry(&request);
     if request.route.kind.is_stream() {
+        let request = match find_service(node, conn, request, (keep_alive, is_head)).await {
+            Ok(request) => request,
+            Err(disposition) => return disposition,
+        };
         return serve_stream(node, conn, &request, keep_alive).await;
     }
     let Some(response) = run_until_caller_leaves(node, conn, &request).await else {
@@ -188,6 +192,37 @@
     done.unwrap_or_else(|_| Some(Response::refusal(request.timed_out())))
 }
 
+/// Routes a stream that the caller takes up to the service that began it, if weights decide about new ones.
+async fn find_service(
+    node: &Arc<Node>,
+    conn: &mut Conn,
+    mut request: RoutedRequest,
+    options: (bool, bool),
+) -> Result<RoutedRequest, Disposition> {
+    let lookup = async { Some(node.find_service(&request).await) };
+    let caller_left = async {
+        conn.wait_closed().await;
+        None
+    };
+    match lookup.or(caller_left).await {
+        Some(Ok(None)) => {}
+        Some(Ok(Some(origin))) => {
+            request.service = origin.service;
+            request.set_origin(origin.release);
+        }
+        Some(Err(refusal)) => {
+            let response = Response::refusal(refusal);
+            node.log_response(&request, &response);
+            return Err(send_response(node, conn, &response, options).await);
+        }
+        None => {
+            node.log_caller_left(&request);
+            return Err(Disposition::Close);
+        }
+    }
+    Ok(request)
+}
+
 async fn serve_stream(
     node: &Arc<Node>,
     conn: &mut Conn,
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -28,6 +28,7 @@
 mod state_sync;
 mod state_trailer;
 mod stream_origins;
+mod stream_services;
 mod summaries;
 mod usage_reporter;
 mod wall_clock;
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -81,6 +81,7 @@
             "configuration in force"
         );
         self.set_resume_windows(&config);
+        self.note_weights(current.as_deref(), &config);
         *current = Some(config);
         self.changed.notify(usize::MAX);
         true
--- a/crates/relay/src/process/stream_origins.rs
+++ b/crates/relay/src/process/stream_origins.rs
@@ -1,7 +1,7 @@
 //! Which release began a stream: what this VM records, and what it knows when a caller takes one up.
 
 use {
-    super::Node,
+    super::{Node, stream_services::WeightChanges},
     crate::{
         configuration::Config,
         endpoints::Endpoint,
@@ -37,6 +37,8 @@
     pub(super) known: Origins,
     /// By stream, until they are sent or their requests have ended.
     pub(super) asks: BTreeMap<StreamKey, OriginNews>,
+    /// When the weights of routes between services last changed.
+    pub(super) weights: WeightChanges,
 }
 
 impl StreamOrigins {
@@ -271,8 +273,13 @@
 }
 
 /// The key of the stream that a request begins or takes up.
-fn first_key(request: &RoutedRequest) -> StreamKey {
+pub(super) fn first_key(request: &RoutedRequest) -> StreamKey {
+    key_at(request, &request.service)
+}
+
+/// The key of the stream that a request takes up, if it began at this service.
+pub(super) fn key_at(request: &RoutedRequest, service: &ServiceId) -> StreamKey {
     let first = request.caller.first_attempt();
     let org = request.org.as_ref().map(|o| &o.id);
-    StreamKey::of(&request.service, org, first)
+    StreamKey::of(service, org, first)
 }
--- a/crates/relay/src/request/stream.rs
+++ b/crates/relay/src/request/stream.rs
@@ -7,7 +7,7 @@
         caller_stream::{CallerStream, SegmentOutcome, Waited, WatchOutcome, leave, may_relocate},
         path::Path,
         response::Response,
-        routed_request::RoutedRequest,
+        routed_request::{RoutedRequest, StreamOrigin},
         silence_watch::SilenceWatch,
         slot_lease::SlotLease,
         start_proof::RESTARTED,
@@ -49,14 +49,14 @@
         last_event: request.caller.last_event,
         repeated_bytes: 0,
     };
-    if stream.last_event.is_some() {
+    if stream.last_event.is_some() && request.origin() == StreamOrigin::New {
         match stream.watch(node.find_origin(request)).await {
             WatchOutcome::CallerLeft => return StreamOutcome::CallerLeft,
             WatchOutcome::TimedOut => return stream.fail(request.timed_out()),
             WatchOutcome::Done(Ok(release)) => request.set_origin(Some(release)),
             WatchOutcome::Done(Err(refusal)) => return stream.fail(refusal),
         }
-    } else if request.route.kind == RouteKind::Resumable {
+    } else if stream.last_event.is_none() && request.route.kind == RouteKind::Resumable {
         match stream.watch(node.await_assignment(request)).await {
             WatchOutcome::CallerLeft => return StreamOutcome::CallerLeft,
             WatchOutcome::TimedOut => return stream.fail(request.timed_out()),
--- a/crates/relay/tests/common/releases.rs
+++ b/crates/relay/tests/common/releases.rs
@@ -4,9 +4,9 @@
     super::{
         endpoint::{FakeEndpoint, Script, SeenRequest},
         fakes::{FakeFeed, FakeLog},
-        router::{Ports, Router, RouterSpec, endpoint, response_head},
+        router::{Ports, Router, RouterSpec, config_change, endpoint, response_head, route},
     },
-    relay::{Endpoint, FeedChange, FeedKind, RouteKind},
+    relay::{Endpoint, FeedChange, FeedKind, Route, RouteKind},
     std::{
         io::{Read, Write},
         net::{IpAddr, TcpStream},
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Makes it one of another service.
+    pub(crate) fn of_service(mut self, service: &str) -> Self {
+        self.listed.service = service.parse().unwrap();
+        self
+    }
+
     /// Restarts with another release, under the same id and address.
     pub(crate) fn restart(&mut self, release: &'static str) {
         *self.release.lock().unwrap() = release;
@@ -284,15 +290,29 @@
 impl Fleet {
     /// The first start of the whole system.
     pub(crate) fn start(vms: u8, endpoints: &[&ReleasedEndpoint]) -> Self {
-        Self::start_as(true, vms, endpoints)
+        Self::start_as(true, vms, endpoints, &[("s", 1.0)])
+    }
+
+    /// As above, with a route whose streams are distributed over services by weight.
+    pub(crate) fn start_weighted(
+        vms: u8,
+        endpoints: &[&ReleasedEndpoint],
+        weights: &[(&str, f64)],
+    ) -> Self {
+        Self::start_as(true, vms, endpoints, weights)
     }
 
     /// A start of all VMs, which know nothing of before.
     pub(crate) fn start_again(vms: u8, endpoints: &[&ReleasedEndpoint]) -> Self {
-        Self::start_as(false, vms, endpoints)
+        Self::start_as(false, vms, endpoints, &[("s", 1.0)])
     }
 
-    fn start_as(first_start: bool, vms: u8, endpoints: &[&ReleasedEndpoint]) -> Self {
+    fn start_as(
+        first_start: bool,
+        vms: u8,
+        endpoints: &[&ReleasedEndpoint],
+        weights: &[(&str, f64)],
+    ) -> Self {
         let spec = RouterSpec::new(RouteKind::Resumable, Vec::new());
         let mut fleet = Self {
             routers: Vec::new(),
@@ -302,15 +322,24 @@
             started: 0,
             begun: AtomicUsize::new(0),
         };
-        fleet
-            .feed
-            .push(FeedKind::Configuration, spec.config.unwrap());
+        fleet.configure(1, weights);
         endpoints.iter().for_each(|e| fleet.list(e));
         (0..vms).for_each(|_| fleet.start_vm_at(first_start));
         fleet.routers.iter().for_each(Router::wait_ready);
         fleet
     }
 
+    /// Publishes a configuration whose route distributes its streams over services by weight.
+    pub(crate) fn configure(&self, version: u64, weights: &[(&str, f64)]) {
+        let split = weights.iter().map(|(id, w)| (id.parse().unwrap(), *w));
+        let route = Route {
+            split: split.collect(),
+            ..route(RouteKind::Resumable)
+        };
+        let config = config_change(version, route);
+        self.feed.push(FeedKind::Configuration, config);
+    }
+
     /// Starts one more VM; it becomes the last of `routers`.
     pub(crate) fn start_vm(&mut self) {
         self.start_vm_at(false);
--- a/crates/relay/tests/common/router.rs
+++ b/crates/relay/tests/common/router.rs
@@ -68,7 +68,7 @@
     }
 }
 
-/// A configuration with one route and one service.
+/// A configuration with one route and its services.
 pub(crate) fn config_change(version: u64, route: Route) -> FeedChange {
     let engine = route.kind.is_stream().then_some(EngineSpec {
         slots: 8,
@@ -86,8 +86,12 @@
     };
     FeedChange::Config(Arc::new(Config::new(ConfigDoc {
         version: Version(version),
+        services: route
+            .split
+            .iter()
+            .map(|(id, _)| (id.clone(), service.clone()))
+            .collect(),
         routes: vec![route],
-        services: [("s".parse().unwrap(), service)].into(),
         orgs: Some(vec![org]),
         limits: CallerLimits::default(),
     })))
