VMs share the fixed part of the retry budget at all times (BUDGET)

Cause: a budget that is made with the first request of a service got an eighth of the fixed part, and the number of VMs was applied only when a VM was discovered, which in a fleet that starts before its traffic comes first. With an eighth each the 32 VMs may spend 376, with a thirty-second 241. The logs didn't tell the share; they do now.

Change: the share is computed whenever the budget is used, by the largest number of VMs in the last hour. A VM has none in the first window after its start, as the process before may have spent its own. Each VM rounds its retries by its own offset: a share of less than one retry was none before, and 300 VMs had next to no retries.

--- a/crates/relay/src/process/gossip.rs
+++ b/crates/relay/src/process/gossip.rs
@@ -95,6 +95,7 @@
         };
         node.set_rank(rank.filter(|_| !node.lifecycle.is_stopping()));
         node.set_fleet(vms, load_age);
+        node.note_vms(vms);
         let limits = node.registry.lock().tell_limits(now, is_hub);
         if let Some(offset) = node.wall_clock.update_offset(offsets) {
             log::warn!(offset_ms = offset; "wall clock corrected from the clocks of the other VMs");
@@ -326,7 +327,7 @@
     };
     if received.is_new {
         log::info!(peer:% = message.vm, addr:% = from, vms = count, format:% = format; "peer VM discovered");
-        node.set_budget_reserves(count);
+        node.note_vms(count);
     }
     for (id, born) in &message.departures {
         if node.mark_leaving(id, *born) {
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -22,7 +22,7 @@
     event_listener::Event,
     h1::Pool,
     parking_lot::{Mutex, RwLock},
-    route::{CrashTable, Placer, SlidingRetryBudget},
+    route::{CrashTable, Placer, RetryReserve, SlidingRetryBudget},
     std::{
         collections::BTreeMap,
         sync::{
@@ -64,6 +64,8 @@
     pub(crate) evacuations: Mutex<EvacuationTable>,
     pub(crate) placers: Mutex<BTreeMap<ServiceId, Placer>>,
     pub(crate) retry_budgets: Mutex<BTreeMap<ServiceId, SlidingRetryBudget>>,
+    /// This VM's share of their fixed part. Not locked together with anything else.
+    pub(super) retry_reserve: Mutex<RetryReserve>,
     pub(crate) peers: Mutex<PeerTable>,
     pub(crate) sent_loads: Mutex<SentLoads>,
     /// What requests have done to endpoints. Not locked together with anything else.
@@ -129,6 +131,12 @@
             evacuations: Mutex::default(),
             placers: Mutex::default(),
             retry_budgets: Mutex::default(),
+            retry_reserve: Mutex::new(RetryReserve::new(
+                process.clock.now(),
+                settings.bounds.retry_reserve,
+                settings.bounds.retry_window,
+                fastrand::f64(),
+            )),
             peers: Mutex::new(PeerTable::new(
                 settings.vm.clone(),
                 settings.zone.clone(),
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -18,9 +18,6 @@
     types::{EndpointId, Reason, Refusal, ServiceId, Verdict},
 };
 
-/// Smallest number of VMs that the retry reserve is divided by: at the start not all VMs are known
-/// yet.
-const ASSUMED_VMS: u32 = 8;
 /// `Retry-After` for a request that no endpoint could take: about the time of one request.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// `Retry-After` for a stream that only endpoints of a release could take which not all VMs know yet.
@@ -320,19 +317,29 @@
         access: impl FnOnce(&mut SlidingRetryBudget) -> T,
     ) -> T {
         let bounds = self.settings.bounds;
+        let (reserve, rounding) = {
+            let reserve = self.retry_reserve.lock();
+            (reserve.share(self.clock.now()), reserve.rounding())
+        };
         let mut budgets = self.retry_budgets.lock();
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let reserve = bounds.retry_reserve / f64::from(ASSUMED_VMS);
             SlidingRetryBudget::new(bounds.retry_ratio, bounds.retry_window, reserve)
         });
+        budget.set_reserve(reserve);
+        budget.set_rounding(rounding);
         access(budget)
     }
 
-    /// Divides the fixed part of the retry budgets among the live VMs.
-    pub(crate) fn set_budget_reserves(&self, vms: u32) {
-        let reserve = self.settings.bounds.retry_reserve / f64::from(vms.max(ASSUMED_VMS));
-        let mut budgets = self.retry_budgets.lock();
-        budgets.values_mut().for_each(|b| b.set_reserve(reserve));
+    /// Notes the number of live VMs, among which the fixed part of the retry budgets is divided.
+    pub(crate) fn note_vms(&self, vms: u32) {
+        let now = self.clock.now();
+        let mut reserve = self.retry_reserve.lock();
+        if !reserve.note_vms(now, vms) {
+            return;
+        }
+        let (shared_by, retries) = (reserve.vms(), reserve.share(now));
+        drop(reserve);
+        log::info!(vms = vms, shared_by = shared_by, retries = retries; "share of the retry budgets changed");
     }
 }
 
--- a/crates/relay/src/process/summaries.rs
+++ b/crates/relay/src/process/summaries.rs
@@ -110,7 +110,7 @@
             Scope::Fleet if own_zone && !is_first_hub => {
                 if peers.set_fleet_vms(now, summary.vms) {
                     drop(peers);
-                    node.set_budget_reserves(summary.vms);
+                    node.note_vms(summary.vms);
                 }
                 Reporter::Fleet
             }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 mod picker;
 mod placement;
 mod prompt;
+mod retry_reserve;
 mod round_robin;
 mod silence;
 mod sliding_budget;
@@ -32,6 +33,7 @@
         SlotDemand, UrgencyAmounts,
     },
     prompt::Prompt,
+    retry_reserve::RetryReserve,
     round_robin::RoundRobin,
     silence::{Activity, Silence, SilenceAction},
     sliding_budget::SlidingRetryBudget,
--- a/crates/route/src/sliding_budget.rs
+++ b/crates/route/src/sliding_budget.rs
@@ -28,6 +28,7 @@
     ratio: f64,
     window: Duration,
     reserve: f64,
+    rounding: f64,
     buckets: VecDeque<Bucket>,
 }
 
@@ -38,6 +39,7 @@
             ratio,
             window,
             reserve,
+            rounding: 0.0,
             buckets: VecDeque::new(),
         }
     }
@@ -47,6 +49,11 @@
         self.reserve = reserve;
     }
 
+    /// Sets what is added to the allowed retries before they are rounded down.
+    pub fn set_rounding(&mut self, rounding: f64) {
+        self.rounding = rounding;
+    }
+
     /// Drops expired buckets and returns the current one.
     fn current(&mut self, now: Instant) -> &mut Bucket {
         // Buckets are kept for one bucket width beyond the window: `try_withdraw` counts the
@@ -80,7 +87,7 @@
         let requests: u32 = self.buckets.iter().skip(1).map(|b| b.requests).sum();
         let retries: u32 = self.buckets.iter().map(|b| b.retries).sum();
         let allowed = SPENDABLE_SHARE * (self.ratio * f64::from(requests) + self.reserve);
-        f64::from(retries) + 1.0 <= allowed
+        f64::from(retries) + 1.0 <= allowed + self.rounding
     }
 
     /// Takes one retry out of the budget; `false` if there is none left.
