--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -289,9 +289,8 @@
             if fully_sent && let Some(permission) = &mut permission {
                 permission.finish();
             }
-            if let Ok(Some((head, size))) = ResponseHead::parse(self.buffered())
-                && head.status >= 200
-            {
+            let parsed = ResponseHead::parse(self.buffered()).map_err(invalid)?;
+            if let Some((head, size)) = parsed.filter(|(head, _)| head.status >= 200) {
                 self.consume(size);
                 return Ok((head, fully_sent && !write_failed));
             }
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -2,16 +2,18 @@
 
 use {
     compact_str::CompactString,
-    std::{error::Error, fmt},
+    std::{error::Error, fmt, ops::RangeInclusive},
 };
 
 /// Most header fields accepted in one head.
 pub const MAX_HEADERS: usize = 64;
+/// The status codes that a response may have (RFC 9110, 15).
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
 /// Why a head could not be parsed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HeadError {
-    /// Not HTTP/1.x, or a malformed line.
+    /// Not HTTP/1.x, a malformed line, or a status that no response has.
     Malformed,
     /// More bytes or fields than the limit.
     TooLarge,
@@ -230,6 +232,9 @@
         let (Some(status), Some(minor_version)) = (response.code, response.version) else {
             return Err(HeadError::Malformed);
         };
+        if !STATUS_CODES.contains(&status) {
+            return Err(HeadError::Malformed);
+        }
         let head = Self {
             status,
             minor_version,
--- a/crates/wire/tests/client.rs
+++ b/crates/wire/tests/client.rs
@@ -222,3 +222,51 @@
         }
     }
 }
+
+/// Statuses that no response has.
+const INVALID_STATUSES: [&str; 7] = ["000", "001", "099", "600", "700", "999", "0"];
+
+/// A caller got an answer whose status was 000, or another one that is none.
+#[test]
+fn response_with_an_invalid_status_is_an_error() {
+    for status in INVALID_STATUSES {
+        let answer = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 3\r\n\r\nodd");
+        let kind = error_kind(answer.as_bytes());
+        let refused = [SendErrorKind::InvalidResponse, SendErrorKind::NoResponse];
+        assert!(refused.contains(&kind), "{status}: {kind:?}");
+    }
+}
+
+/// A caller got the beginning of an answer as all of it, when the server had answered before it had read a long request, and
+/// reset the connection.
+#[test]
+fn response_that_breaks_off_during_the_upload_is_an_error() {
+    let heads = [
+        "",
+        "content-length: 9\r\n",
+        "transfer-encoding: chunked\r\n",
+    ];
+    for (number, head) in heads.iter().cycle().take(12).enumerate() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let answer = format!("HTTP/1.1 200 OK\r\n{head}\r\npart");
+        thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            assert!(read_request(&mut stream));
+            stream.write_all(answer.as_bytes()).unwrap();
+            thread::sleep(Duration::from_millis(number as u64 * 5));
+            // Bytes of the request that weren't read make it a reset.
+        });
+        let client = Client::new(SystemClock::shared());
+        let result = block_on(async {
+            let call = Call::new(addr, Method::Post, "/").body(vec![b'x'; 8 << 20]);
+            client
+                .send(call.timeouts(TIMEOUTS))
+                .await?
+                .bytes(MAX_BODY)
+                .await
+        });
+        let error = result.expect_err("a response that broke off");
+        assert_eq!(error.verdict, Verdict::MayHaveRun, "{head}");
+    }
+}
