The retry reserve is there from the first start of the system on

At the first start there was no process before that could have spent it. A VM that starts later still has none for a window.

--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -133,8 +133,8 @@
             retry_budgets: Mutex::default(),
             retry_reserve: Mutex::new(RetryReserve::new(
                 process.clock.now(),
-                settings.bounds.retry_reserve,
-                settings.bounds.retry_window,
+                (settings.bounds.retry_reserve, settings.bounds.retry_window),
+                settings.first_start,
                 fastrand::f64(),
             )),
             peers: Mutex::new(PeerTable::new(
--- a/crates/route/src/retry_reserve.rs
+++ b/crates/route/src/retry_reserve.rs
@@ -13,12 +13,12 @@
 /// The retries that a VM may spend beyond those that its requests earn.
 ///
 /// A VM that starts doesn't know what its process before has spent, nor how many VMs there are, so it has none
-/// for one window of the budget.
+/// for one window of the budget, unless the whole system starts for the first time.
 #[derive(Debug, Clone)]
 pub struct RetryReserve {
     /// Retries in a window, of all VMs together.
     reserve: f64,
-    /// End of the first window after the start.
+    /// From when on it has a share.
     available: Instant,
     /// Numbers of VMs and when they were last heard of; the largest and earliest one first, each later one smaller.
     counts: VecDeque<(Instant, u32)>,
@@ -26,12 +26,18 @@
 }
 
 impl RetryReserve {
-    /// The share of a VM that starts now in the `reserve` of each `window`. `rounding` is uniformly distributed in [0, 1): VMs
+    /// The share of a VM that starts now in the `reserve` of each `window`; `first_start` tells whether the whole system does for
+    /// the first time. `rounding` is uniformly distributed in [0, 1): VMs
     /// round their numbers of retries up or down by it, so that small shares add up to the whole.
-    pub fn new(now: Instant, reserve: f64, window: Duration, rounding: f64) -> Self {
+    pub fn new(
+        now: Instant,
+        (reserve, window): (f64, Duration),
+        first_start: bool,
+        rounding: f64,
+    ) -> Self {
         Self {
             reserve,
-            available: now + window,
+            available: if first_start { now } else { now + window },
             counts: VecDeque::new(),
             rounding,
         }
--- a/crates/route/tests/retry_fleet.rs
+++ b/crates/route/tests/retry_fleet.rs
@@ -30,7 +30,7 @@
 impl Vm {
     fn new(now: Instant, rounding: f64) -> Self {
         Self {
-            reserve: RetryReserve::new(now, RESERVE, WINDOW, rounding),
+            reserve: RetryReserve::new(now, (RESERVE, WINDOW), false, rounding),
             budget: None,
         }
     }
@@ -207,11 +207,21 @@
     }
 }
 
+/// Streams that broke in the first seconds of a new system weren't resumed.
+#[test]
+fn reserve_is_available_at_the_first_start() {
+    let start = Instant::from_nanos(1 << 40);
+    let mut reserve = RetryReserve::new(start, (RESERVE, WINDOW), true, 0.0);
+    assert_eq!(reserve.share(start), RESERVE / 8.0);
+    reserve.note_vms(start, 32);
+    assert_eq!(reserve.share(start), RESERVE / 32.0);
+}
+
 /// A VM that has been gone for an hour still counted.
 #[test]
 fn reserve_is_shared_anew_after_an_hour() {
     let start = Instant::from_nanos(1 << 40);
-    let mut reserve = RetryReserve::new(start, RESERVE, WINDOW, 0.0);
+    let mut reserve = RetryReserve::new(start, (RESERVE, WINDOW), false, 0.0);
     assert!(reserve.note_vms(start, 56));
     assert_eq!(reserve.share(start), 0.0);
     assert_eq!(reserve.share(start + WINDOW), 1.0);
