Buckets are opened only where another release can take their streams

A VM noted a shortage for each stream that found no endpoint, also where the service has one release only: its record would have been opened and closed again while the service was overloaded, and each such stream wrote a line. Streams of services with endpoints of unknown release, which have no assignment, don't wait for one at the first start.

Test: shortage_of_the_only_release_opens_nothing. What is known of a record's age, and which VMs follow assignments, have files of their own; nothing else changed there.

--- a/crates/origins/src/assignment_tests.rs
+++ b/crates/origins/src/assignment_tests.rs
@@ -1,3 +1,5 @@
+//! Tables of releases, and how they change with the endpoints.
+
 use {
     super::{AssignmentUpdate, BUCKETS, ReleaseAssignment},
     quickcheck::quickcheck,
--- a/crates/origins/src/assignments.rs
+++ b/crates/origins/src/assignments.rs
@@ -1,4 +1,4 @@
-//! The assignments of services that a VM has read, and what it knows that they have to be changed for.
+//! The assignments that a VM has read, and the reasons for a change that it knows.
 
 use {
     super::{OriginNews, OriginRecord, Origins, ReleaseAssignment, SETTLE_TIME, StreamKey},
@@ -110,7 +110,9 @@
             let previous = previous.filter(|p| !is_usable(release) && is_usable(p));
             return Begin::At(previous.unwrap_or(release).clone());
         }
-        if self.assignments.is_unsupported {
+        // Services with endpoints of unknown release have no assignment.
+        let has_unknown = self.history.listed_releases(service).is_none();
+        if self.assignments.is_unsupported || has_unknown {
             return Begin::Anywhere;
         }
         let is_unread = self.assignments.snapshot.is_none();
@@ -165,10 +167,16 @@
         self.assignments.capacity = capacity;
     }
 
-    /// Notes that no endpoint of a release could take a stream that has to begin there.
-    pub fn note_shortage(&mut self, now: Instant, service: &ServiceId, release: &Release) {
+    /// Notes that no endpoint of a release could take a stream that has to begin there; returns whether those of other releases
+    /// could.
+    pub fn note_shortage(&mut self, now: Instant, service: &ServiceId, release: &Release) -> bool {
+        let listed = self.history.listed_releases(service).unwrap_or_default();
+        if !listed.iter().any(|other| other != release) {
+            return false;
+        }
         let key = (service.clone(), release.clone());
         self.assignments.shortages.insert(key, now);
+        true
     }
 
     /// The releases without endpoints for their streams.
--- a/crates/origins/src/contested.rs
+++ b/crates/origins/src/contested.rs
@@ -3,7 +3,7 @@
 use {
     super::{Known, OriginAsk, OriginNews, Origins, StreamKey},
     clock::Instant,
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
     types::ServiceId,
 };
 
@@ -40,6 +40,11 @@
         self.update_only(now);
     }
 
+    /// The time for which streams of a service may be resumed.
+    pub fn window(&self, now: Instant, service: &ServiceId) -> Duration {
+        self.history.window(now, service)
+    }
+
     /// What this VM began or was told of a stream.
     pub fn find(&self, now: Instant, key: &StreamKey) -> Option<Known> {
         self.table.find(now, key)
--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -11,6 +11,7 @@
 mod assignments;
 mod contested;
 mod doubt_queue;
+mod observed_record;
 mod origin_news;
 mod origin_table;
 mod origins;
--- a/crates/origins/src/origins.rs
+++ b/crates/origins/src/origins.rs
@@ -146,11 +146,6 @@
             .flatten()
     }
 
-    /// The time for which streams of a service may be resumed.
-    pub fn window(&self, now: Instant, service: &ServiceId) -> Duration {
-        self.history.window(now, service)
-    }
-
     /// Whether new streams may begin at a release; see [`ReleaseHistory::is_settled`].
     pub fn is_settled(&self, now: Instant, service: &ServiceId, release: Option<&Release>) -> bool {
         self.history.is_settled(now, service, release)
--- a/crates/origins/src/release_ledger.rs
+++ b/crates/origins/src/release_ledger.rs
@@ -4,13 +4,14 @@
     super::{
         AssignmentSnapshot, Binding, Origins, ReleaseAssignment, ReleaseRecord, WeightRecord,
         assignment::AssignmentUpdate, assignments::FIRST_WRITE_TIME,
+        observed_record::ObservedRecord,
     },
     clock::Instant,
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
-    types::{Era, LogPosition, Release, ServiceId, Version},
+    types::{Era, LogPosition, Release, ServiceId},
 };
 
 /// Time after which records are read again although nothing has changed: the store may have started a new era.
@@ -22,9 +23,6 @@
 const QUESTION_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which a VM may begin streams by an assignment after another one has replaced it.
 const MAX_ASSIGNMENT_AGE: Duration = Duration::from_secs(60);
-/// Time for which a release must have too few buckets before some are moved to it. The lists of two VMs may differ for a
-/// shorter time.
-const REBALANCE_DELAY: Duration = Duration::from_secs(2);
 /// Shortest time for which streams may begin at any release.
 const MIN_OPEN_TIME: Duration = Duration::from_secs(30);
 
@@ -53,54 +51,6 @@
     listed: Listed,
 }
 
-/// Since when this VM knows an assignment as it is.
-#[derive(Debug, Default)]
-struct Observed {
-    /// For each bucket its `changes`, and since when they are that.
-    buckets: Vec<(u64, Instant)>,
-    /// The releases that have too few buckets, and since when.
-    lacking: BTreeMap<Release, Instant>,
-    /// The configuration that the weights are of, and since when they are.
-    weights: Option<(Version, Instant)>,
-}
-
-impl Observed {
-    fn note(&mut self, now: Instant, assignment: &ReleaseAssignment) {
-        let last = std::mem::take(&mut self.buckets);
-        let buckets = assignment.buckets().iter().enumerate();
-        let noted = buckets.map(|(at, bucket)| {
-            let known = last.get(at).filter(|known| known.0 == bucket.changes);
-            known.copied().unwrap_or((bucket.changes, now))
-        });
-        self.buckets = noted.collect();
-    }
-
-    fn note_weights(&mut self, now: Instant, weights: Option<&WeightRecord>) {
-        let known = self.weights;
-        self.weights = weights.map(|weights| {
-            let known = known.filter(|known| known.0 == weights.version);
-            known.unwrap_or((weights.version, now))
-        });
-    }
-
-    /// Notes the releases that have too few buckets; returns those that have had for long.
-    fn note_lacking(&mut self, now: Instant, lacking: BTreeSet<Release>) -> BTreeSet<Release> {
-        self.lacking.retain(|release, _| lacking.contains(release));
-        for release in lacking {
-            self.lacking.entry(release).or_insert(now);
-        }
-        let all = self.lacking.iter();
-        let long = all.filter(|(_, since)| now.since(**since) >= REBALANCE_DELAY);
-        long.map(|(release, _)| release.clone()).collect()
-    }
-
-    /// Whether a bucket has been observed unchanged for `time`.
-    fn is_unchanged(&self, now: Instant, bucket: usize, time: Duration) -> bool {
-        let bucket = self.buckets.get(bucket);
-        bucket.is_some_and(|(_, since)| now.since(*since) >= time)
-    }
-}
-
 /// What one VM that reads the platform knows of the records there.
 #[derive(Debug)]
 pub struct ReleaseLedger {
@@ -111,7 +61,7 @@
     last: Option<LastRead>,
     /// When a record was first found to be out of date.
     outdated: Option<Instant>,
-    observed: BTreeMap<ServiceId, Observed>,
+    observed: BTreeMap<ServiceId, ObservedRecord>,
     /// When the read under way was begun.
     read_begun: Instant,
     retry_at: Instant,
--- a/crates/origins/tests/release_ledger.rs
+++ b/crates/origins/tests/release_ledger.rs
@@ -169,6 +169,17 @@
     assert_eq!(next(&mut ledger, &vm, at(125_000)), LedgerStep::Wait);
 }
 
+/// A service without room had its record written again and again, although it has one release only.
+#[test]
+fn shortage_of_the_only_release_opens_nothing() {
+    let mut vm = started(&[1]);
+    assert!(!vm.note_shortage(at(100), &service(), &release(1)));
+    assert!(vm.shortages(at(100)).is_empty());
+    let mut vm = started(&[1, 2]);
+    assert!(vm.note_shortage(at(100), &service(), &release(1)));
+    assert_eq!(vm.shortages(at(100)), [(service(), release(1))].into());
+}
+
 /// A record as dfd247d reads and writes it.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct RecordDfd247d {
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! its strongest VMs. The first hub sends the sum to the hubs of the other zones, and the sum over
 //! the fleet to the VMs of its zone.
 
+mod assignment_support;
 mod fleet_roster;
 #[cfg(test)]
 mod format_tests;
--- a/crates/relay/src/peers/peer_table.rs
+++ b/crates/relay/src/peers/peer_table.rs
@@ -54,9 +54,9 @@
     /// Whether it takes requests of others to their endpoints.
     carries: bool,
     /// Whether the VMs of its zone that it knows follow assignments of releases.
-    assigned: bool,
+    pub(super) assigned: bool,
     /// Format of the datagrams that it reads.
-    format: MessageFormat,
+    pub(super) format: MessageFormat,
 }
 
 /// Effect of a received datagram.
@@ -255,19 +255,6 @@
             .collect()
     }
 
-    /// Whether all VMs of this zone that were heard from, also a while ago, follow assignments of releases.
-    pub(crate) fn zone_follows_assignments(&self) -> bool {
-        let mut peers = self.peers.values().filter(|p| p.zone == self.zone);
-        peers.all(|p| p.format >= MessageFormat::ASSIGNMENTS)
-    }
-
-    /// Whether all VMs follow assignments of releases, as far as this VM knows. In a large fleet the hubs tell it of their zones.
-    pub(crate) fn all_follow_assignments(&self) -> bool {
-        let follows = |p: &Peer| p.format >= MessageFormat::ASSIGNMENTS;
-        let mut peers = self.peers.values();
-        peers.all(|p| follows(p) && (p.assigned || !p.hub))
-    }
-
     /// Whether a VM was heard from in the last few rounds of datagrams.
     pub(crate) fn hears(&self, now: Instant, vm: &VmId) -> bool {
         let timeout = self.mesh_interval(now) * MAX_MISSED_ROUNDS;
--- a/crates/relay/src/process/stream_origins.rs
+++ b/crates/relay/src/process/stream_origins.rs
@@ -149,8 +149,11 @@
     pub(super) fn note_shortage(&self, request: &RoutedRequest, release: &Release) {
         let now = self.clock.now();
         let mut origins = self.origins.lock();
-        origins.known.note_shortage(now, &request.service, release);
+        let has_others = origins.known.note_shortage(now, &request.service, release);
         drop(origins);
+        if !has_others {
+            return;
+        }
         log::info!(
             request:% = request.caller.id, service:% = request.service, release:% = release;
             "no endpoint of the release that is assigned to a stream"
