The first record of a service is written at once, so that streams don't wait for it

The VM that reads the platform looked for something to write every 200 ms, and delayed the write by up to 300 ms so that others could come first.

Change: the first record of a service isn't delayed, and is looked for as soon as a list was read.

--- a/crates/origins/src/release_ledger.rs
+++ b/crates/origins/src/release_ledger.rs
@@ -104,7 +104,14 @@
             self.outdated = None;
             return LedgerStep::Wait;
         };
-        let write_at = *self.outdated.get_or_insert(now) + self.jitter;
+        // Streams wait for the first record of a service.
+        let is_first = !self.stored.contains_key(&service);
+        let jitter = if is_first {
+            Duration::ZERO
+        } else {
+            self.jitter
+        };
+        let write_at = *self.outdated.get_or_insert(now) + jitter;
         if now < write_at {
             return LedgerStep::Wait;
         }
--- a/crates/relay/src/process/stream_origins.rs
+++ b/crates/relay/src/process/stream_origins.rs
@@ -73,10 +73,14 @@
         origins.known.replace_list(now, read, listed);
         origins.known.set_capacity(capacity);
         let is_quiet = origins.known.is_quiet();
+        let lacks_assignments = origins.known.lacks_assignments();
         drop(origins);
         if !is_quiet {
             self.origins_due.notify(usize::MAX);
         }
+        if lacks_assignments {
+            self.records_asked.notify(usize::MAX);
+        }
     }
 
     /// Sets for how long streams of each service may be resumed.
--- a/crates/relay/tests/stream_releases.rs
+++ b/crates/relay/tests/stream_releases.rs
@@ -19,6 +19,9 @@
 const LIST_TIME: Duration = Duration::from_secs(2);
 /// Time within which a stream that can't go on is refused.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
+/// First starts of a test, and the latency target of the route.
+const FIRST_STARTS: usize = 6;
+const TARGET: Duration = Duration::from_millis(400);
 /// Time in which the platform's record of the releases is written.
 const RECORD_TIME: Duration = Duration::from_secs(1);
 /// Time within which new streams begin at a release that has come up.
@@ -116,6 +119,19 @@
     check_unknown_origin(&fleet, &log, |_| None);
 }
 
+/// Streams waited for the first record for up to 0.6 s, which slow ones lacked at their end.
+#[test]
+fn streams_begin_within_their_target_at_the_first_start() {
+    for _ in 0..FIRST_STARTS {
+        let log: Arc<ReleaseLog> = Arc::default();
+        let endpoints = two_releases(&log);
+        let fleet = Fleet::start(1, &endpoints.each_ref());
+        let begun = fleet.begin(STREAMS, 0..1);
+        let longest = begun.iter().map(|s| s.took).max().unwrap();
+        assert!(longest < TARGET, "{longest:?}");
+    }
+}
+
 /// A stream that no VM knew was joined at another release than the one at which streams of its id begin.
 #[test]
 fn stream_that_no_vm_knows_goes_on_at_its_assigned_release() {
