--- a/crates/origins/src/contested.rs
+++ b/crates/origins/src/contested.rs
@@ -7,10 +7,10 @@
     types::ServiceId,
 };
 
-/// Names no service: a question for it is answered only by VMs that were told of the stream.
+/// Names no service, so that queries for it are answered from tables of origins only.
 const NO_SERVICE: &str = "/";
 
-/// The services whose streams are told to all VMs, and until when.
+/// The services whose origins are replicated to all VMs, by expiry time.
 #[derive(Debug, Default)]
 pub(crate) struct Contested(BTreeMap<ServiceId, Instant>);
 
@@ -25,7 +25,7 @@
 }
 
 impl Origins {
-    /// Notes that the weights of a route between these services have changed. Until `until`, nobody can infer from the weights
+    /// Notes that the weights of a route between these services have changed. Until `until`, the weights don't determine
     /// which of them began a stream: the origins of their streams are told, though each may have one release only.
     pub fn contest(
         &mut self,
@@ -45,12 +45,12 @@
         self.history.window(now, service)
     }
 
-    /// What this VM began or was told of a stream.
+    /// Looks a stream up in the table of origins, without inference.
     pub fn find(&self, now: Instant, key: &StreamKey) -> Option<Known> {
         self.table.find(now, key)
     }
 
-    /// The question for streams that only VMs answer which began them or were told of them.
+    /// A query that VMs answer only from their tables of origins, not by inference.
     pub fn ask_told(keys: impl IntoIterator<Item = StreamKey>) -> OriginNews {
         let service: Option<ServiceId> = NO_SERVICE.parse().ok();
         let asks = keys.into_iter().zip(service.into_iter().cycle());
--- a/crates/origins/src/release_ledger.rs
+++ b/crates/origins/src/release_ledger.rs
@@ -62,7 +62,7 @@
     /// When a record was first found to be out of date.
     outdated: Option<Instant>,
     observed: BTreeMap<ServiceId, ObservedRecord>,
-    /// When the read under way was begun.
+    /// Start time of the read in progress.
     read_begun: Instant,
     retry_at: Instant,
 }
--- a/crates/origins/tests/origin_fleet.rs
+++ b/crates/origins/tests/origin_fleet.rs
@@ -85,7 +85,7 @@
     }
 }
 
-/// After a change of weights between two services, nobody knew which of them had begun the streams of killed VMs: none was told
+/// After a change of weights between two services, no VM could determine the service of a killed VM's streams: origins aren't replicated
 /// while each service had one release.
 #[test]
 fn callers_are_known_after_weights_have_changed() {
--- a/crates/relay/src/process/assignments.rs
+++ b/crates/relay/src/process/assignments.rs
@@ -14,7 +14,7 @@
         origins.known.assignments().map(|snapshot| snapshot.at)
     }
 
-    /// The news for a VM that knows the assignments up to `known`.
+    /// The update for a VM whose assignments are as of `known`.
     pub(super) fn assignment_news(&self, known: Option<LogPosition>) -> AssignmentNews {
         AssignmentNews::new(self.origins.lock().known.assignments(), known)
     }
--- a/crates/relay/src/process/state_trailer.rs
+++ b/crates/relay/src/process/state_trailer.rs
@@ -45,7 +45,7 @@
 }
 
 impl AssignmentNews {
-    /// The news for a VM that knows the assignments up to `known`.
+    /// The update for a VM whose assignments are as of `known`.
     pub(super) fn new(snapshot: Option<&AssignmentSnapshot>, known: Option<LogPosition>) -> Self {
         match snapshot {
             None => Self::Unread,
--- a/crates/relay/src/process/stream_services.rs
+++ b/crates/relay/src/process/stream_services.rs
@@ -1,7 +1,7 @@
 //! Which service of a route with several began a stream that a caller takes up.
 //!
 //! New streams are distributed by weight and a hash of their attempt, so the weights of that moment tell the service. After a
-//! change of the weights they don't: the VMs that served the stream, or were told of it, do.
+//! change of the weights they don't: the VMs that served the stream or hold a replica of its origin do.
 
 use {
     super::{Node, stream_origins::key_at},
@@ -154,7 +154,7 @@
         Ok(found)
     }
 
-    /// What this VM was told of a stream that began at one of these services.
+    /// Looks up the origin of a stream that started at one of these services in this VM's table.
     fn told_origin(&self, keys: &[(&ServiceId, StreamKey)]) -> Option<Origin> {
         let now = self.clock.now();
         let origins = self.origins.lock();
@@ -168,7 +168,7 @@
         })
     }
 
-    /// What other VMs were told of a stream that began at one of these services.
+    /// Queries other VMs for the origin of a stream that started at one of these services.
     async fn ask_for_service(&self, keys: &[(&ServiceId, StreamKey)]) -> Option<Origin> {
         let (_, first) = keys.first()?;
         for _ in 0..ASKS {
--- a/crates/route/tests/retry_fleet.rs
+++ b/crates/route/tests/retry_fleet.rs
@@ -71,7 +71,7 @@
         fleet
     }
 
-    /// VMs hear of so many VMs.
+    /// Sets the number of live VMs that these VMs observe.
     fn tell(&mut self, vms: std::ops::Range<usize>, count: u32) {
         let now = self.now;
         for vm in &mut self.vms[vms] {
