--- a/crates/origins/src/assignment.rs
+++ b/crates/origins/src/assignment.rs
@@ -1,4 +1,4 @@
-//! At which release new streams of a service begin, by a hash of the stream.
+//! Assignment of new streams to releases by hash bucket.
 
 use {
     super::StreamKey,
@@ -16,51 +16,51 @@
 /// Difference, in buckets, between a release's share of the buckets and of the capacity from which buckets are moved.
 const TOLERANCE: usize = 4;
 
-/// What the streams of one hash bucket begin at.
+/// The releases of one hash bucket.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Bucket {
-    /// The release at which new streams begin.
+    /// The release that serves new streams.
     pub(crate) current: Release,
-    /// Whether they may begin at any other release as well.
+    /// Whether other releases may serve them as well.
     pub(crate) open: bool,
-    /// The releases at which streams may have begun that can still be resumed; `None`: any.
-    pub(crate) begun: Option<BTreeSet<Release>>,
-    /// Rises with each change of `current` and `open`. It begins with the offset of the first record, so that it is higher than
-    /// in an assignment that was lost before.
-    pub(crate) changes: u64,
+    /// The possible origins of streams that can still be resumed; `None`: any release.
+    pub(crate) origins: Option<BTreeSet<Release>>,
+    /// Version of `current` and `open`. It starts at the log offset of the first record, so that versions of an assignment that
+    /// was lost aren't reused.
+    pub(crate) version: u64,
 }
 
-/// The releases at which streams of a service begin, by hash bucket. All VMs read it from the platform's log before they begin
-/// streams by it, so that a fleet which has restarted knows the releases of the streams from before.
+/// Maps the streams of a service to releases by hash bucket. VMs apply only versions that are durable in the platform's log, so
+/// that after a restart of the whole fleet the log determines the origin of a stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "PackedAssignment", into = "PackedAssignment")]
 pub struct ReleaseAssignment {
-    /// As many as `BUCKETS`.
+    /// Always `BUCKETS` of them.
     buckets: Vec<Bucket>,
 }
 
-/// Conditions of a new version of an assignment.
+/// Inputs of the next version of an assignment.
 pub(crate) struct AssignmentUpdate<'a> {
-    /// Endpoints of the releases at which streams may begin.
+    /// Number of endpoints that accept new streams, by release.
     pub(crate) capacity: &'a BTreeMap<Release, u32>,
-    /// The releases that buckets of others with capacity are moved to.
-    pub(crate) lacking: &'a BTreeSet<Release>,
-    /// Whether streams of a release must be able to begin elsewhere.
+    /// The releases that may take buckets from other releases with capacity.
+    pub(crate) underassigned: &'a BTreeSet<Release>,
+    /// Whether buckets of a release must be open.
     pub(crate) must_open: &'a dyn Fn(&Release) -> bool,
     /// Whether the open bucket with this index may be closed.
     pub(crate) may_close: &'a dyn Fn(usize) -> bool,
-    /// The releases at which streams may have begun that can still be resumed; `None` if some are unknown.
+    /// The releases that were listed in the resume window; `None` if some are unknown.
     pub(crate) counted: Option<&'a BTreeSet<Release>>,
-    /// Whether all streams of the bucket with this index that can still be resumed have begun since its last change.
+    /// Whether the resume window has passed since the last change of the bucket with this index.
     pub(crate) is_settled: &'a dyn Fn(usize) -> bool,
 }
 
 impl ReleaseAssignment {
-    /// The first assignment: streams may have begun at the releases `begun`, at any if it is `None`, and begin in proportion
-    /// to the capacities from now on. `offset` is that of its record. `None` without capacity.
+    /// The first assignment, in proportion to the capacities. `origins` are the possible origins of earlier streams, `None` for any
+    /// release, and `offset` is the log offset of the record. `None` without capacity.
     pub(crate) fn first(
         capacity: &BTreeMap<Release, u32>,
-        begun: Option<&BTreeSet<Release>>,
+        origins: Option<&BTreeSet<Release>>,
         offset: u64,
     ) -> Option<Self> {
         let quotas = quotas(capacity);
@@ -69,14 +69,14 @@
             .map(|release| Bucket {
                 current: release.clone(),
                 open: false,
-                begun: begun.map(|b| b.iter().chain([release]).cloned().collect()),
-                changes: offset,
+                origins: origins.map(|b| b.iter().chain([release]).cloned().collect()),
+                version: offset,
             })
             .collect();
         (buckets.len() == BUCKETS).then_some(Self { buckets })
     }
 
-    /// The next version; equal to this one if there is nothing to change.
+    /// The next version; equal to this one if nothing version.
     pub(crate) fn updated(&self, update: &AssignmentUpdate<'_>) -> Self {
         let mut next = self.clone();
         next.reassign(update);
@@ -84,24 +84,24 @@
             let must_open = (update.must_open)(&bucket.current);
             if must_open && !bucket.open {
                 bucket.open = true;
-                bucket.begun = None;
-                bucket.changes += 1;
+                bucket.origins = None;
+                bucket.version += 1;
             } else if bucket.open && !must_open && (update.may_close)(at) {
                 bucket.open = false;
-                bucket.changes += 1;
+                bucket.version += 1;
             }
-            let is_unchanged = bucket.changes == self.buckets[at].changes;
+            let is_unchanged = bucket.version == self.buckets[at].version;
             if is_unchanged && !bucket.open && (update.is_settled)(at) {
-                bucket.begun = Some([bucket.current.clone()].into());
+                bucket.origins = Some([bucket.current.clone()].into());
             }
-            if let (Some(begun), Some(counted)) = (&mut bucket.begun, update.counted) {
-                begun.retain(|r| *r == bucket.current || counted.contains(r));
+            if let (Some(origins), Some(counted)) = (&mut bucket.origins, update.counted) {
+                origins.retain(|r| *r == bucket.current || counted.contains(r));
             }
         }
         next
     }
 
-    /// Moves the buckets of releases without capacity, and some of the others to the releases that lack buckets.
+    /// Moves all buckets of releases without capacity, and surplus buckets to underassigned releases.
     fn reassign(&mut self, update: &AssignmentUpdate<'_>) {
         let quotas = quotas(update.capacity);
         let mut counts = self.counts();
@@ -114,7 +114,7 @@
             let targets = quotas
                 .keys()
                 .copied()
-                .filter(|r| is_gone || update.lacking.contains(*r) && surplus(r) < 0);
+                .filter(|r| is_gone || update.underassigned.contains(*r) && surplus(r) < 0);
             let Some(target) = targets.min_by_key(|r| surplus(r)) else {
                 continue;
             };
@@ -124,21 +124,21 @@
             *counts.entry(bucket.current.clone()).or_default() -= 1;
             *counts.entry(target.clone()).or_default() += 1;
             bucket.current = target.clone();
-            bucket.changes += 1;
-            if let Some(begun) = &mut bucket.begun {
-                begun.insert(target.clone());
+            bucket.version += 1;
+            if let Some(origins) = &mut bucket.origins {
+                origins.insert(target.clone());
             }
         }
     }
 
-    /// The releases that have so few buckets for their capacity that some should be moved to them.
-    pub(crate) fn lacking(&self, capacity: &BTreeMap<Release, u32>) -> BTreeSet<Release> {
+    /// The releases whose number of buckets is too small for their capacity.
+    pub(crate) fn underassigned(&self, capacity: &BTreeMap<Release, u32>) -> BTreeSet<Release> {
         let counts = self.counts();
-        let lacking = quotas(capacity).into_iter().filter(|(release, quota)| {
+        let underassigned = quotas(capacity).into_iter().filter(|(release, quota)| {
             let count = counts.get(*release).copied().unwrap_or(0);
             count == 0 || count + TOLERANCE <= *quota
         });
-        lacking.map(|(release, _)| release.clone()).collect()
+        underassigned.map(|(release, _)| release.clone()).collect()
     }
 
     /// Number of buckets by release.
@@ -158,23 +158,23 @@
         &self.buckets[key.bucket(BUCKETS)]
     }
 
-    /// The release at which a new stream has to begin; `None`: any.
+    /// The release that has to serve a new stream; `None`: any.
     pub fn current(&self, key: &StreamKey) -> Option<&Release> {
         let bucket = self.bucket(key);
         (!bucket.open).then_some(&bucket.current)
     }
 
-    /// Whether streams may have begun at a release.
-    pub(crate) fn may_have_begun(&self, release: &Release) -> bool {
-        let begun = |b: &Bucket| b.begun.as_ref().is_none_or(|b| b.contains(release));
-        self.buckets.iter().any(begun)
+    /// Whether a release is a possible origin in any bucket.
+    pub(crate) fn may_be_origin(&self, release: &Release) -> bool {
+        let origins = |b: &Bucket| b.origins.as_ref().is_none_or(|b| b.contains(release));
+        self.buckets.iter().any(origins)
     }
 
-    /// The release that began a stream, if there is only one at which it may have begun.
+    /// The origin of a stream, if its bucket has a single possible one.
     pub fn origin(&self, key: &StreamKey) -> Option<&Release> {
-        let begun = self.bucket(key).begun.as_ref()?;
-        let release = begun.first()?;
-        (begun.len() == 1).then_some(release)
+        let origins = self.bucket(key).origins.as_ref()?;
+        let release = origins.first()?;
+        (origins.len() == 1).then_some(release)
     }
 }
 
@@ -182,7 +182,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let counts = self.counts();
         let counts = counts.iter().map(|(r, n)| format!("{r}:{n}"));
-        let known = |b: &&Bucket| b.begun.as_ref().is_some_and(|b| b.len() == 1);
+        let known = |b: &&Bucket| b.origins.as_ref().is_some_and(|b| b.len() == 1);
         let known = self.buckets.iter().filter(known).count();
         let open = self.buckets.iter().filter(|b| b.open).count();
         let counts: Vec<_> = counts.collect();
@@ -197,7 +197,7 @@
         return BTreeMap::new();
     }
     let mut quotas: BTreeMap<&Release, usize> = BTreeMap::new();
-    // Rounds the sums rather than the shares, so that all buckets are given.
+    // Rounds the cumulative shares, so that the quotas add up to all buckets.
     let (mut sum, mut given) = (0, 0);
     for (release, share) in capacity {
         sum += u64::from(*share);
@@ -214,7 +214,7 @@
     quotas
 }
 
-/// A bucket with its releases as indexes: current one, whether it is open, those that began streams, changes.
+/// A bucket with releases as indexes: the current one, whether it is open, the possible origins, and the version.
 type PackedBucket = (u8, bool, Option<Vec<u8>>, u64);
 
 /// The encoded form.
@@ -227,13 +227,13 @@
 impl From<ReleaseAssignment> for PackedAssignment {
     fn from(assignment: ReleaseAssignment) -> Self {
         let buckets = &assignment.buckets;
-        let begun = buckets.iter().flat_map(|b| b.begun.iter().flatten());
-        let releases: BTreeSet<_> = buckets.iter().map(|b| &b.current).chain(begun).collect();
+        let origins = buckets.iter().flat_map(|b| b.origins.iter().flatten());
+        let releases: BTreeSet<_> = buckets.iter().map(|b| &b.current).chain(origins).collect();
         let releases: Vec<Release> = releases.into_iter().cloned().collect();
         let index = |release: &Release| releases.binary_search(release).unwrap_or_default() as u8;
         let packed = buckets.iter().map(|b| {
-            let begun = b.begun.as_ref().map(|b| b.iter().map(index).collect());
-            (index(&b.current), b.open, begun, b.changes)
+            let origins = b.origins.as_ref().map(|b| b.iter().map(index).collect());
+            (index(&b.current), b.open, origins, b.version)
         });
         Self {
             buckets: packed.collect(),
@@ -251,13 +251,13 @@
             let release = releases.get(usize::from(at)).cloned();
             release.ok_or_else(|| "a release that the assignment doesn't name".to_compact_string())
         };
-        let unpack = |(current, open, begun, changes): PackedBucket| {
-            let begun = begun.map(|b| b.into_iter().map(find).collect::<Result<_, _>>());
+        let unpack = |(current, open, origins, version): PackedBucket| {
+            let origins = origins.map(|b| b.into_iter().map(find).collect::<Result<_, _>>());
             Ok::<_, Self::Error>(Bucket {
                 current: find(current)?,
                 open,
-                begun: begun.transpose()?,
-                changes,
+                origins: origins.transpose()?,
+                version,
             })
         };
         let buckets = buckets.into_iter().map(unpack);
--- a/crates/origins/src/assignment_tests.rs
+++ b/crates/origins/src/assignment_tests.rs
@@ -1,4 +1,4 @@
-//! Tables of releases, and how they change with the endpoints.
+//! Versions of an assignment as the capacity of the releases changes.
 
 use {
     super::{AssignmentUpdate, BUCKETS, ReleaseAssignment},
@@ -11,13 +11,13 @@
     format!("r{number}").parse().unwrap()
 }
 
-/// Endpoints of the releases r1, r2 and so on; none of a release without endpoints.
+/// Number of endpoints of the releases r1, r2 and so on; releases without endpoints are absent.
 fn capacity(endpoints: &[u32]) -> BTreeMap<Release, u32> {
     let numbered = (1..).zip(endpoints).filter(|(_, n)| **n > 0);
     numbered.map(|(number, n)| (release(number), *n)).collect()
 }
 
-/// An assignment of a fleet whose streams all began by it.
+/// The assignment of a new system.
 fn first(endpoints: &[u32]) -> ReleaseAssignment {
     ReleaseAssignment::first(&capacity(endpoints), Some(&BTreeSet::new()), 0).unwrap()
 }
@@ -25,7 +25,7 @@
 fn update(assignment: &ReleaseAssignment, endpoints: &[u32]) -> ReleaseAssignment {
     let capacity = capacity(endpoints);
     assignment.updated(&AssignmentUpdate {
-        lacking: &assignment.lacking(&capacity),
+        underassigned: &assignment.underassigned(&capacity),
         capacity: &capacity,
         must_open: &|_| false,
         may_close: &|_| false,
@@ -40,11 +40,11 @@
 }
 
 fn known(assignment: &ReleaseAssignment) -> usize {
-    let known = |b: &&super::Bucket| b.begun.as_ref().is_some_and(|b| b.len() == 1);
+    let known = |b: &&super::Bucket| b.origins.as_ref().is_some_and(|b| b.len() == 1);
     assignment.buckets().iter().filter(known).count()
 }
 
-/// A release with one endpoint of many got no streams.
+/// Guards against a release with a small share of the endpoints that gets no streams.
 #[test]
 fn releases_get_buckets_in_proportion_to_their_endpoints() {
     let even = first(&[2, 2]);
@@ -54,7 +54,7 @@
     assert!(count(&first(&[200, 1]), 2) >= 1);
 }
 
-/// Streams of buckets that needn't be moved were of unknown release after each change of the endpoints.
+/// Guards against moves of more buckets than necessary, each of which makes origins ambiguous.
 #[test]
 fn only_the_buckets_that_a_release_lacks_are_moved() {
     let one = first(&[4]);
@@ -69,7 +69,7 @@
     assert_eq!(known(&left), 0);
 }
 
-/// A bucket was taken for one of its new release although streams of the old one could still be resumed.
+/// Guards against a bucket that drops its old release while streams of it can still be resumed.
 #[test]
 fn moved_bucket_is_known_again_once_it_has_settled() {
     let two = update(&first(&[4]), &[4, 4]);
@@ -77,7 +77,7 @@
     let settle = |is_settled: &dyn Fn(usize) -> bool| {
         two.updated(&AssignmentUpdate {
             capacity: &capacity,
-            lacking: &BTreeSet::new(),
+            underassigned: &BTreeSet::new(),
             must_open: &|_| false,
             may_close: &|_| false,
             counted: None,
@@ -88,7 +88,7 @@
     assert_eq!(known(&settle(&|_| true)), BUCKETS);
 }
 
-/// Streams that had begun elsewhere while a release had no room were taken for those of their bucket's release.
+/// Guards against a single origin for an open bucket, whose streams may have started anywhere.
 #[test]
 fn streams_of_open_buckets_are_of_unknown_release() {
     let two = first(&[4, 4]);
@@ -97,7 +97,7 @@
         move |assignment: &ReleaseAssignment| {
             assignment.updated(&AssignmentUpdate {
                 capacity: &capacity.clone(),
-                lacking: &BTreeSet::new(),
+                underassigned: &BTreeSet::new(),
                 must_open: &|r| must_open && *r == release(2),
                 may_close: &|_| may_close,
                 counted: None,
@@ -113,14 +113,14 @@
     assert_eq!(known(&condition(false, true, true)(&closed)), BUCKETS);
 }
 
-/// Streams stayed unknown after all those of a release that is gone had ended.
+/// Guards against possible origins that outlive the resume window of a removed release.
 #[test]
 fn release_whose_streams_have_ended_is_forgotten() {
     let left = update(&update(&first(&[4]), &[4, 4]), &[0, 4]);
     let capacity = capacity(&[0, 4]);
     let settled = left.updated(&AssignmentUpdate {
         capacity: &capacity,
-        lacking: &BTreeSet::new(),
+        underassigned: &BTreeSet::new(),
         must_open: &|_| false,
         may_close: &|_| false,
         counted: Some(&[release(2)].into()),
@@ -130,7 +130,7 @@
 }
 
 quickcheck! {
-    /// Buckets were lost or given twice when the numbers of endpoints changed.
+    /// Guards against lost or duplicate buckets, and against an encoding that loses something.
     fn all_buckets_are_given_and_encoded(changes: Vec<Vec<u8>>) -> bool {
         let mut assignment = first(&[3, 2]);
         for endpoints in changes {
@@ -149,7 +149,7 @@
         true
     }
 
-    /// A record that can't be read ended the process.
+    /// Guards against a panic on an undecodable record.
     fn garbage_is_refused(bytes: Vec<u8>) -> bool {
         rmp_serde::from_slice::<ReleaseAssignment>(&bytes).is_err()
     }
--- a/crates/origins/src/assignments.rs
+++ b/crates/origins/src/assignments.rs
@@ -1,4 +1,4 @@
-//! The assignments that a VM has read, and the reasons for a change that it knows.
+//! A VM's copy of the assignments, and its inputs for the next version of them.
 
 use {
     super::{OriginNews, OriginRecord, Origins, ReleaseAssignment, SETTLE_TIME, StreamKey},
@@ -11,58 +11,58 @@
     types::{LogPosition, Release, ServiceId},
 };
 
-/// Time after the start of the whole system in which streams wait for the first assignment of their service.
+/// Time after the first start of the system during which new streams wait for the first assignment of their service.
 pub(crate) const FIRST_WRITE_TIME: Duration = Duration::from_secs(10);
-/// Time for which the streams of a release may begin elsewhere after a VM had no endpoint for one of them.
+/// Time after the last failed placement for which a release counts as short of capacity.
 const SHORTAGE_TIME: Duration = Duration::from_secs(15);
-/// Time for which streams begin by the assignment before, while the release of the new one isn't known to all VMs.
+/// Time after a change during which the previous assignment applies if the newly assigned release isn't settled.
 const TRANSITION_TIME: Duration = SETTLE_TIME.saturating_mul(2);
 
-/// Whether new streams begin at the releases that the records assign.
+/// Whether all VMs of the fleet enforce the assignments.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Binding {
-    /// As the last version says: it isn't known yet whether all VMs follow assignments.
+    /// Unknown so far: keeps the state of the last version.
     #[default]
     Unchanged,
-    /// All VMs follow assignments.
+    /// All VMs enforce them.
     Bound,
-    /// Some VMs begin streams at any release.
+    /// Some VMs ignore them.
     Open,
 }
 
-/// Where a new stream may begin.
+/// The releases that may serve a new stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Begin {
-    /// At any release.
-    Anywhere,
-    /// At this release only.
-    At(Release),
-    /// Nowhere before the assignment of the service is known.
-    Wait,
+pub enum ReleaseChoice {
+    /// Any release.
+    Any,
+    /// This release only.
+    Only(Release),
+    /// Unknown until the assignment of the service has been read.
+    Pending,
 }
 
-/// The assignments of all services, as read up to a position of the platform's log.
+/// The assignments of all services as of a position in the platform's log.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct AssignmentSnapshot {
     /// The position.
     pub at: LogPosition,
-    /// The assignments of the services that have one.
+    /// Assignments by service.
     pub services: BTreeMap<ServiceId, ReleaseAssignment>,
 }
 
-/// What one VM knows of assignments.
+/// The assignment state of one VM.
 #[derive(Debug, Default)]
 pub(crate) struct Assignments {
-    /// `None` before they were read.
+    /// `None` before the first read.
     snapshot: Option<AssignmentSnapshot>,
-    /// The assignments before their last change, and when this VM learnt of that.
+    /// The previous version of each assignment, and when this VM received its successor.
     replaced: BTreeMap<ServiceId, (ReleaseAssignment, Instant)>,
-    /// Whether this VM receives its state from one that doesn't know assignments.
+    /// Whether the VM that this one receives its state from runs a release without assignments.
     is_unsupported: bool,
     pub(crate) binding: Binding,
-    /// Endpoints that take new streams, by release.
+    /// Number of endpoints that accept new streams, by release.
     capacity: BTreeMap<ServiceId, BTreeMap<Release, u32>>,
-    /// When a stream last found no endpoint of the release that was assigned to it.
+    /// Time of the last failed placement at the assigned release.
     shortages: BTreeMap<(ServiceId, Release), Instant>,
 }
 
@@ -71,19 +71,19 @@
         self.snapshot.as_ref()?.services.get(service)
     }
 
-    /// The release at which a stream began before the last change, for some time after it.
+    /// The release that the previous assignment names, for a time after the change.
     fn previous(&self, now: Instant, key: &StreamKey, service: &ServiceId) -> Option<&Release> {
         let (previous, replaced) = self.replaced.get(service)?;
         let is_recent = now.since(*replaced) < TRANSITION_TIME;
         previous.current(key).filter(|_| is_recent)
     }
 
-    /// Endpoints that take new streams, by release.
+    /// Number of endpoints that accept new streams, by release.
     pub(crate) fn capacity(&self, service: &ServiceId) -> Option<&BTreeMap<Release, u32>> {
         self.capacity.get(service)
     }
 
-    /// Whether a stream of the release lately had to begin elsewhere.
+    /// Whether a placement at the release failed recently.
     pub(crate) fn is_short(&self, now: Instant, service: &ServiceId, release: &Release) -> bool {
         let key = (service.clone(), release.clone());
         let at = self.shortages.get(&key);
@@ -97,44 +97,48 @@
 }
 
 impl Origins {
-    /// Where a new stream that can be resumed may begin.
-    pub fn begin(&self, now: Instant, key: &StreamKey, service: &ServiceId) -> Begin {
+    /// The releases that may serve a new resumable stream.
+    pub fn release_choice(
+        &self,
+        now: Instant,
+        key: &StreamKey,
+        service: &ServiceId,
+    ) -> ReleaseChoice {
         if let Some(assignment) = self.assignments.get(service) {
             let Some(release) = assignment.current(key) else {
-                return Begin::Anywhere;
+                return ReleaseChoice::Any;
             };
             let is_usable = |r: &Release| {
                 self.history.is_settled(now, service, Some(r)) && self.history.is_listed(service, r)
             };
             let previous = self.assignments.previous(now, key, service);
             let previous = previous.filter(|p| !is_usable(release) && is_usable(p));
-            return Begin::At(previous.unwrap_or(release).clone());
+            return ReleaseChoice::Only(previous.unwrap_or(release).clone());
         }
         // Services with endpoints of unknown release have no assignment.
         let has_unknown = self.history.listed_releases(service).is_none();
         if self.assignments.is_unsupported || has_unknown {
-            return Begin::Anywhere;
+            return ReleaseChoice::Any;
         }
         let is_unread = self.assignments.snapshot.is_none();
         if is_unread || self.history.is_first_within(now, FIRST_WRITE_TIME) {
-            return Begin::Wait;
+            return ReleaseChoice::Pending;
         }
-        Begin::Anywhere
+        ReleaseChoice::Any
     }
 
-    /// The assignments that this VM has read.
+    /// The assignments, if they have been read.
     pub fn assignments(&self) -> Option<&AssignmentSnapshot> {
         self.assignments.snapshot.as_ref()
     }
 
-    /// Whether this VM has read the list, but neither the assignments nor the state of another VM with them.
+    /// Whether the endpoint list has been read but the assignments are still missing.
     pub fn lacks_assignments(&self) -> bool {
         let is_unread = self.assignments.snapshot.is_none() && !self.assignments.is_unsupported;
         is_unread && self.history.observed_since().is_some()
     }
 
-    /// Applies assignments that were read from the platform, by this VM or by the one that it follows; returns whether they
-    /// are newer than those that it knew.
+    /// Applies assignments read from the platform or received from another VM; returns whether they are newer.
     pub fn set_assignments(&mut self, now: Instant, snapshot: AssignmentSnapshot) -> bool {
         self.assignments.is_unsupported = false;
         let known = self.assignments.snapshot.as_ref();
@@ -152,23 +156,22 @@
         true
     }
 
-    /// Notes that the VM which this one follows doesn't know assignments.
+    /// Notes that the VM this one receives its state from runs a release without assignments.
     pub fn set_unsupported(&mut self) {
         self.assignments.is_unsupported = true;
     }
 
-    /// Sets whether new streams begin at the releases that the records assign.
+    /// Sets whether all VMs of the fleet enforce the assignments.
     pub fn set_binding(&mut self, binding: Binding) {
         self.assignments.binding = binding;
     }
 
-    /// Sets the number of endpoints that take new streams, by release.
+    /// Sets the number of endpoints that accept new streams, by release.
     pub fn set_capacity(&mut self, capacity: BTreeMap<ServiceId, BTreeMap<Release, u32>>) {
         self.assignments.capacity = capacity;
     }
 
-    /// Notes that no endpoint of a release could take a stream that has to begin there; returns whether those of other releases
-    /// could.
+    /// Records a failed placement at the assigned release; returns whether another release is listed.
     pub fn note_shortage(&mut self, now: Instant, service: &ServiceId, release: &Release) -> bool {
         let listed = self.history.listed_releases(service).unwrap_or_default();
         if !listed.iter().any(|other| other != release) {
@@ -179,26 +182,26 @@
         true
     }
 
-    /// The releases without endpoints for their streams.
+    /// The releases at which placements failed recently.
     pub fn shortages(&self, now: Instant) -> BTreeSet<(ServiceId, Release)> {
         let shortages = self.assignments.shortages.iter();
         let current = shortages.filter(|(_, at)| now.since(**at) < SHORTAGE_TIME);
         current.map(|(key, _)| key.clone()).collect()
     }
 
-    /// Has the records read for the origin of a stream, on a VM that reads them and has run for a shorter time than a stream can
-    /// be resumed: it may have begun before. `asker` is the VM that seeks it, if it is another one.
-    pub fn ask_records(
+    /// Queues a query that the next read of the records answers. Ignored on VMs that don't read them, or that have run for the
+    /// whole resume window and so have seen each stream start. `requester` is the VM to reply to, if it is another one.
+    pub fn query_records(
         &mut self,
         now: Instant,
-        question: (StreamKey, &ServiceId),
-        asker: Option<SocketAddr>,
+        query: (StreamKey, &ServiceId),
+        requester: Option<SocketAddr>,
     ) {
-        let window = self.history.window(now, question.1);
+        let window = self.history.window(now, query.1);
         let since = self.history.observed_since();
         let is_recent = since.is_none_or(|since| now.since(since) < window);
         if self.reads_records && is_recent {
-            self.questions.add(now, question, asker);
+            self.queries.add(now, query, requester);
         }
     }
 
@@ -207,14 +210,14 @@
         self.reads_records = reads;
     }
 
-    /// When the origin of a stream was last sought that the records may tell.
-    pub(crate) fn last_question(&self) -> Option<Instant> {
-        self.questions.last_asked()
+    /// Time of the latest pending query.
+    pub(crate) fn last_query(&self) -> Option<Instant> {
+        self.queries.last_queried()
     }
 
-    /// Learns the origins that were sought before the records were read, at `read`.
+    /// Answers the queries that were queued before the read that started at `read`.
     pub(crate) fn answer_from_records(&mut self, now: Instant, read: Instant) {
-        for (key, service, askers) in self.questions.close_before(read) {
+        for (key, service, requesters) in self.queries.close_before(read) {
             let assignment = self.assignments.get(&service);
             let assignment = assignment.filter(|_| self.weights.is_settled(&service));
             let release = assignment.and_then(|a| a.origin(&key)).cloned();
@@ -235,22 +238,22 @@
             let Some(record) = self.table.tell(now, &key) else {
                 continue;
             };
-            self.questions.remove(&key);
+            self.queries.remove(&key);
             let news = OriginNews {
                 origins: vec![record],
                 ..OriginNews::default()
             };
-            let answers = askers.into_iter().map(|a| (a, news.clone()));
+            let answers = requesters.into_iter().map(|a| (a, news.clone()));
             self.answers.extend(answers);
         }
     }
 
-    /// Whether there are answers to other VMs.
+    /// Whether there are replies to send.
     pub fn has_answers(&self) -> bool {
         !self.answers.is_empty()
     }
 
-    /// Takes the answers from the records to other VMs.
+    /// Takes the replies to other VMs.
     pub fn take_answers(&mut self) -> Vec<(SocketAddr, OriginNews)> {
         std::mem::take(&mut self.answers)
     }
--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -9,23 +9,23 @@
 mod askers;
 mod assignment;
 mod assignments;
-mod contested;
 mod doubt_queue;
 mod observed_record;
 mod origin_news;
+mod origin_queries;
 mod origin_table;
 mod origins;
-mod record_questions;
 mod relay_queue;
 mod release_history;
 mod release_ledger;
 mod release_record;
+mod reweighted;
 mod stream_key;
 mod weights;
 
 pub use {
     assignment::ReleaseAssignment,
-    assignments::{AssignmentSnapshot, Begin, Binding},
+    assignments::{AssignmentSnapshot, Binding, ReleaseChoice},
     origin_news::{MAX_DATAGRAM_BYTES, OriginAsk, OriginNews, OriginRecord},
     origin_table::{Known, Origin, OriginTable},
     origins::{Doubts, Lookup, Origins, Reaction},
--- a/crates/origins/src/observed_record.rs
+++ b/crates/origins/src/observed_record.rs
@@ -1,4 +1,4 @@
-//! How long a VM has known what the record of a service says.
+//! Tracks for how long this VM has observed the record of a service unchanged.
 
 use {
     super::{ReleaseAssignment, WeightRecord},
@@ -10,18 +10,18 @@
     types::{Release, Version},
 };
 
-/// Time for which a release must have too few buckets before some are moved to it. The lists of two VMs may differ for a
-/// shorter time.
+/// Time for which a release must be underassigned before buckets are moved to it; longer than the endpoint lists of two VMs
+/// may differ.
 const REBALANCE_DELAY: Duration = Duration::from_secs(2);
 
-/// Since when this VM knows the record of a service as it is.
+/// Observation times of a service's record.
 #[derive(Debug, Default)]
 pub(crate) struct ObservedRecord {
-    /// For each bucket its `changes`, and since when they are that.
+    /// The version of each bucket, and when it was first observed.
     buckets: Vec<(u64, Instant)>,
-    /// The releases that have too few buckets, and since when.
-    lacking: BTreeMap<Release, Instant>,
-    /// The configuration that the weights are of, and since when they are.
+    /// The underassigned releases, and since when they are.
+    underassigned: BTreeMap<Release, Instant>,
+    /// The configuration version of the weights, and when it was first observed.
     pub(crate) weights: Option<(Version, Instant)>,
 }
 
@@ -30,8 +30,8 @@
         let last = std::mem::take(&mut self.buckets);
         let buckets = assignment.buckets().iter().enumerate();
         let noted = buckets.map(|(at, bucket)| {
-            let known = last.get(at).filter(|known| known.0 == bucket.changes);
-            known.copied().unwrap_or((bucket.changes, now))
+            let known = last.get(at).filter(|known| known.0 == bucket.version);
+            known.copied().unwrap_or((bucket.version, now))
         });
         self.buckets = noted.collect();
     }
@@ -44,17 +44,18 @@
         });
     }
 
-    /// Notes the releases that have too few buckets; returns those that have had for long.
-    pub(crate) fn note_lacking(
+    /// Records the underassigned releases; returns those that have been so for `REBALANCE_DELAY`.
+    pub(crate) fn note_underassigned(
         &mut self,
         now: Instant,
-        lacking: BTreeSet<Release>,
+        underassigned: BTreeSet<Release>,
     ) -> BTreeSet<Release> {
-        self.lacking.retain(|release, _| lacking.contains(release));
-        for release in lacking {
-            self.lacking.entry(release).or_insert(now);
+        self.underassigned
+            .retain(|release, _| underassigned.contains(release));
+        for release in underassigned {
+            self.underassigned.entry(release).or_insert(now);
         }
-        let all = self.lacking.iter();
+        let all = self.underassigned.iter();
         let long = all.filter(|(_, since)| now.since(**since) >= REBALANCE_DELAY);
         long.map(|(release, _)| release.clone()).collect()
     }
--- a/crates/origins/src/origins.rs
+++ b/crates/origins/src/origins.rs
@@ -3,8 +3,9 @@
 use {
     super::{
         Known, Origin, OriginAsk, OriginNews, OriginRecord, OriginTable, ReleaseHistory, StreamKey,
-        askers::Askers, assignments::Assignments, contested::Contested, doubt_queue::DoubtQueue,
-        record_questions::RecordQuestions, relay_queue::RelayQueue, weights::Weights,
+        askers::Askers, assignments::Assignments, doubt_queue::DoubtQueue,
+        origin_queries::OriginQueries, relay_queue::RelayQueue, reweighted::Reweighted,
+        weights::Weights,
     },
     clock::Instant,
     std::{
@@ -69,10 +70,10 @@
     doubts: DoubtQueue,
     askers: Askers,
     pub(super) assignments: Assignments,
-    pub(super) contested: Contested,
+    pub(super) reweighted: Reweighted,
     pub(super) weights: Weights,
-    pub(super) questions: RecordQuestions,
-    /// Whether this VM reads the platform's records, and its answers from them.
+    pub(super) queries: OriginQueries,
+    /// Whether this VM reads the platform's records, and its replies from them.
     pub(super) reads_records: bool,
     pub(super) answers: Vec<(SocketAddr, OriginNews)>,
     next_tell: Instant,
@@ -115,7 +116,7 @@
     pub(super) fn update_only(&mut self, now: Instant) {
         let is_current = self.history.is_current(now);
         let services = self.history.services().filter(|_| is_current);
-        let services = services.filter(|s| !self.contested.contains(now, s));
+        let services = services.filter(|s| !self.reweighted.contains(now, s));
         let only: BTreeMap<_, _> = services
             .filter_map(|s| Some((s.clone(), self.history.sole(now, s)?)))
             .collect();
@@ -349,7 +350,7 @@
                 answer.origins.push(record);
                 continue;
             }
-            self.ask_records(now, (ask.key, &ask.service), Some(from));
+            self.query_records(now, (ask.key, &ask.service), Some(from));
             if is_hub && news.relay {
                 self.askers.add(now, ask.key, from);
                 reaction.forwarded.asks.push(ask.clone());
@@ -365,7 +366,7 @@
         if let Some(record) = self.table.tell(now, &ask.key) {
             return Some(record);
         }
-        if self.contested.contains(now, &ask.service) {
+        if self.reweighted.contains(now, &ask.service) {
             return None;
         }
         let release = self.sole(now, &ask.service)?;
@@ -382,9 +383,9 @@
     pub fn expire(&mut self, now: Instant) {
         self.table.expire(now);
         self.askers.expire(now);
-        self.questions.expire(now);
+        self.queries.expire(now);
         self.assignments.expire(now);
-        self.contested.expire(now);
+        self.reweighted.expire(now);
         self.update_only(now);
     }
 
--- a/crates/origins/src/release_ledger.rs
+++ b/crates/origins/src/release_ledger.rs
@@ -19,11 +19,11 @@
 /// Pauses after a failed call and after a conflicting write.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 const CONFLICT_PAUSE: Duration = Duration::from_millis(100);
-/// Shortest interval between two reads for the origins of streams.
-const QUESTION_INTERVAL: Duration = Duration::from_millis(200);
-/// Time for which a VM may begin streams by an assignment after another one has replaced it.
+/// Shortest interval between two reads that answer queries.
+const QUERY_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest time for which a VM may apply a superseded version of an assignment.
 const MAX_ASSIGNMENT_AGE: Duration = Duration::from_secs(60);
-/// Shortest time for which streams may begin at any release.
+/// Shortest time for which a bucket stays open.
 const MIN_OPEN_TIME: Duration = Duration::from_secs(30);
 
 /// What has to be done now.
@@ -44,7 +44,7 @@
 #[derive(Debug)]
 struct LastRead {
     at: Instant,
-    /// When it was begun.
+    /// Its start time.
     begun: Instant,
     /// Since when the list had been observed.
     observed: Option<Instant>,
@@ -87,7 +87,7 @@
         if now < self.retry_at || origins.observed_since().is_none() {
             return LedgerStep::Wait;
         }
-        if !self.is_current(now, origins) || self.has_question(now, origins) {
+        if !self.is_current(now, origins) || self.has_query(now, origins) {
             return self.read(now);
         }
         let mut due = origins.release_records(now, self.end.era);
@@ -104,7 +104,7 @@
             self.outdated = None;
             return LedgerStep::Wait;
         };
-        // Streams wait for the first record of a service.
+        // New streams are held back until the first record of their service is written.
         let is_first = !self.stored.contains_key(&service);
         let jitter = if is_first {
             Duration::ZERO
@@ -121,7 +121,7 @@
         LedgerStep::Write(service, record, self.end.offset)
     }
 
-    /// The weights that the record of a service should name.
+    /// The weights for the next record of a service.
     fn next_weights(
         &self,
         now: Instant,
@@ -139,7 +139,7 @@
             .next_record(service, stored, (is_held, is_first))
     }
 
-    /// Leaves out releases that no stream can have begun at, as they were never assigned to any: they needn't be written before.
+    /// Omits listed releases that have never been assigned: no stream has started there, so they needn't be written yet.
     fn omit_unused(&self, service: &ServiceId, record: &mut ReleaseRecord) {
         let Some(assignment) = &record.assignment else {
             return;
@@ -148,9 +148,7 @@
             return;
         };
         record.releases.retain(|release| {
-            let used = release
-                .as_ref()
-                .is_none_or(|r| assignment.may_have_begun(r));
+            let used = release.as_ref().is_none_or(|r| assignment.may_be_origin(r));
             used || stored.releases.contains(release)
         });
     }
@@ -160,14 +158,14 @@
         LedgerStep::Read
     }
 
-    /// Whether the origin of a stream was sought since the last read was begun.
-    fn has_question(&self, now: Instant, origins: &Origins) -> bool {
-        let asked = origins.last_question();
+    /// Whether a query has been queued since the start of the last read.
+    fn has_query(&self, now: Instant, origins: &Origins) -> bool {
+        let asked = origins.last_query();
         let last = self.last.as_ref().map(|last| last.begun);
-        asked > last && last.is_none_or(|last| now.since(last) >= QUESTION_INTERVAL)
+        asked > last && last.is_none_or(|last| now.since(last) >= QUERY_INTERVAL)
     }
 
-    /// The assignment that a service should have, with the releases of its new record; `None` if it has none.
+    /// The assignment for the next record of a service; `None` if it gets none.
     fn next_assignment(
         &mut self,
         now: Instant,
@@ -191,11 +189,11 @@
             return first.filter(|_| binding == Binding::Bound);
         };
         let observed = self.observed.entry(service.clone()).or_default();
-        let lacking = observed.note_lacking(now, stored.lacking(&capacity));
+        let underassigned = observed.note_underassigned(now, stored.underassigned(&capacity));
         let hold_time = record.window() + MAX_ASSIGNMENT_AGE;
         Some(stored.updated(&AssignmentUpdate {
             capacity: &capacity,
-            lacking: &lacking,
+            underassigned: &underassigned,
             must_open: &|release| {
                 binding == Binding::Open || origins.assignments.is_short(now, service, release)
             },
@@ -256,7 +254,7 @@
         origins.answer_from_records(now, self.read_begun);
     }
 
-    /// Puts the assignments that are stored in force.
+    /// Applies the stored assignments on this VM.
     fn publish(&mut self, now: Instant, origins: &mut Origins) {
         let mut services = BTreeMap::new();
         let mut settled = BTreeMap::new();
@@ -324,7 +322,7 @@
         self.history.listed()
     }
 
-    /// Endpoints of a service that take new streams, by release; `None` if there are some of unknown release.
+    /// Number of a service's endpoints that accept new streams, by release; `None` if some have an unknown release.
     fn assignable(&self, service: &ServiceId) -> Option<BTreeMap<Release, u32>> {
         let listed = self.history.listed_releases(service)?;
         let told = self.assignments.capacity(service);
--- a/crates/origins/src/release_record.rs
+++ b/crates/origins/src/release_record.rs
@@ -22,22 +22,22 @@
     pub window_ms: u64,
     /// Era of the store that it was written in. A later one may have lost the records after it.
     pub era: Era,
-    /// At which of them new streams begin, if all VMs follow it. Earlier releases of the router neither read nor write it.
+    /// The assignment of new streams to them, if all VMs enforce it. Earlier releases of the router neither read nor write it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub assignment: Option<ReleaseAssignment>,
-    /// The weights by which streams are sent here rather than to another service, if a route has several.
+    /// The weights of routes that distribute streams over this service and others; `None` without such routes.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub weights: Option<WeightRecord>,
 }
 
-/// The weights of the routes that send streams to a service and to others.
+/// The weights of the routes that distribute streams over a service and others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightRecord {
     /// Digest of the weights.
     pub digest: u64,
-    /// The configuration that they were first seen in.
+    /// The configuration version that introduced them.
     pub version: Version,
-    /// Whether all streams that can still be resumed began by these weights.
+    /// Whether they have been in force for the whole resume window.
     pub settled: bool,
 }
 
--- a/crates/origins/src/contested.rs
+++ b/crates/origins/src/reweighted.rs
@@ -1,4 +1,4 @@
-//! Services to which streams of a route may have been sent by an earlier version of its weights.
+//! Services whose routing weights changed recently, so that the current weights don't determine where a stream started.
 
 use {
     super::{Known, OriginAsk, OriginNews, Origins, StreamKey},
@@ -12,9 +12,9 @@
 
 /// The services whose origins are replicated to all VMs, by expiry time.
 #[derive(Debug, Default)]
-pub(crate) struct Contested(BTreeMap<ServiceId, Instant>);
+pub(crate) struct Reweighted(BTreeMap<ServiceId, Instant>);
 
-impl Contested {
+impl Reweighted {
     pub(crate) fn contains(&self, now: Instant, service: &ServiceId) -> bool {
         self.0.get(service).is_some_and(|until| now < *until)
     }
@@ -25,22 +25,22 @@
 }
 
 impl Origins {
-    /// Notes that the weights of a route between these services have changed. Until `until`, the weights don't determine
-    /// which of them began a stream: the origins of their streams are told, though each may have one release only.
-    pub fn contest(
+    /// Marks services between which routing weights have changed. Until `until`, the origins of their streams are replicated to
+    /// the other VMs even if each service has a single release, and this VM infers none for queries of others.
+    pub fn mark_reweighted(
         &mut self,
         now: Instant,
         services: impl IntoIterator<Item = ServiceId>,
         until: Instant,
     ) {
         for service in services {
-            let end = self.contested.0.entry(service).or_insert(until);
+            let end = self.reweighted.0.entry(service).or_insert(until);
             *end = (*end).max(until);
         }
         self.update_only(now);
     }
 
-    /// The time for which streams of a service may be resumed.
+    /// The resume window of a service.
     pub fn window(&self, now: Instant, service: &ServiceId) -> Duration {
         self.history.window(now, service)
     }
@@ -51,7 +51,7 @@
     }
 
     /// A query that VMs answer only from their tables of origins, not by inference.
-    pub fn ask_told(keys: impl IntoIterator<Item = StreamKey>) -> OriginNews {
+    pub fn table_query(keys: impl IntoIterator<Item = StreamKey>) -> OriginNews {
         let service: Option<ServiceId> = NO_SERVICE.parse().ok();
         let asks = keys.into_iter().zip(service.into_iter().cycle());
         OriginNews {
--- a/crates/origins/src/weights.rs
+++ b/crates/origins/src/weights.rs
@@ -1,4 +1,4 @@
-//! The weights by which streams are sent to several services, as the platform's records keep them.
+//! Routing weights between services, as recorded on the platform.
 
 use {
     super::{Origins, WeightRecord},
@@ -6,26 +6,26 @@
     types::{ServiceId, Version},
 };
 
-/// The weights of the routes that send streams to several services.
+/// The weights of routes that distribute streams over several services.
 #[derive(Debug, Default)]
 pub(crate) struct Weights {
-    /// The configuration that they are of.
+    /// The configuration version.
     version: Version,
-    /// A digest for each of these services.
+    /// Digest of the weights by service.
     digests: BTreeMap<ServiceId, u64>,
-    /// The digests by which all streams began that can still be resumed, as the platform's records say.
+    /// Digests that have been in force for the whole resume window, according to the platform's records.
     settled: BTreeMap<ServiceId, u64>,
 }
 
 impl Weights {
-    /// Whether the weights in force tell at which service a stream began that can be resumed.
+    /// Whether the weights in force determine the service of each stream that can still be resumed.
     pub(crate) fn is_settled(&self, service: &ServiceId) -> bool {
         let digest = self.digests.get(service);
         digest.is_none() || digest == self.settled.get(service)
     }
 
-    /// The record of a service's weights that should replace `stored`; `is_held` tells whether the stored ones are so old
-    /// that no stream of before can be resumed, `is_first` whether there were none before.
+    /// The successor of a service's stored record. `is_held`: the stored weights have been in force for the resume window;
+    /// `is_first`: the system has just started for the first time.
     pub(crate) fn next_record(
         &self,
         service: &ServiceId,
@@ -51,13 +51,13 @@
 }
 
 impl Origins {
-    /// Sets the weights of a configuration: a digest for each service that streams are sent to by weight.
+    /// Sets the digests of a configuration's weights, by service.
     pub fn set_weights(&mut self, version: Version, digests: BTreeMap<ServiceId, u64>) {
         self.weights.version = version;
         self.weights.digests = digests;
     }
 
-    /// Sets the weights that the records say all streams began by.
+    /// Sets the digests that the records mark as settled.
     pub(crate) fn set_settled_weights(&mut self, settled: BTreeMap<ServiceId, u64>) {
         self.weights.settled = settled;
     }
--- a/crates/origins/tests/origin_fleet.rs
+++ b/crates/origins/tests/origin_fleet.rs
@@ -85,14 +85,14 @@
     }
 }
 
-/// After a change of weights between two services, no VM could determine the service of a killed VM's streams: origins aren't replicated
-/// while each service had one release.
+/// Guards against unknown origins after a change of routing weights: without it, origins aren't replicated while each service
+/// has a single release.
 #[test]
 fn callers_are_known_after_weights_have_changed() {
     for (vms, zones, rate) in FLEETS {
         let mut fleet = Fleet::new(vms, zones, LIFE, 4);
         fleet.run(secs(5), rate);
-        fleet.contested = Some(fleet.now);
+        fleet.reweighted = Some(fleet.now);
         fleet.run(secs(3), rate);
         fleet.take_tally();
         run_with_trouble(&mut fleet, 10, rate);
--- a/crates/origins/tests/origin_sim/callers.rs
+++ b/crates/origins/tests/origin_sim/callers.rs
@@ -4,7 +4,7 @@
     super::Fleet,
     crate::origin_common::{key, origin, service},
     clock::Instant,
-    origins::{Begin, Known, Lookup, Origins},
+    origins::{Known, Lookup, Origins, ReleaseChoice},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
@@ -61,7 +61,7 @@
     pub(crate) cut: BTreeMap<Outcome, usize>,
     pub(crate) begun: usize,
     pub(crate) not_settled: usize,
-    /// Streams that found no endpoint of the release that was assigned to them.
+    /// Streams without an endpoint of their assigned release.
     pub(crate) not_placed: usize,
 }
 
@@ -125,14 +125,14 @@
         let is_settled = |r: &u64| origins.is_settled(now, &service(), origin(*r).release.as_ref());
         let is_usable = |r: &u64| Some(*r) != unusable && is_settled(r);
         let stream = self.callers.streams.len();
-        let begin = match follows {
-            true => origins.begin(now, &key(stream as u64), &service()),
-            false => Begin::Anywhere,
+        let choice = match follows {
+            true => origins.release_choice(now, &key(stream as u64), &service()),
+            false => ReleaseChoice::Any,
         };
-        let allowed = |r: &u64| match &begin {
-            Begin::Anywhere => true,
-            Begin::At(release) => origin(*r).release.as_ref() == Some(release),
-            Begin::Wait => false,
+        let allowed = |r: &u64| match &choice {
+            ReleaseChoice::Any => true,
+            ReleaseChoice::Only(release) => origin(*r).release.as_ref() == Some(release),
+            ReleaseChoice::Pending => false,
         };
         let usable: Vec<_> = listed.into_iter().filter(is_usable).collect();
         if usable.is_empty() {
@@ -142,7 +142,7 @@
         let usable: Vec<_> = usable.into_iter().filter(allowed).collect();
         if usable.is_empty() {
             self.callers.tally.not_placed += 1;
-            if let Begin::At(release) = &begin {
+            if let ReleaseChoice::Only(release) = &choice {
                 origins.note_shortage(now, &service(), release);
             }
             return;
@@ -287,10 +287,10 @@
         });
     }
 
-    /// What a VM knows of a stream, or was told if its service is contested.
+    /// Looks a stream up at a VM, without inference if its service is reweighted.
     fn look_up(&self, origins: &Origins, stream: usize) -> Lookup {
         let key = key(stream as u64);
-        if self.contested.is_none() {
+        if self.reweighted.is_none() {
             return origins.look_up(self.now, &key, &service());
         }
         match origins.find(self.now, &key) {
@@ -304,11 +304,11 @@
     fn ask(&mut self, vm: usize, stream: usize) {
         let key = key(stream as u64);
         if let Some(origins) = &mut self.vms[vm].origins {
-            origins.ask_records(self.now, (key, &service()), None);
+            origins.query_records(self.now, (key, &service()), None);
         }
         let targets = self.targets(vm);
-        let question = match self.contested {
-            Some(_) => Origins::ask_told([key]),
+        let question = match self.reweighted {
+            Some(_) => Origins::table_query([key]),
             None => Origins::ask(key, &service()),
         };
         self.send_all(vm, &targets, &question);
--- a/crates/origins/tests/origin_sim/mod.rs
+++ b/crates/origins/tests/origin_sim/mod.rs
@@ -72,8 +72,8 @@
     pub(crate) vms: Vec<Vm>,
     pub(crate) network: Network,
     pub(crate) store: Store,
-    /// When weights between the service and another one changed. Callers are served by what VMs were told from then on.
-    pub(crate) contested: Option<Instant>,
+    /// When weights between the service and another one changed. From then on returns are looked up without inference.
+    pub(crate) reweighted: Option<Instant>,
     /// Whether VMs keep records of releases on the platform.
     pub(crate) keeps_records: bool,
     callers: Callers,
@@ -97,7 +97,7 @@
             vms: Vec::new(),
             network: Network::default(),
             store: Store::default(),
-            contested: None,
+            reweighted: None,
             keeps_records: true,
             callers: Callers::default(),
             accepted_from: Instant::default(),
@@ -236,8 +236,8 @@
         let Some(origins) = &mut vm.origins else {
             return;
         };
-        if let Some(at) = self.contested.filter(|at| *at <= begun) {
-            origins.contest(now, [service()], at + self.life * 2);
+        if let Some(at) = self.reweighted.filter(|at| *at <= begun) {
+            origins.mark_reweighted(now, [service()], at + self.life * 2);
         }
         if vm.listed == listed {
             origins.confirm_list(now, begun);
--- a/crates/origins/tests/origin_sim/store.rs
+++ b/crates/origins/tests/origin_sim/store.rs
@@ -46,7 +46,7 @@
         zone.find(up) == Some(vm)
     }
 
-    /// Whether all VMs follow assignments, as a VM knows some time after its start.
+    /// Whether all VMs enforce assignments, as observed by a VM that has been up for some time.
     fn binding(&self, vm: usize) -> Binding {
         if self.vms.iter().any(|vm| vm.is_earlier) {
             return Binding::Open;
@@ -57,7 +57,7 @@
         }
     }
 
-    /// A VM that doesn't read the platform takes over the assignments that the reader of its zone knows.
+    /// Replicates the assignments from the reader of its zone to a VM, and the failed placements back.
     pub(super) fn follow_reader(&mut self, vm: usize) {
         let zone = self.vms[vm].zone;
         let reader = (0..self.vms.len()).find(|v| self.vms[*v].zone == zone && self.is_reader(*v));
--- a/crates/origins/tests/release_assignments.rs
+++ b/crates/origins/tests/release_assignments.rs
@@ -1,4 +1,4 @@
-//! Fleets of 8, 60 and 300 VMs whose streams begin at the releases that the platform's records assign.
+//! Fleets of 8, 60 and 300 VMs that enforce the assignments of the platform's records.
 
 mod origin_common;
 mod origin_sim;
@@ -11,7 +11,7 @@
 /// VMs, zones, and new streams a second.
 const FLEETS: [(usize, usize, f64); 3] = [(8, 3, 70.0), (60, 4, 300.0), (300, 10, 900.0)];
 const LIFE: Duration = Duration::from_secs(20);
-/// Time after a change of the releases from which all streams that can be resumed have begun by the new assignment.
+/// Time after a change of the releases until the buckets have settled.
 const HOLD_TIME: Duration = Duration::from_secs(125);
 /// Smallest share of callers who come back to which a VM can name the release.
 const MIN_KNOWN: f64 = 0.9;
@@ -24,7 +24,7 @@
     Duration::from_secs(secs)
 }
 
-/// A fleet that has begun streams at two releases for long.
+/// A fleet that has served two releases until the buckets have settled.
 fn fleet_of_two(vms: usize, zones: usize, seed: u64) -> Fleet {
     let mut fleet = Fleet::new(vms, zones, LIFE, seed);
     fleet.list(&[1, 2]);
@@ -48,7 +48,7 @@
     assert!(share > MIN_KNOWN, "{vms} VMs: {share} of {returns}");
 }
 
-/// While two releases served, a fleet whose VMs had all restarted knew the release of no stream from before.
+/// Guards against unknown origins after a restart of all VMs while two releases serve.
 #[test]
 fn streams_of_two_releases_are_known_after_all_vms_restart() {
     for (vms, zones, rate) in FLEETS {
@@ -60,7 +60,7 @@
     }
 }
 
-/// A release that came or went a moment before the restart had streams joined that began at the other one.
+/// Guards against streams resumed at a wrong release if the releases change shortly before a restart of all VMs.
 #[test]
 fn streams_are_not_joined_when_releases_change_before_all_vms_restart() {
     for (vms, zones, rate) in FLEETS {
@@ -77,7 +77,7 @@
     }
 }
 
-/// Streams of a release that had left found no endpoint until they were assigned to another one.
+/// Guards against new streams without an endpoint after their assigned release was removed.
 #[test]
 fn streams_begin_elsewhere_when_their_release_has_left() {
     for (vms, zones, rate) in FLEETS {
@@ -93,8 +93,8 @@
     }
 }
 
-/// A zone whose VMs reached no endpoint of a release refused the streams that were assigned to it, although the other release
-/// had room; once they begin elsewhere, none is taken for one of its assigned release.
+/// Guards against new streams without an endpoint while the VMs of a zone can't reach their assigned release, and against
+/// wrong origins for the streams that other releases serve instead.
 #[test]
 fn streams_begin_elsewhere_while_their_release_cannot_be_used() {
     for (vms, zones, rate) in FLEETS {
@@ -114,8 +114,7 @@
     }
 }
 
-/// VMs of an earlier release of the router begin streams at any release; the others took those for streams of the assigned one
-/// after a restart.
+/// Guards against wrong origins for streams of VMs of an earlier release of the router, which ignore assignments.
 #[test]
 fn streams_of_vms_that_know_no_assignments_are_not_joined() {
     for (vms, zones, rate) in FLEETS {
@@ -136,7 +135,7 @@
     }
 }
 
-/// Streams began by an assignment while the store was away, and others found nothing of it.
+/// Guards against refused new streams, and wrong origins, during an outage of the store.
 #[test]
 fn streams_begin_and_are_not_joined_while_the_store_is_away() {
     for (vms, zones, rate) in FLEETS {
@@ -153,8 +152,8 @@
     }
 }
 
-/// Releases come and go, can't be used or are replaced, while VMs restart with this release of the router or an earlier one, and
-/// the store is away or loses answers.
+/// Random changes of releases, unreachable endpoints, VM restarts with this or an earlier release of the router, partitions,
+/// and outages and lost answers of the store.
 fn run_at_random(seed: u64) -> Tally {
     let mut fleet = Fleet::new(8, 3, LIFE, seed);
     fleet.store.lost_share = 0.2;
@@ -185,7 +184,7 @@
     fleet.take_tally()
 }
 
-/// Streams were joined at the release that is assigned to them, though they had begun at another one.
+/// Guards against streams resumed at the assigned release although they started at another one.
 #[test]
 fn streams_are_never_joined_at_another_release_than_their_own() {
     let mut known = 0;
--- a/crates/origins/tests/contested_services.rs
+++ b/crates/origins/tests/reweighted_services.rs
@@ -1,4 +1,4 @@
-//! Services between which the weights of a route have changed.
+//! Services between which routing weights have changed.
 
 mod origin_common;
 
@@ -16,7 +16,7 @@
     at(120_000)
 }
 
-/// What a VM answers that is asked by another one.
+/// The replies of a VM to a query of another one.
 fn answer(vm: &mut Origins, question: &OriginNews) -> Vec<Known> {
     let reaction = vm.learn(now() + AFTER, vm_addr(7), question, false);
     let answers = reaction
@@ -28,29 +28,29 @@
         .collect()
 }
 
-/// A VM that inferred the only release of a service named it for a stream of another service.
+/// Guards against an inferred origin for a stream that may have started at another service.
 #[test]
-fn release_of_a_contested_service_is_not_inferred_for_others() {
+fn release_of_a_reweighted_service_is_not_inferred_for_others() {
     let mut vm = observer(&[1]);
     let question = Origins::ask(key(1), &service());
     let inferred = [Known::Release(release(1))];
     assert_eq!(answer(&mut vm, &question), inferred);
-    assert_eq!(answer(&mut vm, &Origins::ask_told([key(1)])), []);
+    assert_eq!(answer(&mut vm, &Origins::table_query([key(1)])), []);
     let end = now() + WINDOW;
-    vm.contest(now(), [service()], end);
+    vm.mark_reweighted(now(), [service()], end);
     assert_eq!(answer(&mut vm, &question), []);
     vm.began(now(), key(1), &origin(1), end);
-    assert_eq!(answer(&mut vm, &Origins::ask_told([key(1)])), inferred);
+    assert_eq!(answer(&mut vm, &Origins::table_query([key(1)])), inferred);
 }
 
-/// VMs weren't told of the streams of a service that has one release, and couldn't know their service after a change of weights.
+/// Guards against origins that aren't replicated because each service has a single release.
 #[test]
-fn streams_of_contested_services_are_told_though_one_release_serves() {
+fn origins_of_reweighted_services_are_replicated_despite_a_single_release() {
     let mut vm = observer(&[1]);
     let end = now() + WINDOW;
     vm.began(now(), key(1), &origin(1), end);
     assert!(vm.take_news(now(), 2).is_empty());
-    vm.contest(now(), [service()], end);
+    vm.mark_reweighted(now(), [service()], end);
     let told = vm.take_news(now() + AFTER, 2);
     assert_eq!(told.origins.len(), 1);
     vm.began(now() + AFTER, key(2), &origin(1), end);
@@ -68,7 +68,7 @@
     );
 }
 
-/// The record that a VM writes in the first second after the first start of the system, with these weights.
+/// The record that the ledger writes now, if any.
 fn recorded(vm: &mut Origins, ledger: &mut ReleaseLedger, now: Instant) -> Option<ReleaseRecord> {
     match ledger.step(now, vm) {
         LedgerStep::Write(_, record, _) => Some(record),
@@ -76,7 +76,7 @@
     }
 }
 
-/// Weights that had changed a moment before a restart of all VMs were taken for those by which streams had begun.
+/// Guards against weights that count as settled while streams from before the change can be resumed.
 #[test]
 fn weights_are_settled_once_no_stream_of_before_can_be_resumed() {
     let end = |offset| LogPosition {
--- a/crates/relay/src/connection/session.rs
+++ b/crates/relay/src/connection/session.rs
@@ -192,7 +192,7 @@
     done.unwrap_or_else(|_| Some(Response::refusal(request.timed_out())))
 }
 
-/// Routes a stream that the caller takes up to the service that began it, if weights decide about new ones.
+/// Routes a resumed stream to the service that it started at, on routes that distribute streams by weight.
 async fn find_service(
     node: &Arc<Node>,
     conn: &mut Conn,
--- a/crates/relay/src/peers/assignment_support.rs
+++ b/crates/relay/src/peers/assignment_support.rs
@@ -1,4 +1,4 @@
-//! Whether the VMs follow assignments of releases, as known from their datagrams.
+//! Support for assignments across the fleet, derived from gossip formats.
 
 use super::{
     MessageFormat,
@@ -6,13 +6,13 @@
 };
 
 impl PeerTable {
-    /// Whether all VMs of this zone that were heard from, also a while ago, follow assignments of releases.
+    /// Whether all peers of this zone support assignments, including those that have timed out recently.
     pub(crate) fn zone_follows_assignments(&self) -> bool {
         let mut peers = self.peers.values().filter(|p| p.zone == self.zone);
         peers.all(|p| p.format >= MessageFormat::ASSIGNMENTS)
     }
 
-    /// Whether all VMs follow assignments of releases, as far as this VM knows. In a large fleet the hubs tell it of their zones.
+    /// Whether all VMs of the fleet support assignments. In a large fleet the hubs report it for their zones.
     pub(crate) fn all_follow_assignments(&self) -> bool {
         let follows = |p: &Peer| p.format >= MessageFormat::ASSIGNMENTS;
         let mut peers = self.peers.values();
--- a/crates/relay/src/peers/gossip_message.rs
+++ b/crates/relay/src/peers/gossip_message.rs
@@ -63,7 +63,7 @@
     /// Slot demand of its callers, by service.
     #[serde(default)]
     pub(crate) demand: Vec<ServiceDemand>,
-    /// Whether all VMs of its zone that it knows follow assignments of releases.
+    /// Whether all peers of its zone support assignments of releases.
     #[serde(default)]
     pub(crate) assigned: bool,
 }
--- a/crates/relay/src/peers/peer_table.rs
+++ b/crates/relay/src/peers/peer_table.rs
@@ -53,7 +53,7 @@
     pub(super) hub: bool,
     /// Whether it takes requests of others to their endpoints.
     carries: bool,
-    /// Whether the VMs of its zone that it knows follow assignments of releases.
+    /// Whether all peers of its zone support assignments of releases.
     pub(super) assigned: bool,
     /// Format of the datagrams that it reads.
     pub(super) format: MessageFormat,
--- a/crates/relay/src/process/assignments.rs
+++ b/crates/relay/src/process/assignments.rs
@@ -1,4 +1,4 @@
-//! Assignments of releases between the VMs that read the platform and those that follow them.
+//! Replication of assignments from the VMs that read the platform to those that follow them.
 
 use {
     super::{Node, state_trailer::AssignmentNews},
@@ -8,7 +8,7 @@
 };
 
 impl Node {
-    /// Position up to which this VM knows the assignments.
+    /// Log position of this VM's assignments.
     pub(super) fn assignments_position(&self) -> Option<LogPosition> {
         let origins = self.origins.lock();
         origins.known.assignments().map(|snapshot| snapshot.at)
@@ -19,7 +19,7 @@
         AssignmentNews::new(self.origins.lock().known.assignments(), known)
     }
 
-    /// Applies what the VM said that this one follows; `None` if it runs an earlier release.
+    /// Applies the update of the VM that this one follows; `None` if that runs an earlier release.
     pub(super) fn apply_assignments(&self, news: Option<AssignmentNews>) {
         let now = self.clock.now();
         let mut origins = self.origins.lock();
@@ -40,12 +40,12 @@
         }
     }
 
-    /// The releases without endpoints for the streams that are assigned to them.
+    /// The releases at which placements failed recently.
     pub(super) fn shortages(&self) -> BTreeSet<(ServiceId, Release)> {
         self.origins.lock().known.shortages(self.clock.now())
     }
 
-    /// Notes the shortages of a VM that follows this one.
+    /// Records the failed placements of a VM that follows this one.
     pub(super) fn note_shortages(&self, shortages: &BTreeSet<(ServiceId, Release)>) {
         let now = self.clock.now();
         let mut origins = self.origins.lock();
--- a/crates/relay/src/process/node.rs
+++ b/crates/relay/src/process/node.rs
@@ -77,7 +77,7 @@
     /// Notified when there is something to tell or to ask of origins, and when something was learnt.
     pub(crate) origins_due: Event,
     pub(crate) origins_learned: Event,
-    /// Notified when the origin of a stream is sought that the platform's records may tell.
+    /// Notified when the records should be read.
     pub(crate) records_asked: Event,
     /// Checks of silent endpoints. Not locked together with anything else.
     pub(crate) connection_checks: Mutex<ConnectionChecks>,
--- a/crates/relay/src/process/placement.rs
+++ b/crates/relay/src/process/placement.rs
@@ -9,7 +9,7 @@
     },
     clock::Instant,
     detour::Link,
-    origins::Begin,
+    origins::ReleaseChoice,
     route::{
         Activity, EndpointSpec, EngineProfile, FleetRank, PlacementOutcome, PlacementRequest,
         Placer, SlidingRetryBudget,
@@ -122,18 +122,18 @@
         let now = self.clock.now();
         let config = self.config();
         let origin = request.origin();
-        let (begin, unsettled) = match origin {
+        let (choice, unsettled) = match origin {
             StreamOrigin::New if request.route.kind == RouteKind::Resumable => (
-                self.begin_at(request),
+                self.release_choice(request),
                 self.unsettled_releases(&request.service),
             ),
-            StreamOrigin::New | StreamOrigin::Known(_) => (Begin::Anywhere, Vec::new()),
+            StreamOrigin::New | StreamOrigin::Known(_) => (ReleaseChoice::Any, Vec::new()),
             StreamOrigin::Unknown => return Err(request.unknown_origin()),
         };
-        let release = match &begin {
-            Begin::Anywhere => origin.release(),
-            Begin::At(release) => Some(release),
-            Begin::Wait => return Err(self.unassigned(request)),
+        let release = match &choice {
+            ReleaseChoice::Any => origin.release(),
+            ReleaseChoice::Only(release) => Some(release),
+            ReleaseChoice::Pending => return Err(self.unassigned(request)),
         };
         let placement_request = PlacementRequest {
             zone: &self.settings.zone,
@@ -162,7 +162,7 @@
                 .and_then(|p| p.schedule_return(now));
             drop(placers);
             drop(registry);
-            if let Begin::At(release) = &begin {
+            if let ReleaseChoice::Only(release) = &choice {
                 self.note_shortage(request, release);
             }
             if let Some(release) = origin.release()
@@ -330,7 +330,7 @@
         access(budget)
     }
 
-    /// Notes the number of live VMs, among which the fixed part of the retry budgets is divided.
+    /// Records the number of live VMs, which share the fixed part of the retry budgets.
     pub(crate) fn note_vms(&self, vms: u32) {
         let now = self.clock.now();
         let mut reserve = self.retry_reserve.lock();
--- a/crates/relay/src/process/release_records.rs
+++ b/crates/relay/src/process/release_records.rs
@@ -46,7 +46,8 @@
     }
 }
 
-/// Whether this VM reads the records: as the reader of its zone, or once at the start if it has a list before it follows a reader.
+/// Whether this VM reads the records: as the reader of its zone, or once if it has read the endpoint list before it follows a
+/// reader.
 fn reads_records(node: &Node, now: Instant) -> bool {
     let follows = !node.peers.lock().readers(now).is_empty();
     node.reads_platform(now) || !follows && node.origins.lock().known.lacks_assignments()
@@ -83,7 +84,7 @@
     }
 }
 
-/// Wakes streams that wait for the records, and VMs that read through this one.
+/// Wakes streams that are held for the records, and VMs that receive their state from this one.
 fn notify_read(node: &Node) {
     node.origins_learned.notify(usize::MAX);
     node.changed.notify(usize::MAX);
--- a/crates/relay/src/process/state_trailer.rs
+++ b/crates/relay/src/process/state_trailer.rs
@@ -25,22 +25,22 @@
     /// Position up to which the requester knows the evacuated zones.
     #[serde(default)]
     pub(super) evacuations: Option<LogPosition>,
-    /// Position up to which the requester knows the assignments of releases.
+    /// Log position of the requester's assignments.
     #[serde(default)]
     pub(super) assignments: Option<LogPosition>,
-    /// Releases that have no endpoint for the streams that are assigned to them.
+    /// Releases at which placements of the requester failed recently.
     #[serde(default)]
     pub(super) shortages: BTreeSet<(ServiceId, Release)>,
 }
 
-/// What the responder knows of the assignments of releases.
+/// An update of the assignments.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum AssignmentNews {
-    /// It has not read them yet.
+    /// The responder has not read them yet.
     Unread,
-    /// Nothing newer than the requester.
+    /// The requester is up to date.
     Unchanged,
-    /// These, as read up to a position of the platform's log.
+    /// All assignments as of a log position.
     Changed(LogPosition, BTreeMap<ServiceId, ReleaseAssignment>),
 }
 
@@ -63,7 +63,7 @@
     /// Rate limits of cold endpoints, by service of the configuration in the response.
     #[serde(default)]
     pub(super) cold: BTreeMap<ServiceId, ColdPolicy>,
-    /// `None` if the responder runs an earlier release, which doesn't know assignments.
+    /// `None` if the responder runs an earlier release without assignments.
     #[serde(default)]
     pub(super) assignments: Option<AssignmentNews>,
 }
--- a/crates/relay/src/process/state_trailer_tests.rs
+++ b/crates/relay/src/process/state_trailer_tests.rs
@@ -57,7 +57,7 @@
     assert_eq!(read, RequestTrailer::default());
 }
 
-/// VMs took a reader of an earlier release for one that has read no assignments yet, and waited for them.
+/// Guards against VMs that wait for assignments of a reader of an earlier release.
 #[test]
 fn reader_of_an_earlier_release_is_told_apart() {
     let bytes = encode(&MESSAGE, &Later { later: 3 }).unwrap();
--- a/crates/relay/src/process/stream_origins.rs
+++ b/crates/relay/src/process/stream_origins.rs
@@ -8,7 +8,7 @@
         request::{RoutedRequest, SlotLease},
     },
     clock::{Instant, timeout},
-    origins::{Begin, Binding, Lookup, Origin, OriginNews, Origins, StreamKey},
+    origins::{Binding, Lookup, Origin, OriginNews, Origins, ReleaseChoice, StreamKey},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
@@ -25,10 +25,10 @@
 /// Longest time for which a stream is resumed, in multiples of the longest timeout of a service's routes:
 /// a caller comes back within its own.
 const WINDOW_TIMEOUTS: u32 = 2;
-/// Longest time for which a new stream waits until the assignment of its service is read, and `Retry-After` then.
+/// Longest time that a new stream is held until the assignment of its service is read, and `Retry-After` after that.
 const ASSIGNMENT_WAIT: Duration = Duration::from_secs(1);
 const ASSIGNMENT_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Time after the start in which this VM hears of the others.
+/// Time after the start in which this VM discovers the others.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
 /// Origins of streams, and questions that are to be sent to other VMs.
@@ -37,7 +37,7 @@
     pub(super) known: Origins,
     /// By stream, until they are sent or their requests have ended.
     pub(super) asks: BTreeMap<StreamKey, OriginNews>,
-    /// When the weights of routes between services last changed.
+    /// Changes of routing weights between services.
     pub(super) weights: WeightChanges,
 }
 
@@ -106,35 +106,35 @@
         self.origins.lock().known.sole(now, service)
     }
 
-    /// Where a new stream that can be resumed may begin.
-    pub(super) fn begin_at(&self, request: &RoutedRequest) -> Begin {
+    /// The releases that may serve a new resumable stream.
+    pub(super) fn release_choice(&self, request: &RoutedRequest) -> ReleaseChoice {
         let now = self.clock.now();
         let origins = self.origins.lock();
         let key = first_key(request);
-        origins.known.begin(now, &key, &request.service)
+        origins.known.release_choice(now, &key, &request.service)
     }
 
-    /// The releases of a service that not all VMs may know yet.
+    /// The releases of a service that not all VMs may have discovered yet.
     pub(super) fn unsettled_releases(&self, service: &ServiceId) -> Vec<Release> {
         let now = self.clock.now();
         self.origins.lock().known.unsettled(now, service)
     }
 
-    /// The refusal of a new stream whose service has an assignment that isn't known yet.
+    /// The refusal of a new stream while the assignment of its service hasn't been read.
     pub(super) fn unassigned(&self, request: &RoutedRequest) -> Refusal {
         let refusal = request.unavailable("the releases of the service aren't known yet");
         refusal.with_retry_after(ASSIGNMENT_RETRY_AFTER)
     }
 
-    /// Waits until it is known where a new stream may begin, for a second at most.
+    /// Waits until the assignment for a new stream has been read, for `ASSIGNMENT_WAIT` at most.
     pub(crate) async fn await_assignment(&self, request: &RoutedRequest) {
-        if self.begin_at(request) != Begin::Wait {
+        if self.release_choice(request) != ReleaseChoice::Pending {
             return;
         }
         let known = async {
             loop {
                 let learned = self.origins_learned.listen();
-                if self.begin_at(request) != Begin::Wait {
+                if self.release_choice(request) != ReleaseChoice::Pending {
                     return;
                 }
                 learned.await;
@@ -149,7 +149,7 @@
         );
     }
 
-    /// Notes that no endpoint of the release at which a stream has to begin took it.
+    /// Records a failed placement at the assigned release.
     pub(super) fn note_shortage(&self, request: &RoutedRequest, release: &Release) {
         let now = self.clock.now();
         let mut origins = self.origins.lock();
@@ -165,7 +165,7 @@
         self.records_asked.notify(usize::MAX);
     }
 
-    /// Whether all VMs follow the assignments of the records.
+    /// Whether all VMs of the fleet enforce assignments.
     pub(super) fn binding(&self, now: Instant) -> Binding {
         if !self.peers.lock().all_follow_assignments() {
             return Binding::Open;
@@ -255,11 +255,11 @@
         None
     }
 
-    /// Has the other VMs asked for a stream, and the records read if this VM reads them.
+    /// Queues the queries for a stream, to the other VMs and to the records.
     fn queue_ask(&self, key: &StreamKey, service: &ServiceId) {
         let now = self.clock.now();
         let mut origins = self.origins.lock();
-        origins.known.ask_records(now, (*key, service), None);
+        origins.known.query_records(now, (*key, service), None);
         origins.asks.insert(*key, Origins::ask(*key, service));
         drop(origins);
         self.origins_due.notify(usize::MAX);
@@ -284,7 +284,7 @@
     key_at(request, &request.service)
 }
 
-/// The key of the stream that a request takes up, if it began at this service.
+/// The key of the stream that a request resumes, if it started at this service.
 pub(super) fn key_at(request: &RoutedRequest, service: &ServiceId) -> StreamKey {
     let first = request.caller.first_attempt();
     let org = request.org.as_ref().map(|o| &o.id);
--- a/crates/relay/src/process/stream_services.rs
+++ b/crates/relay/src/process/stream_services.rs
@@ -1,7 +1,7 @@
-//! Which service of a route with several began a stream that a caller takes up.
+//! Looks up the service of a resumed stream on routes that distribute streams over several services.
 //!
-//! New streams are distributed by weight and a hash of their attempt, so the weights of that moment tell the service. After a
-//! change of the weights they don't: the VMs that served the stream or hold a replica of its origin do.
+//! New streams are distributed by weight and a hash of their attempt, so the weights determine the service until they change.
+//! After a change the service is known to the VM that served the stream and to those that hold a replica of its origin.
 
 use {
     super::{Node, stream_origins::key_at},
@@ -16,23 +16,23 @@
     types::{Refusal, RouteId, ServiceId},
 };
 
-/// Time that other VMs get to say which service began a stream, and how often they are asked.
+/// Timeout of a query to other VMs, and number of queries.
 const ASK_TIME: Duration = Duration::from_millis(125);
 const ASKS: u32 = 3;
-/// `Retry-After` of a stream that no VM knows: one may be heard of yet.
+/// `Retry-After` of a stream that no VM knows: its origin may still be in transit.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// When the weights of routes changed, as far as this VM knows.
+/// Times of weight changes observed by this VM, by route.
 #[derive(Debug, Default)]
 pub(crate) struct WeightChanges {
     routes: BTreeMap<RouteId, Instant>,
-    /// When this VM learnt the weights of all routes; before, they may have been others.
+    /// When this VM applied its first configuration; earlier weights are unknown to it.
     learned: Option<Instant>,
 }
 
 impl WeightChanges {
-    /// Notes the weights of a configuration that replaces `old`; returns the services between which weights have changed.
-    /// `is_first` tells whether the whole system starts for the first time.
+    /// Records the weights of a configuration that replaces `old`; returns the services between which they have changed.
+    /// `is_first`: the system starts for the first time.
     pub(super) fn note(
         &mut self,
         now: Instant,
@@ -43,6 +43,8 @@
             self.learned = (!is_first).then_some(now);
             return Vec::new();
         };
+        let is_current = |id: &RouteId| new.doc.routes.iter().any(|route| route.id == *id);
+        self.routes.retain(|id, _| is_current(id));
         let mut changed = Vec::new();
         for route in new.doc.routes.iter().filter(|r| has_choice(r)) {
             let last = old.doc.routes.iter().find(|r| r.id == route.id);
@@ -56,7 +58,7 @@
         changed
     }
 
-    /// Whether the weights of a route have changed in the last `window`; `None` if this VM hasn't known them for so long.
+    /// Whether the weights of a route have changed in the last `window`; `None` if this VM hasn't observed them for so long.
     fn changed_within(&self, now: Instant, route: &RouteId, window: Duration) -> Option<bool> {
         let is_recent = |at: &Instant| now.since(*at) < window;
         if self.routes.get(route).is_some_and(is_recent) {
@@ -67,18 +69,18 @@
     }
 }
 
-/// Whether the weights decide which service a stream of a route begins at.
+/// Whether a route distributes its streams over several services.
 fn has_choice(route: &Route) -> bool {
     route.kind.is_stream() && services(route).count() > 1
 }
 
-/// The services that a route sends requests to.
+/// The services with a positive weight.
 fn services(route: &Route) -> impl Iterator<Item = &ServiceId> {
     let weighted = route.split.iter().filter(|(_, weight)| *weight > 0.0);
     weighted.map(|(service, _)| service)
 }
 
-/// A digest of the weights of all routes that send streams to a service and to others, the same at all VMs.
+/// Digests of the weights, by service; the same on all VMs.
 fn weight_digests(config: &Config) -> BTreeMap<ServiceId, u64> {
     let mut hashers: BTreeMap<ServiceId, SipHasher13> = BTreeMap::new();
     let mut routes: Vec<_> = config.doc.routes.iter().filter(|r| has_choice(r)).collect();
@@ -98,7 +100,7 @@
 }
 
 impl Node {
-    /// Notes the weights of a configuration that replaces `old`.
+    /// Records the weights of a configuration that replaces `old`.
     pub(super) fn note_weights(&self, old: Option<&Config>, new: &Config) {
         let now = self.clock.now();
         let mut origins = self.origins.lock();
@@ -111,13 +113,13 @@
         }
         let windows = changed.iter().map(|s| origins.known.window(now, s));
         let window = windows.max().unwrap_or_default();
-        origins.known.contest(now, changed, now + window);
+        origins.known.mark_reweighted(now, changed, now + window);
         drop(origins);
         self.origins_due.notify(usize::MAX);
     }
 
-    /// The service and the release that began the stream which a caller takes up, if weights decided about it and this VM or
-    /// another one was told; `None` if the weights in force tell the service.
+    /// The origin of a resumed stream, from this VM's table or another one's; `None` if the weights in force determine the
+    /// service.
     pub(crate) async fn find_service(
         &self,
         request: &RoutedRequest,
@@ -172,7 +174,7 @@
     async fn ask_for_service(&self, keys: &[(&ServiceId, StreamKey)]) -> Option<Origin> {
         let (_, first) = keys.first()?;
         for _ in 0..ASKS {
-            let ask = Origins::ask_told(keys.iter().map(|(_, key)| *key));
+            let ask = Origins::table_query(keys.iter().map(|(_, key)| *key));
             self.origins.lock().asks.insert(*first, ask);
             self.origins_due.notify(usize::MAX);
             let answered = async {
--- a/crates/relay/tests/common/releases.rs
+++ b/crates/relay/tests/common/releases.rs
@@ -302,7 +302,7 @@
         Self::start_as(true, vms, endpoints, weights)
     }
 
-    /// A start of all VMs, which know nothing of before.
+    /// A restart of all VMs without any record.
     pub(crate) fn start_again(vms: u8, endpoints: &[&ReleasedEndpoint]) -> Self {
         Self::start_as(false, vms, endpoints, &[("s", 1.0)])
     }
--- a/crates/relay/tests/early_responses.rs
+++ b/crates/relay/tests/early_responses.rs
@@ -1,4 +1,4 @@
-//! Endpoints that answer before they have read a long request, and break off; and answers with statuses that don't exist.
+//! Responses that are reset during the upload of the request, and responses with invalid status codes.
 
 mod common;
 
@@ -195,7 +195,7 @@
     answered.load(SeqCst)
 }
 
-/// Callers took the beginning of an answer for all of it when its connection was reset while the request was still being written.
+/// Guards against a truncated response without a length that passes for complete after a reset during the upload.
 #[test]
 fn answer_that_breaks_off_during_the_upload_is_not_complete() {
     for kind in KINDS {
@@ -217,7 +217,7 @@
     }
 }
 
-/// An answer that ends with its connection, after a short request, is still complete.
+/// Guards against failures of complete responses that end with their connection.
 #[test]
 fn answer_without_a_length_is_complete_at_its_end() {
     for kind in KINDS {
@@ -269,7 +269,7 @@
     assert!(!response.contains("odd"), "{case:?}: {response}");
 }
 
-/// Callers got an answer whose status was 000, or another one that is none.
+/// Guards against invalid status codes that are forwarded.
 #[test]
 fn answer_with_an_invalid_status_is_a_failure() {
     for kind in KINDS {
--- a/crates/relay/tests/retry_budgets.rs
+++ b/crates/relay/tests/retry_budgets.rs
@@ -1,4 +1,4 @@
-//! The retry budget that all VMs share, before endpoints that fail all requests.
+//! The fleet-wide retry budget, with endpoints that fail all requests.
 
 mod common;
 
@@ -105,8 +105,8 @@
     }
 }
 
-/// Each VM of a large fleet took an eighth of the fixed part of the budget, as that of a service began with its first
-/// request, after all VMs had been discovered.
+/// Guards against shares that ignore the size of the fleet: a budget that was created after all VMs had been discovered got an
+/// eighth of the reserve.
 #[test]
 fn vms_of_a_large_fleet_keep_the_retry_budget() {
     let fleet = Fleet::start(VMS);
@@ -116,7 +116,7 @@
     fleet.check(begun);
 }
 
-/// VMs that had restarted began with a full budget, in the window in which those before them had spent theirs.
+/// Guards against a second share of the reserve in the window of a restart.
 #[test]
 fn restart_of_all_vms_doubles_no_retry_budget() {
     let mut fleet = Fleet::start(FEW_VMS);
--- a/crates/relay/tests/stream_weights.rs
+++ b/crates/relay/tests/stream_weights.rs
@@ -1,4 +1,4 @@
-//! Streams that callers take up after the weights of their route's services have changed.
+//! Streams that are resumed after a change of the routing weights between services.
 
 mod common;
 
@@ -54,8 +54,8 @@
     responses.iter().filter(|r| r.is_whole()).count()
 }
 
-/// Begins streams, changes the weights, kills the VMs that served the streams, and checks that at least half of them go on, all at
-/// the service and the release that began them.
+/// Starts streams, changes the weights, kills the VMs that served them, and checks that at least half are resumed, all at the
+/// service and release of their first events.
 fn check_change(vms: u8, start_time: Duration, releases: [&[&'static str]; 2]) {
     let log: Arc<ReleaseLog> = Arc::default();
     let endpoints = start_endpoints(releases, &log);
@@ -72,7 +72,7 @@
     assert!(whole * 2 >= STREAMS, "{whole} of {STREAMS} streams went on");
 }
 
-/// Callers were refused, as the other service knew nothing of their streams.
+/// Guards against refused streams: their origins were looked up under the service of the new weights.
 #[test]
 fn stream_goes_on_at_its_service_after_a_change_of_weights() {
     check_change(VMS, Duration::ZERO, [&["r1", "r2"], &["r3", "r4"]]);
@@ -84,7 +84,7 @@
     check_change(LARGE, START_TIME, [&["r1", "r2"], &["r3", "r4"]]);
 }
 
-/// Streams went on at the other service, whose only release was taken for the one that had begun them.
+/// Guards against streams resumed at the single release of another service.
 #[test]
 fn stream_is_not_joined_at_the_only_release_of_another_service() {
     check_change(VMS, Duration::ZERO, [&["r1"], &["r2"]]);
@@ -118,14 +118,14 @@
     whole
 }
 
-/// After a restart of all VMs, streams of a route with several services were refused.
+/// Guards against refused streams of weighted routes after a restart of all VMs.
 #[test]
 fn streams_of_weighted_services_go_on_after_all_vms_were_killed() {
     let whole = restart_all(false);
     assert!(whole * 2 >= STREAMS, "{whole} of {STREAMS} streams went on");
 }
 
-/// After a restart of all VMs, streams were joined at the service of the new weights.
+/// Guards against streams resumed at the service of the new weights after a restart of all VMs.
 #[test]
 fn streams_are_not_joined_if_weights_changed_before_all_vms_were_killed() {
     restart_all(true);
--- a/crates/route/src/retry_reserve.rs
+++ b/crates/route/src/retry_reserve.rs
@@ -1,34 +1,33 @@
-//! A VM's share of the fixed part of a retry budget that all VMs of the fleet have together.
+//! A VM's share of the fleet-wide fixed part of a retry budget.
 
 use {
     clock::Instant,
     std::{collections::VecDeque, time::Duration},
 };
 
-/// Smallest number of VMs that the reserve is divided by: others may not have been heard of.
+/// Smallest number of VMs that the reserve is divided by: a VM that is partitioned from its start on has discovered no other.
 const MIN_VMS: u32 = 8;
-/// Time for which VMs count that are no longer heard of: they may be cut off, and spend their shares.
+/// Time for which VMs count after they were last seen: behind a partition they go on spending their shares.
 const MEMORY: Duration = Duration::from_secs(3_600);
 
 /// The retries that a VM may spend beyond those that its requests earn.
 ///
-/// A VM that starts doesn't know what its process before has spent, nor how many VMs there are, so it has none
-/// for one window of the budget, unless the whole system starts for the first time.
+/// A VM that restarts doesn't know what the previous process has spent, so its share is zero for the first window, unless the
+/// system starts for the first time.
 #[derive(Debug, Clone)]
 pub struct RetryReserve {
     /// Retries in a window, of all VMs together.
     reserve: f64,
-    /// From when on it has a share.
+    /// When its share becomes available.
     available: Instant,
-    /// Numbers of VMs and when they were last heard of; the largest and earliest one first, each later one smaller.
+    /// Sliding-window maximum of the number of VMs: observation times, with decreasing numbers.
     counts: VecDeque<(Instant, u32)>,
     rounding: f64,
 }
 
 impl RetryReserve {
-    /// The share of a VM that starts now in the `reserve` of each `window`; `first_start` tells whether the whole system does for
-    /// the first time. `rounding` is uniformly distributed in [0, 1): VMs
-    /// round their numbers of retries up or down by it, so that small shares add up to the whole.
+    /// The share of a VM that starts now in the `reserve` of each `window`. `first_start`: the system starts for the first time.
+    /// `rounding` is uniformly distributed in [0, 1), so that the fractional shares of many VMs add up.
     pub fn new(
         now: Instant,
         (reserve, window): (f64, Duration),
@@ -43,7 +42,7 @@
         }
     }
 
-    /// Notes the number of live VMs, this one included; returns whether it is the largest in an hour.
+    /// Records the number of live VMs, this one included; returns whether the number that share the reserve has changed.
     pub fn note_vms(&mut self, now: Instant, vms: u32) -> bool {
         let last = self.vms();
         self.counts.retain(|(at, _)| now.since(*at) < MEMORY);
--- a/crates/route/tests/retry_fleet.rs
+++ b/crates/route/tests/retry_fleet.rs
@@ -1,4 +1,4 @@
-//! Fleets of 8 to 300 VMs that spend one retry budget, before endpoints that fail part of the requests.
+//! Fleets of 8 to 300 VMs that share a retry budget, with endpoints that fail part of the requests.
 
 use {
     clock::Instant,
@@ -10,7 +10,7 @@
 const WINDOW: Duration = Duration::from_secs(10);
 const RATIO: f64 = 0.2;
 const RESERVE: f64 = 56.0;
-/// Numbers of VMs, those of the smallest and of the largest deployments among them.
+/// Fleet sizes.
 const FLEETS: [u32; 4] = [8, 32, 60, 300];
 /// Requests a second, and share of them that fail.
 const RATE: f64 = 120.0;
@@ -18,7 +18,7 @@
 /// Smallest part of the bound that callers get where more requests fail.
 const MIN_USED: f64 = 0.5;
 const TICK: Duration = Duration::from_millis(5);
-/// Time in which all VMs hear of a change of the fleet.
+/// Time until all VMs observe a change of the fleet.
 const NEWS_TIME: Duration = Duration::from_secs(1);
 
 struct Vm {
@@ -129,7 +129,7 @@
     Duration::from_secs(secs)
 }
 
-/// VMs whose budgets began after they had discovered each other took an eighth of the reserve each.
+/// Guards against shares that ignore the size of the fleet.
 #[test]
 fn fleet_keeps_the_bound() {
     for vms in FLEETS {
@@ -144,7 +144,7 @@
     }
 }
 
-/// VMs that had restarted had their whole share again, once more in one window.
+/// Guards against a second share in the window of a restart.
 #[test]
 fn restarts_of_all_vms_keep_the_bound() {
     for vms in FLEETS {
@@ -179,7 +179,7 @@
     }
 }
 
-/// Each side of a fleet that is cut in two took the whole reserve for itself.
+/// Guards against larger shares on both sides of a partition.
 #[test]
 fn fleet_that_is_cut_in_two_keeps_the_bound() {
     for vms in FLEETS {
@@ -191,7 +191,7 @@
     }
 }
 
-/// VMs that are added had shares before the others had given up a part of theirs.
+/// Guards against shares of new VMs before the others have reduced theirs.
 #[test]
 fn fleet_that_grows_keeps_the_bound() {
     for vms in FLEETS {
@@ -207,7 +207,7 @@
     }
 }
 
-/// Streams that broke in the first seconds of a new system weren't resumed.
+/// Guards against missing retries in the first window of a new system.
 #[test]
 fn reserve_is_available_at_the_first_start() {
     let start = Instant::from_nanos(1 << 40);
@@ -217,7 +217,7 @@
     assert_eq!(reserve.share(start), RESERVE / 32.0);
 }
 
-/// A VM that has been gone for an hour still counted.
+/// Guards against VMs that count forever after their removal.
 #[test]
 fn reserve_is_shared_anew_after_an_hour() {
     let start = Instant::from_nanos(1 << 40);
--- a/crates/wire/tests/client.rs
+++ b/crates/wire/tests/client.rs
@@ -226,7 +226,7 @@
 /// Statuses that no response has.
 const INVALID_STATUSES: [&str; 7] = ["000", "001", "099", "600", "700", "999", "0"];
 
-/// A caller got an answer whose status was 000, or another one that is none.
+/// Guards against invalid status codes that are forwarded.
 #[test]
 fn response_with_an_invalid_status_is_an_error() {
     for status in INVALID_STATUSES {
@@ -237,8 +237,7 @@
     }
 }
 
-/// A caller got the beginning of an answer as all of it, when the server had answered before it had read a long request, and
-/// reset the connection.
+/// Guards against a truncated response that passes for complete after a reset during the upload.
 #[test]
 fn response_that_breaks_off_during_the_upload_is_an_error() {
     let heads = [
