Tests for the reads and the wait that changed

On streams_begin_within_their_target_at_a_restarted_vm fails (449 and 456 ms in two runs, where 400 ms are allowed), and so does records_are_read_once_for_a_query_that_they_do_not_answer (3 reads).

--- a/crates/origins/tests/release_ledger.rs
+++ b/crates/origins/tests/release_ledger.rs
@@ -4,7 +4,7 @@
 
 use {
     clock::Instant,
-    origin_common::{WINDOW, at, read, release, service},
+    origin_common::{WINDOW, at, key, read, release, service, vm_addr},
     origins::{Binding, LedgerStep, Origins, ReleaseLedger, ReleaseRecord},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeSet, time::Duration},
@@ -137,8 +137,7 @@
     assert_eq!(ReleaseRecord::decode(&later).unwrap(), recorded);
 }
 
-/// The assignment of a record was lost when a VM of an earlier release wrote it, and written again by another VM. Its buckets were
-/// taken for unchanged since the first one, although streams had begun anywhere in between.
+/// Guards against buckets that count as unchanged although a VM of an earlier release had dropped their assignment in between.
 #[test]
 fn assignment_that_was_lost_and_written_again_is_another_one() {
     let mut vm = started(&[1, 2]);
@@ -169,7 +168,7 @@
     assert_eq!(next(&mut ledger, &vm, at(125_000)), LedgerStep::Wait);
 }
 
-/// A service without room had its record written again and again, although it has one release only.
+/// Guards against repeated writes of the record of an overloaded service with a single release.
 #[test]
 fn shortage_of_the_only_release_opens_nothing() {
     let mut vm = started(&[1]);
@@ -180,6 +179,26 @@
     assert_eq!(vm.shortages(at(100)), [(service(), release(1))].into());
 }
 
+/// Guards against a read of the records for each repeated query that they can't answer.
+#[test]
+fn records_are_read_once_for_a_query_that_they_do_not_answer() {
+    let mut vm = started(&[1, 2]);
+    vm.set_reads_records(true);
+    let mut ledger = ReleaseLedger::new(Duration::ZERO);
+    ledger.apply(at(100), end(0), [].into(), &mut vm);
+    let mut reads = 0;
+    // The requester sends four queries in half a second, and its caller returns once.
+    for ms in [300, 425, 550, 675, 1_175, 1_300] {
+        vm.query_records(at(ms), (key(1), &service()), Some(vm_addr(7)));
+        if next(&mut ledger, &vm, at(ms)) == LedgerStep::Read {
+            reads += 1;
+            ledger.apply(at(ms), end(0), [].into(), &mut vm);
+        }
+    }
+    assert_eq!(reads, 1);
+    assert!(vm.take_answers().is_empty());
+}
+
 /// A record as dfd247d reads and writes it.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct RecordDfd247d {
--- a/crates/relay/tests/stream_releases.rs
+++ b/crates/relay/tests/stream_releases.rs
@@ -19,8 +19,9 @@
 const LIST_TIME: Duration = Duration::from_secs(2);
 /// Time within which a stream that can't go on is refused.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
-/// First starts of a test, and the latency target of the route.
+/// Starts and restarts of a test, and the latency target of the route.
 const FIRST_STARTS: usize = 6;
+const RESTARTS: usize = 2;
 const TARGET: Duration = Duration::from_millis(400);
 /// Time in which the platform's record of the releases is written.
 const RECORD_TIME: Duration = Duration::from_secs(1);
@@ -119,7 +120,7 @@
     check_unknown_origin(&fleet, &log, |_| None);
 }
 
-/// Streams waited for the first record for up to 0.6 s, which slow ones lacked at their end.
+/// Guards against new streams that are held until the first record is written for longer than their latency target.
 #[test]
 fn streams_begin_within_their_target_at_the_first_start() {
     for _ in 0..FIRST_STARTS {
@@ -132,7 +133,26 @@
     }
 }
 
-/// A stream that no VM knew was joined at another release than the one at which streams of its id begin.
+/// Guards against new streams that are held at a VM which has just restarted, until it follows the reader of its zone.
+#[test]
+fn streams_begin_within_their_target_at_a_restarted_vm() {
+    let log: Arc<ReleaseLog> = Arc::default();
+    let endpoints = two_releases(&log);
+    let mut fleet = Fleet::start(3, &endpoints.each_ref());
+    thread::sleep(RECORD_TIME);
+    for _ in 0..RESTARTS {
+        fleet.kill(0..fleet.routers.len());
+        (0..3).for_each(|_| fleet.start_vm());
+        fleet.routers.iter().for_each(Router::wait_ready);
+        for vm in 0..fleet.routers.len() {
+            let begun = fleet.begin(2, vm..vm + 1);
+            let longest = begun.iter().map(|s| s.took).max().unwrap();
+            assert!(longest < TARGET, "VM {vm}: {longest:?}");
+        }
+    }
+}
+
+/// Guards against a stream of unknown origin that is resumed at another release than the assigned one.
 #[test]
 fn stream_that_no_vm_knows_goes_on_at_its_assigned_release() {
     let log: Arc<ReleaseLog> = Arc::default();
