--- a/crates/origins/src/assignment.rs
+++ b/crates/origins/src/assignment.rs
@@ -69,14 +69,14 @@
             .map(|release| Bucket {
                 current: release.clone(),
                 open: false,
-                origins: origins.map(|b| b.iter().chain([release]).cloned().collect()),
+                origins: origins.map(|o| o.iter().chain([release]).cloned().collect()),
                 version: offset,
             })
             .collect();
         (buckets.len() == BUCKETS).then_some(Self { buckets })
     }
 
-    /// The next version; equal to this one if nothing version.
+    /// The next version; equal to this one if nothing changes.
     pub(crate) fn updated(&self, update: &AssignmentUpdate<'_>) -> Self {
         let mut next = self.clone();
         next.reassign(update);
