--- a/review/standins-3/src/cases/slow_reader.rs
+++ b/review/standins-3/src/cases/slow_reader.rs
@@ -21,8 +21,9 @@
 const VM_ZONES: [&str; 4] = ["porto-a", "porto-a", "porto-b", "porto-b"];
 const ZONES: [&str; 2] = ["porto-a", "porto-b"];
 const REPLICAS: u8 = 3;
-/// Size of an answer: below the 4 MiB that a request's body may have.
-const BODY: usize = 3_900_000;
+/// Size of an answer: about a quarter of what a request's body may have (`maxBodyBytes`), several times what the system's
+/// buffers hold for a caller that doesn't read.
+const BODY: usize = 1_000_000;
 const WORK: Work = Work::Plain {
     time: Duration::from_millis(60),
     size: BODY,
